--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: install test lint format demo bench fuzz
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -e '.[test]'
+	touch $(STAMP)
+
+test: install
+	$(PY) -m pytest
+
+lint: install
+	$(PY) -m ruff check .
+	$(PY) -m ruff format --check .
+
+format: install
+	$(PY) -m ruff check --fix .
+	$(PY) -m ruff format .
--- /dev/null
+++ b/egretthread/__init__.py
@@ -0,0 +1,1 @@
+"""A shared dispatcher for sub-second tasks."""
