--- /dev/null
+++ b/egretthread/callerapi.py
@@ -0,0 +1,190 @@
+"""HTTP interface of an entry towards callers."""
+
+import asyncio
+
+import orjson
+import tornado.web
+
+from egretthread import accesskey, jobform, jobkey, util
+from egretthread.blackboard import Refusal
+from egretthread.config import Organisation
+from egretthread.jobkey import JobRef
+from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
+
+BEARER = "Bearer "
+# HTTP status of each kind of refusal; the rest are 503.
+STATUS_BY_KIND = {
+    "bad_request": 400,
+    "bad_job_key": 400,
+    "unauthorised": 401,
+    "unknown_service": 404,
+    "unknown_job": 404,
+    "key_conflict": 409,
+    "key_expired": 410,
+    "key_in_future": 425,
+    "quota_exceeded": 429,
+    "overloaded": 429,
+    "unavailable": 503,
+    "shard_unavailable": 503,
+    "deadline_exceeded": 503,
+}
+
+
+class CallerHandler(tornado.web.RequestHandler):
+    """Base of the callers' handlers: access keys and error bodies."""
+
+    def initialize(self, entry):
+        """Keeps the entry's process object."""
+        self.entry = entry
+
+    def set_default_headers(self):
+        """Says no more than needed about the server."""
+        self.clear_header("Server")
+        self.set_header("Content-Type", "application/json")
+
+    def organisation(self) -> Organisation | None:
+        """Returns the caller's organisation; answers 401 for none."""
+        configuration = self.entry.board.configuration
+        if configuration is None:
+            self.refuse(NOT_SERVING)
+            return None
+        header = self.request.headers.get("Authorization", "")
+        token = header.removeprefix(BEARER)
+        organisation = accesskey.verify(configuration, token)
+        if organisation is None:
+            self.refuse(UNAUTHORISED)
+        return organisation
+
+    def refuse(self, refusal: Refusal, **more) -> None:
+        """Answers with a typed error body."""
+        self.set_status(STATUS_BY_KIND.get(refusal.kind, 503))
+        body = {
+            "kind": refusal.kind,
+            "message": refusal.message,
+            "remedy": refusal.remedy,
+            "started_by_this_request": False,
+            **more,
+        }
+        if refusal.retry_after_s:
+            body["retry_after_s"] = round(refusal.retry_after_s, 3)
+        self.finish(orjson.dumps(body))
+
+    def job_ref(self, organisation: Organisation, key: str) -> JobRef | None:
+        """Returns the job named in the path; answers 400 for a bad key."""
+        try:
+            return JobRef(organisation.name, jobkey.check_key(key))
+        except jobkey.JobKeyError as error:
+            self.refuse(Refusal(error.kind, error.message, error.remedy))
+            return None
+
+
+NOT_SERVING = Refusal(
+    "unavailable",
+    "this entry has no configuration yet",
+    "submit again with the same key through another entry",
+    retry_after_s=1.0,
+)
+UNAUTHORISED = Refusal(
+    "unauthorised",
+    "the access key is missing or not valid",
+    "send Authorization: Bearer <organisation>.<secret> with a live key",
+)
+
+
+class JobsHandler(CallerHandler):
+    """Takes submissions: POST /v1/jobs."""
+
+    async def post(self):
+        """Answers once the job is over."""
+        organisation = self.organisation()
+        if organisation is None:
+            return
+        try:
+            submission = jobform.parse(
+                self.request.body,
+                organisation.name,
+                self.entry.board.configuration,
+            )
+        except util.OptionError as error:
+            faults = [str(fault) for fault in error.faults]
+            refusal = Refusal("bad_request", error.message, error.remedy)
+            self.refuse(refusal, faults=faults)
+            return
+        waiter = self.entry.submit(submission)
+        self.waiter = waiter
+        try:
+            result = await waiter
+        except asyncio.CancelledError:
+            return
+        self.answer(result)
+
+    def answer(self, result: JobAnswer | Refusal) -> None:
+        """Writes the whole answer, or why there is none."""
+        if isinstance(result, Refusal):
+            self.refuse(result)
+        else:
+            self.finish(answer_body(result))
+
+    def on_connection_close(self):
+        """Stops waiting; the job goes on and its answer is kept."""
+        waiter = getattr(self, "waiter", None)
+        if waiter is not None:
+            waiter.cancel()
+
+
+class JobHandler(CallerHandler):
+    """Status and cancellation: GET and DELETE /v1/jobs/KEY."""
+
+    async def get(self, key):
+        """Answers with what is known of the job."""
+        await self.look_up(key, cancel=False)
+
+    async def delete(self, key):
+        """Asks that no more tasks of the job start."""
+        await self.look_up(key, cancel=True)
+
+    async def look_up(self, key: str, cancel: bool) -> None:
+        """Finds the job here or at its coordinator."""
+        organisation = self.organisation()
+        if organisation is None:
+            return
+        job = self.job_ref(organisation, key)
+        if job is None:
+            return
+        found = await self.entry.look_up(job, cancel)
+        if isinstance(found, Refusal):
+            self.refuse(found)
+        elif isinstance(found, JobAnswer):
+            self.finish(answer_body(found))
+        else:
+            self.set_status(202 if cancel else 200)
+            self.finish(orjson.dumps({"key": key, "state": found.value}))
+
+
+def answer_body(answer: JobAnswer) -> bytes:
+    """Returns the JSON text of a job's answer."""
+    return orjson.dumps(
+        {
+            "key": answer.key,
+            "state": "complete" if answer.complete else "failed",
+            "tasks": [_task_body(item) for item in answer.outcomes],
+        }
+    )
+
+
+def _task_body(item: Outcome) -> dict:
+    if item.kind is OutcomeKind.DONE:
+        return {"outcome": "done", "result": orjson.Fragment(item.result)}
+    return {"outcome": item.kind.value, "reason": item.reason}
+
+
+def application(entry) -> tornado.web.Application:
+    """Returns the callers' application of an entry."""
+    context = {"entry": entry}
+    return tornado.web.Application(
+        [
+            (r"/v1/jobs", JobsHandler, context),
+            (r"/v1/jobs/([^/]+)", JobHandler, context),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/egretthread/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: functions that read and write a process's blackboard."""
--- /dev/null
+++ b/egretthread/controllers/agent_leases.py
@@ -0,0 +1,93 @@
+"""Agent: heartbeats to the entries and the lease they grant."""
+
+from egretthread import lease, message, witness
+from egretthread.blackboard import AgentBoard
+
+
+def is_open(board: AgentBoard) -> bool:
+    """Whether tasks may start at this very moment."""
+    return refusal(board) is message.Refusal.NONE
+
+
+def refusal(board: AgentBoard) -> message.Refusal:
+    """Returns why no task may start now, or Refusal.NONE."""
+    if board.view is None or board.now_s >= board.lease.until_s:
+        return message.Refusal.NO_LEASE
+    if board.view.withdrawn:
+        return message.Refusal.WITHDRAWN
+    if board.draining or board.view.draining:
+        return message.Refusal.DRAINING
+    if not board.healthy:
+        return message.Refusal.BACKEND_UNREACHABLE
+    return message.Refusal.NONE
+
+
+def free_slots(board: AgentBoard) -> int:
+    """Returns the slots neither running a task nor held for an entry."""
+    board.held = [hold for hold in board.held if hold[0] > board.now_s]
+    held = sum(count for _, _, count in board.held)
+    return max(0, board.slots - board.running - held)
+
+
+def failure_share(board: AgentBoard) -> float:
+    """Returns the share of the recent tasks that failed, 0 to 1."""
+    if not board.recent:
+        return 0.0
+    return sum(board.recent) / len(board.recent)
+
+
+def send_heartbeats(board: AgentBoard) -> None:
+    """Announces the agent to every connected entry."""
+    settings = board.settings
+    draining = board.draining or bool(board.view and board.view.draining)
+    shards = board.witness.shards.items()
+    beat = message.Heartbeat(
+        agent=board.node,
+        zone=settings.zone,
+        service=settings.service,
+        processors=settings.processors,
+        memory_bytes=settings.memory_bytes,
+        slots=board.slots,
+        free=free_slots(board) if is_open(board) else 0,
+        healthy=board.healthy,
+        draining=draining,
+        failure_share=failure_share(board),
+        sent_s=board.now_s,
+        shard_epochs=tuple((number, m.epoch) for number, m in shards),
+    )
+    for node in board.links:
+        board.send(node, beat)
+
+
+def on_heartbeat_reply(
+    board: AgentBoard, node: str, reply: message.HeartbeatReply
+) -> None:
+    """Takes over the lease, the configuration and the witness shards."""
+    if reply.config_offset < 0:
+        return
+    board.entries = reply.entries
+    previous = board.lease
+    board.lease = lease.renew(
+        previous, reply.config_offset, reply.echo_s, reply.lease_s
+    )
+    if reply.config_offset < previous.config_offset:
+        board.counters["stale_heartbeat_replies"] += 1
+        return
+    board.view = reply
+    board.slots = min(board.settings.slots, reply.slots)
+    _adopt_shards(board, reply)
+
+
+def _adopt_shards(board: AgentBoard, reply: message.HeartbeatReply) -> None:
+    """Adopts the shards named; one that moved away is kept until replaced.
+
+    Entries may lag behind one another, so a shard that one of them does not
+    name is dropped only when a newer epoch without this agent is seen.
+    """
+    for view in reply.shards:
+        if board.witness.name not in view.members:
+            known = board.witness.shards.get(view.shard)
+            if known is not None and known.epoch < view.epoch:
+                del board.witness.shards[view.shard]
+            continue
+        witness.adopt(board.witness, view, board.unix_s, reply.clock_error_s)
--- /dev/null
+++ b/egretthread/controllers/agent_tasks.py
@@ -0,0 +1,225 @@
+"""Agent: starts each task at most once and reports what became of it."""
+
+from egretthread import ledger, message
+from egretthread.blackboard import AgentBoard, EntryWish, StartOrder
+from egretthread.controllers import agent_leases
+from egretthread.jobkey import JobRef
+from egretthread.message import Refusal, TaskReport, TaskState
+from egretthread.outcome import Outcome, OutcomeKind
+
+# A slot given to an entry is held this long for its next task.
+CREDIT_HOLD_S = 0.02
+
+
+def _is_expired(board: AgentBoard, job: JobRef) -> bool:
+    return job.issued_s < board.horizon_s
+
+
+def _refusal(board: AgentBoard, node: str, assign: message.Assign) -> Refusal:
+    """Returns why a new task of this message may not start now."""
+    refusal = agent_leases.refusal(board)
+    if refusal is not Refusal.NONE:
+        return refusal
+    if assign.service != board.settings.service:
+        return Refusal.WRONG_SERVICE
+    if _is_expired(board, assign.job):
+        return Refusal.OUTSIDE_RETENTION
+    if agent_leases.free_slots(board) <= 0:
+        return Refusal.BUSY
+    return Refusal.NONE
+
+
+def on_assign(board: AgentBoard, node: str, assign: message.Assign) -> None:
+    """Starts the tasks that may start and refuses the others for good."""
+    if assign.agent != board.node:
+        board.counters["assigns_for_others"] += 1
+        return
+    _release_holds(board, node, len(assign.tasks))
+    entry = ledger.job_entry(board.ledger, assign.job)
+    superseded = assign.ballot < entry.ballot
+    if not superseded:
+        ledger.raise_ballot(entry, assign.ballot)
+    reports = []
+    for task in assign.tasks:
+        report = ledger.known_report(entry, task)
+        if report is None:
+            refusal = Refusal.SEALED
+            if not superseded:
+                refusal = _refusal(board, node, assign)
+            report = _start_or_refuse(board, assign, entry, task, refusal)
+        if report is not None and report.state is not TaskState.STARTED:
+            reports.append(report)
+    _wish_for_refused(board, node, reports)
+    if reports:
+        _send_report(board, node, assign.job, entry, tuple(reports))
+
+
+def _start_or_refuse(
+    board: AgentBoard,
+    assign: message.Assign,
+    entry: ledger.JobEntry,
+    task: message.TaskAssignment,
+    refusal: Refusal,
+) -> TaskReport | None:
+    if refusal is not Refusal.NONE:
+        board.counters[f"refused_{refusal}"] += 1
+        return ledger.refuse(entry, task.index, task.attempt, refusal)
+    ledger.start(entry, task)
+    board.running += 1
+    board.counters["starts"] += 1
+    board.to_start.append(
+        StartOrder(
+            assign.job,
+            assign.service,
+            task.index,
+            task.attempt,
+            task.payload,
+            task.timeout_s,
+        )
+    )
+    return None
+
+
+def _release_holds(board: AgentBoard, node: str, count: int) -> None:
+    """Frees the slots held for an entry that now uses them."""
+    kept = []
+    for until_s, holder, held in board.held:
+        used = min(held, count) if holder == node else 0
+        count -= used
+        if held > used:
+            kept.append((until_s, holder, held - used))
+    board.held = kept
+
+
+def _wish_for_refused(
+    board: AgentBoard, node: str, reports: list[TaskReport]
+) -> None:
+    """Remembers that an entry has work for slots that were not free."""
+    busy = sum(report.refusal is Refusal.BUSY for report in reports)
+    if busy and node not in board.wishes:
+        board.wishes[node] = EntryWish(busy, board.now_s)
+
+
+def _send_report(
+    board: AgentBoard,
+    node: str,
+    job: JobRef,
+    entry: ledger.JobEntry,
+    reports: tuple[TaskReport, ...],
+) -> None:
+    free = agent_leases.free_slots(board)
+    board.send(
+        node, message.Report(job, entry.ballot, board.node, reports, free)
+    )
+
+
+def may_start(board: AgentBoard, order: StartOrder) -> bool:
+    """Whether a task may start at this very moment.
+
+    The shell asks right before it writes the request to the backend server,
+    with no wait in between: a process that was paused must not start a task
+    under a lease that has lapsed meanwhile.
+    """
+    refusal = agent_leases.refusal(board)
+    if refusal is Refusal.DRAINING and not board.view.draining:
+        # A task accepted before a graceful shutdown still runs.
+        refusal = Refusal.NONE
+    if refusal is Refusal.NONE and _is_expired(board, order.job):
+        refusal = Refusal.OUTSIDE_RETENTION
+    if refusal is Refusal.NONE:
+        return True
+    cancel_start(board, order, refusal)
+    return False
+
+
+def cancel_start(
+    board: AgentBoard, order: StartOrder, refusal: Refusal
+) -> None:
+    """Reports a task that provably did not reach the backend server."""
+    entry = board.ledger.jobs[order.job]
+    report = ledger.withdraw_start(entry, order.index, refusal)
+    board.running -= 1
+    board.counters[f"refused_{refusal}"] += 1
+    _send_report(board, entry.ballot.coordinator, order.job, entry, (report,))
+    give_credits(board)
+
+
+def on_finished(board: AgentBoard, order: StartOrder, outcome: Outcome) -> None:
+    """Records the outcome of a task and reports when the job's part is over.
+
+    Results wait until no task of the job runs here: the job's answer needs
+    all of them, and a message per job costs less than one per task.
+    """
+    entry = board.ledger.jobs[order.job]
+    ledger.finish(entry, order.index, outcome)
+    board.running -= 1
+    board.recent.append(outcome.kind is not OutcomeKind.DONE)
+    board.counters[f"tasks_{outcome.kind}"] += 1
+    if not entry.running or board.wishes:
+        flush_job(board, order.job)
+    give_credits(board)
+
+
+def flush_job(board: AgentBoard, job: JobRef) -> None:
+    """Sends the finished tasks of a job to its coordinator."""
+    entry = board.ledger.jobs[job]
+    if not entry.unreported:
+        return
+    reports = ledger.take_unreported(entry)
+    _send_report(board, entry.ballot.coordinator, job, entry, reports)
+
+
+def on_want(board: AgentBoard, node: str, want: message.Want) -> None:
+    """Remembers or forgets that an entry has tasks waiting."""
+    if want.count <= 0:
+        board.wishes.pop(node, None)
+        return
+    since_s = board.now_s - want.waited_s
+    board.wishes[node] = EntryWish(want.count, since_s)
+    give_credits(board)
+
+
+def give_credits(board: AgentBoard) -> None:
+    """Gives free slots to the entries whose tasks have waited longest."""
+    if not agent_leases.is_open(board):
+        return
+    free = agent_leases.free_slots(board)
+    waiting = sorted(board.wishes.items(), key=lambda item: item[1].since_s)
+    for node, wish in waiting:
+        if free <= 0:
+            return
+        count = min(free, wish.count)
+        free -= count
+        _give_credit(board, node, wish, count)
+
+
+def _give_credit(
+    board: AgentBoard, node: str, wish: EntryWish, count: int
+) -> None:
+    wish.count -= count
+    if wish.count <= 0:
+        del board.wishes[node]
+    board.held.append((board.now_s + CREDIT_HOLD_S, node, count))
+    board.counters["credits"] += count
+    board.send(node, message.Credit(board.node, count))
+
+
+def on_seal(board: AgentBoard, node: str, seal: message.Seal) -> None:
+    """Refuses lower ballots from now on and says what is held of the job."""
+    if seal.agent == board.node:
+        entry = ledger.seal(board.ledger, seal.job, seal.ballot)
+    else:
+        entry = ledger.JobEntry(seal.ballot)
+    reports = ledger.settled_reports(entry)
+    if entry.ballot == seal.ballot:
+        entry.unreported.clear()
+    board.send(
+        node, message.SealReply(seal.job, entry.ballot, board.node, reports)
+    )
+
+
+def on_link_closed(board: AgentBoard, node: str) -> None:
+    """Forgets the wishes of an entry whose link is gone."""
+    board.links.discard(node)
+    board.wishes.pop(node, None)
+    board.held = [hold for hold in board.held if hold[1] != node]
--- /dev/null
+++ b/egretthread/controllers/answers.py
@@ -0,0 +1,195 @@
+"""Entry: the final answer of a job, refusals and cancellation."""
+
+import dataclasses
+
+from egretthread import message, outcome
+from egretthread.blackboard import EntryBoard, JobState, Phase, Refusal
+from egretthread.controllers import dispatch, rounds
+from egretthread.jobkey import JobRef
+from egretthread.outcome import JobAnswer, OutcomeKind
+
+CONFLICT = Refusal(
+    "key_conflict",
+    "this job key was used before with other tasks",
+    "use a new key for new tasks",
+)
+
+
+def outside_retention(board: EntryBoard, job: JobRef) -> Refusal:
+    """Returns the refusal of a key that is too old or too new."""
+    if job.issued_s > board.unix_s:
+        wait_s = job.issued_s - board.unix_s
+        return Refusal(
+            "key_in_future",
+            "the job key's time lies in the future",
+            "correct the clock, or submit again a little later",
+            retry_after_s=wait_s,
+        )
+    return Refusal(
+        "key_expired",
+        "the job key is older than keys are remembered; its tasks may have run",
+        "check what became of the job before using a new key",
+    )
+
+
+def refuse(board: EntryBoard, state: JobState, refusal: Refusal) -> None:
+    """Ends this entry's part in a job of which it started nothing."""
+    del board.jobs[state.job]
+    _free_quota(board, state)
+    board.counters[f"refused_{refusal.kind}"] += 1
+    board.finished.append((state.job, refusal))
+    _tell_askers(board, state.job, None)
+
+
+def check_over(board: EntryBoard, state: JobState) -> None:
+    """Gives the answer once every task has an outcome.
+
+    An answer that is not complete is first made final at the witnesses, so
+    that no other coordinator starts what is reported as not run.
+    """
+    if state.phase is not Phase.RUNNING:
+        return
+    if len(state.outcomes) < len(state.submission.tasks):
+        return
+    complete = all(
+        item.kind is OutcomeKind.DONE for item in state.outcomes.values()
+    )
+    if complete or state.registration.closed:
+        finish(board, state)
+        return
+    _close(board, state)
+
+
+def _close(board: EntryBoard, state: JobState) -> None:
+    state.phase = Phase.CLOSING
+    state.extension = None
+    registration = message.Registration(
+        state.submission.digest,
+        state.ballot,
+        state.agents,
+        closed=True,
+        not_run=_not_run(state),
+    )
+    state.round = rounds.begin(board, state.job, message.Accept, registration)
+    if state.round is None:
+        finish_unclosed(board, state)
+
+
+def _not_run(state: JobState) -> tuple[int, ...]:
+    return tuple(
+        index
+        for index, item in sorted(state.outcomes.items())
+        if item.kind is OutcomeKind.NOT_RUN
+    )
+
+
+def close_unstarted(board: EntryBoard, state: JobState) -> None:
+    """Gives every task of a job registered as closed its outcome."""
+    for index in range(len(state.submission.tasks)):
+        state.outcomes[index] = outcome.not_run(state.cancel_reason)
+
+
+def finish_unclosed(board: EntryBoard, state: JobState) -> None:
+    """Answers without the witnesses: what was not started may yet be."""
+    for index in _not_run(state):
+        state.outcomes[index] = outcome.unknown(
+            "not started here, but the witnesses could not be told so"
+        )
+    finish(board, state)
+
+
+def finish(board: EntryBoard, state: JobState) -> None:
+    """Gives the whole answer to the callers and to the entries that ask."""
+    outcomes = tuple(
+        state.outcomes[index] for index in range(len(state.submission.tasks))
+    )
+    state.phase = Phase.OVER
+    state.round = None
+    state.extension = None
+    state.hand_outs.clear()
+    state.seals.clear()
+    state.answer = JobAnswer(state.job.key, outcomes)
+    _free_quota(board, state)
+    state.submission = dataclasses.replace(state.submission, tasks=())
+    kind = "complete" if state.answer.complete else "failed"
+    board.counters[f"jobs_{kind}"] += 1
+    board.finished.append((state.job, state.answer))
+    _tell_askers(board, state.job, state.answer)
+
+
+def _free_quota(board: EntryBoard, state: JobState) -> None:
+    tasks = len(state.submission.tasks)
+    board.quotas.finish(state.job.organisation, tasks)
+
+
+def _tell_askers(
+    board: EntryBoard, job: JobRef, answer: JobAnswer | None
+) -> None:
+    for node in board.askers.pop(job, ()):
+        board.send(node, _ask_reply(board, job, answer))
+
+
+def _ask_reply(
+    board: EntryBoard, job: JobRef, answer: JobAnswer | None
+) -> message.AskReply:
+    if answer is not None:
+        status = message.AskStatus.ANSWERED
+        return message.AskReply(job, board.node, status, answer.outcomes)
+    status = message.AskStatus.NOT_COORDINATOR
+    return message.AskReply(job, board.node, status)
+
+
+def on_ask(board: EntryBoard, node: str, ask: message.Ask) -> None:
+    """Tells another entry the answer, now or once it is there."""
+    state = board.jobs.get(ask.job)
+    if state is None or state.phase in (Phase.CLAIMING, Phase.ASKING):
+        board.send(ask.entry, _ask_reply(board, ask.job, None))
+    elif state.answer is not None:
+        board.send(ask.entry, _ask_reply(board, ask.job, state.answer))
+    else:
+        board.askers.setdefault(ask.job, set()).add(ask.entry)
+        status = message.AskStatus.RUNNING
+        board.send(ask.entry, message.AskReply(ask.job, board.node, status))
+
+
+def cancel(board: EntryBoard, job: JobRef, reason: str) -> bool:
+    """Starts no more tasks of a job; returns whether the job is known."""
+    state = board.jobs.get(job)
+    if state is None:
+        return False
+    if state.answer is None and not state.cancel_reason:
+        state.cancel_reason = reason
+        if state.phase is Phase.ASKING:
+            board.send(state.coordinator, message.CancelJob(job, board.node))
+        dispatch.give_up_queued(board, state)
+        check_over(board, state)
+    return True
+
+
+def on_cancel(board: EntryBoard, node: str, item: message.CancelJob) -> None:
+    """Cancels a job on behalf of another entry."""
+    cancel(board, item.job, "cancelled by its caller")
+
+
+def expire(board: EntryBoard, state: JobState) -> None:
+    """Gives the answer of a job whose deadline has passed, at once."""
+    if state.phase is Phase.RUNNING:
+        state.cancel_reason = state.cancel_reason or "its deadline passed"
+        dispatch.give_up_queued(board, state)
+        for index in list(state.hand_outs):
+            del state.hand_outs[index]
+            state.outcomes[index] = outcome.unknown(
+                "still running when the job's deadline passed"
+            )
+        check_over(board, state)
+    elif state.phase is not Phase.CLOSING:
+        refuse(
+            board,
+            state,
+            Refusal(
+                "deadline_exceeded",
+                "the deadline passed before this entry knew the job's state",
+                "ask again with the same key",
+                retry_after_s=1.0,
+            ),
+        )
--- /dev/null
+++ b/egretthread/controllers/dispatch.py
@@ -0,0 +1,392 @@
+"""Entry: hands waiting tasks to agents and takes in what they report."""
+
+import itertools
+
+from egretthread import fairqueue, message, outcome, placement, placements
+from egretthread.blackboard import (
+    AgentState,
+    EntryBoard,
+    HandOut,
+    JobState,
+    Phase,
+)
+from egretthread.controllers import answers, claims, pool, rounds
+from egretthread.controllers.rounds import Tally
+from egretthread.message import Refusal, TaskReport, TaskState
+
+# A hand-out without news is sent again after this time.
+RESEND_S = 10.0
+# A wish for slots is repeated after this time.
+WANT_AGAIN_S = 0.5
+# A task refused this often is given up as not run.
+MAX_ATTEMPTS = 50
+
+
+def queue_for(board: EntryBoard, service: str) -> fairqueue.FairQueue:
+    """Returns the queue of a service's waiting tasks."""
+    return board.queues.setdefault(service, fairqueue.FairQueue())
+
+
+def begin_running(board: EntryBoard, state: JobState) -> None:
+    """Queues the tasks of a job that nobody has started."""
+    state.phase = Phase.RUNNING
+    _enqueue(board, state, _unsettled(state))
+    if state.cancel_reason:
+        give_up_queued(board, state)
+    answers.check_over(board, state)
+    run(board, state.submission.service)
+
+
+def _unsettled(state: JobState) -> list[int]:
+    return [
+        index
+        for index in range(len(state.submission.tasks))
+        if index not in state.outcomes and index not in state.hand_outs
+    ]
+
+
+def _enqueue(board: EntryBoard, state: JobState, indices: list[int]) -> None:
+    if not indices:
+        return
+    name = state.job.organisation
+    queue = queue_for(board, state.submission.service)
+    queue.push(name, _weight(board, name), state.job, indices, board.now_s)
+
+
+def _weight(board: EntryBoard, name: str) -> float:
+    organisation = board.configuration.organisation(name)
+    return organisation.weight if organisation else 1.0
+
+
+def stop_running(board: EntryBoard, state: JobState) -> None:
+    """Takes a job's waiting tasks out of the queue."""
+    queue_for(board, state.submission.service).remove(state.job)
+
+
+def give_up_queued(board: EntryBoard, state: JobState) -> None:
+    """Marks the tasks that no agent holds as not run."""
+    stop_running(board, state)
+    if state.phase is not Phase.RUNNING:
+        return
+    for index in _unsettled(state):
+        state.outcomes[index] = outcome.not_run(state.cancel_reason)
+
+
+def run(board: EntryBoard, service: str) -> None:
+    """Hands out as many waiting tasks of a service as slots are free."""
+    queue = queue_for(board, service)
+    if board.configuration.service(service) is None:
+        return
+    if len(queue) and board.lease_open:
+        views = pool.views(board, service)
+        free = sum(placement.usable_slots(v) for v in views.values())
+        for state, indices in _take(board, queue, free):
+            _place(board, queue, state, indices, views)
+    _update_wants(board, service, queue)
+
+
+def _take(
+    board: EntryBoard, queue: fairqueue.FairQueue, count: int
+) -> list[tuple[JobState, list[int]]]:
+    """Takes up to `count` tasks off the queue, joined by job."""
+    taken = []
+    for _ in range(count):
+        item = queue.pop()
+        if item is None:
+            break
+        taken.append(item)
+    groups = {}
+    for job, index in taken:
+        groups.setdefault(job, []).append(index)
+    return [(board.jobs[job], indices) for job, indices in groups.items()]
+
+
+def _place(
+    board: EntryBoard,
+    queue: fairqueue.FairQueue,
+    state: JobState,
+    indices: list[int],
+    views: dict,
+) -> None:
+    """Hands tasks of one job to agents; what finds no slot goes back."""
+    limits = board.configuration.service(state.submission.service)
+    policy = placements.find_policy(limits.placement)
+    usable = [views[node] for node in state.agents if node in views]
+    rest = iter(indices)
+    for node, count in policy(usable, len(indices)):
+        chosen = list(itertools.islice(rest, count))
+        if chosen:
+            _hand_out(board, state, board.agents[node], chosen)
+            views[node] = pool.take_free(views[node], len(chosen))
+    left = list(rest)
+    if left:
+        name = state.job.organisation
+        weight = _weight(board, name)
+        queue.pushback(name, weight, state.job, left, state.created_s)
+
+
+def _hand_out(
+    board: EntryBoard, state: JobState, agent: AgentState, indices: list[int]
+) -> None:
+    for index in indices:
+        state.attempts[index] += 1
+        state.hand_outs[index] = HandOut(
+            agent.node, state.attempts[index], board.now_s
+        )
+    agent.free -= len(indices)
+    pool.probation(board, agent.heartbeat.service).pushed(
+        agent.node, board.now_s
+    )
+    board.counters["hand_outs"] += len(indices)
+    _send_assign(board, state, agent.node, indices)
+
+
+def _send_assign(
+    board: EntryBoard, state: JobState, node: str, indices: list[int]
+) -> None:
+    submission = state.submission
+    limits = board.configuration.service(submission.service)
+    timeout_s = limits.max_task_s if limits else 0.0
+    tasks = tuple(
+        message.TaskAssignment(
+            index,
+            state.hand_outs[index].attempt,
+            submission.tasks[index].payload,
+            timeout_s,
+        )
+        for index in indices
+    )
+    board.send(
+        node,
+        message.Assign(
+            state.job, submission.service, state.ballot, node, tasks
+        ),
+    )
+
+
+def _update_wants(
+    board: EntryBoard, service: str, queue: fairqueue.FairQueue
+) -> None:
+    """Tells the agents of a service whether tasks wait here for slots."""
+    waiting = len(queue)
+    for agent in pool.eligible(board, service) if waiting else ():
+        count = min(waiting, agent.heartbeat.slots)
+        fresh = board.now_s - agent.wanted_s < WANT_AGAIN_S
+        if agent.wanted and fresh:
+            continue
+        _send_want(board, agent, service, count, queue)
+    if not waiting:
+        for agent in board.agents.values():
+            if agent.wanted and agent.heartbeat.service == service:
+                _send_want(board, agent, service, 0, queue)
+
+
+def _send_want(
+    board: EntryBoard,
+    agent: AgentState,
+    service: str,
+    count: int,
+    queue: fairqueue.FairQueue,
+) -> None:
+    agent.wanted = count
+    agent.wanted_s = board.now_s
+    waited_s = queue.oldest_wait_s(board.now_s) if count else 0.0
+    board.send(agent.node, message.Want(board.node, service, count, waited_s))
+
+
+def on_credit(board: EntryBoard, node: str, credit: message.Credit) -> None:
+    """Uses the slots that an agent holds for this entry."""
+    agent = board.agents.get(credit.agent)
+    if agent is None:
+        return
+    agent.wanted = max(0, agent.wanted - credit.count)
+    agent.free = max(agent.free, 0) + credit.count
+    run(board, agent.heartbeat.service)
+
+
+def on_report(board: EntryBoard, node: str, report: message.Report) -> None:
+    """Takes in finished and refused tasks."""
+    agent = board.agents.get(report.agent)
+    if agent is not None:
+        agent.free = report.free
+    state = board.jobs.get(report.job)
+    if state is not None and state.answer is None:
+        for item in report.tasks:
+            TAKERS[item.state](board, state, report, item)
+            if state.phase not in _TAKING:
+                break
+        answers.check_over(board, state)
+    if agent is not None:
+        run(board, agent.heartbeat.service)
+
+
+# Phases in which reports of this entry's own ballot are of use.
+_TAKING = (Phase.SEALING, Phase.ACCEPTING, Phase.RUNNING, Phase.CLOSING)
+
+
+def _take_finished(
+    board: EntryBoard,
+    state: JobState,
+    report: message.Report,
+    item: TaskReport,
+) -> None:
+    """Records an outcome; what was unknown is known now."""
+    if state.phase not in _TAKING:
+        return
+    known = state.outcomes.get(item.index)
+    if known is not None and known.kind is not outcome.OutcomeKind.UNKNOWN:
+        return
+    state.outcomes[item.index] = item.outcome
+    state.hand_outs.pop(item.index, None)
+    pool.probation(board, state.submission.service).finished(
+        report.agent,
+        item.outcome.kind is outcome.OutcomeKind.DONE,
+        board.now_s,
+    )
+
+
+def _take_refused(
+    board: EntryBoard,
+    state: JobState,
+    report: message.Report,
+    item: TaskReport,
+) -> None:
+    """Puts a task that did not start back into the queue."""
+    if item.refusal is Refusal.SEALED:
+        if report.ballot > state.ballot and state.phase is Phase.RUNNING:
+            claims.find_new_coordinator(board, state, report.ballot)
+        return
+    held = state.hand_outs.get(item.index)
+    if held is None or held.agent != report.agent:
+        return
+    if report.ballot != state.ballot or item.attempt < held.attempt:
+        return
+    del state.hand_outs[item.index]
+    board.counters[f"handed_back_{item.refusal}"] += 1
+    _note_refusal(board, report.agent, item.refusal)
+    if state.phase is not Phase.RUNNING:
+        return
+    if state.cancel_reason or held.attempt >= MAX_ATTEMPTS:
+        reason = state.cancel_reason or "every backend server refused it"
+        state.outcomes[item.index] = outcome.not_run(reason)
+    else:
+        _enqueue(board, state, [item.index])
+
+
+def _note_refusal(board: EntryBoard, node: str, refusal: Refusal) -> None:
+    """Sends an agent nothing more until it speaks of free slots again."""
+    agent = board.agents.get(node)
+    if agent is not None and refusal is not Refusal.BUSY:
+        agent.free = 0
+
+
+def _take_started(
+    board: EntryBoard,
+    state: JobState,
+    report: message.Report,
+    item: TaskReport,
+) -> None:
+    """A started task needs nothing but patience."""
+
+
+TAKERS = {
+    TaskState.FINISHED: _take_finished,
+    TaskState.REFUSED: _take_refused,
+    TaskState.STARTED: _take_started,
+}
+
+
+def resend(board: EntryBoard, node: str) -> None:
+    """Sends an agent again all that it holds for this entry.
+
+    The link may have lost messages either way; the agent answers with what
+    it knows and starts nothing twice.
+    """
+    for state in board.jobs.values():
+        if state.phase is Phase.RUNNING:
+            _resend_job(board, state, node, board.now_s)
+
+
+def _resend_job(
+    board: EntryBoard, state: JobState, node: str, before_s: float
+) -> None:
+    indices = [
+        index
+        for index, held in state.hand_outs.items()
+        if held.agent == node and held.sent_s <= before_s
+    ]
+    if not indices:
+        return
+    for index in indices:
+        held = state.hand_outs[index]
+        state.hand_outs[index] = HandOut(node, held.attempt, board.now_s)
+    board.counters["hand_outs_resent"] += len(indices)
+    _send_assign(board, state, node, indices)
+
+
+def on_agent_gone(board: EntryBoard, node: str) -> None:
+    """Nobody knows any more what a vanished agent did."""
+    for state in list(board.jobs.values()):
+        if state.phase is Phase.RUNNING:
+            _lose_hand_outs(board, state, node)
+
+
+def _lose_hand_outs(board: EntryBoard, state: JobState, node: str) -> None:
+    lost = [i for i, held in state.hand_outs.items() if held.agent == node]
+    for index in lost:
+        del state.hand_outs[index]
+        state.outcomes[index] = outcome.unknown(
+            "the agent that may have started it is gone"
+        )
+    if lost:
+        board.counters["tasks_lost"] += len(lost)
+        answers.check_over(board, state)
+
+
+def on_tick(board: EntryBoard, state: JobState) -> None:
+    """Does what is due by time for a running job."""
+    before_s = board.now_s - RESEND_S
+    for node in {held.agent for held in state.hand_outs.values()}:
+        agent = board.agents.get(node)
+        if agent is None:
+            _lose_hand_outs(board, state, node)
+        elif agent.connected:
+            _resend_job(board, state, node, before_s)
+    if state.phase is Phase.RUNNING:
+        _extend(board, state)
+
+
+def _extend(board: EntryBoard, state: JobState) -> None:
+    """Registers more agents for a job whose tasks still wait."""
+    if state.extension is not None:
+        rounds.refresh(board, state.extension)
+        advance_extension(board, state)
+        return
+    if state.registration.closed or not _unsettled(state):
+        return
+    agents = pool.widen(board, state.submission.service, state.agents)
+    if len(agents) == len(state.agents):
+        return
+    registration = message.Registration(
+        state.submission.digest, state.ballot, agents
+    )
+    state.extension = rounds.begin(
+        board, state.job, message.Accept, registration
+    )
+
+
+def advance_extension(board: EntryBoard, state: JobState) -> None:
+    """Uses the agents added once a majority of the witnesses knows them."""
+    current = state.extension
+    tally = rounds.tally(board, current)
+    if tally is Tally.PENDING:
+        return
+    state.extension = None
+    if tally is Tally.GRANTED:
+        state.registration = current.request.registration
+        state.agents = state.registration.agents
+        run(board, state.submission.service)
+    elif tally is Tally.REFUSED:
+        claims.find_new_coordinator(
+            board, state, rounds.highest_promise(current)
+        )
--- /dev/null
+++ b/egretthread/controllers/entry_members.py
@@ -0,0 +1,303 @@
+"""Entry: agents and other entries, their leases, and the witness table."""
+
+from egretthread import lease, members, message
+from egretthread.blackboard import AgentState, EntryBoard, PeerState
+from egretthread.controllers import dispatch, pool
+
+# The log's age that an entry states when it never read the log, seconds.
+NEVER_READ_S = 1e9
+# An agent absent for this long is replaced as a witness.
+REPLACE_WITNESS_AFTER_S = 20.0
+# The first witness table waits this long for agents to announce themselves.
+FIRST_TABLE_AFTER_S = 2.0
+# An entry absent for this long is taken off the list of entries.
+REMOVE_ENTRY_AFTER_S = 60.0
+
+
+def on_heartbeat(board: EntryBoard, node: str, beat: message.Heartbeat) -> None:
+    """Takes in an agent's announcement and renews its lease."""
+    agent = board.agents.get(beat.agent)
+    if agent is None:
+        agent = _join(board, beat)
+        if agent is None:
+            return
+    if _takes_work(board, beat) and not _takes_work(board, agent.heartbeat):
+        agent.joined_s = board.now_s
+    agent.heartbeat = beat
+    agent.heard_s = board.now_s
+    agent.connected = True
+    agent.free = beat.free
+    reply(board, agent)
+    dispatch.run(board, beat.service)
+
+
+def _takes_work(board: EntryBoard, beat: message.Heartbeat) -> bool:
+    if board.configuration is None:
+        return False
+    if not beat.healthy or beat.draining:
+        return False
+    return not pool.is_withdrawn(board, beat.zone)
+
+
+def _join(board: EntryBoard, beat: message.Heartbeat) -> AgentState | None:
+    """Adds an agent; an older incarnation than the known one is ignored."""
+    name = message.node_name(beat.agent)
+    known = board.agent_names.get(name)
+    if known is not None:
+        newer = message.node_incarnation(known)
+        if newer > message.node_incarnation(beat.agent):
+            board.counters["old_incarnations"] += 1
+            return None
+        remove_agent(board, known)
+    agent = AgentState(beat.agent, beat, board.now_s, board.now_s, beat.free)
+    board.agents[beat.agent] = agent
+    board.agent_names[name] = beat.agent
+    board.counters["agents_joined"] += 1
+    return agent
+
+
+def remove_agent(board: EntryBoard, node: str) -> None:
+    """Forgets an agent that is gone for good, and what it held."""
+    del board.agents[node]
+    if board.agent_names.get(message.node_name(node)) == node:
+        del board.agent_names[message.node_name(node)]
+    board.counters["agents_gone"] += 1
+    dispatch.on_agent_gone(board, node)
+
+
+def reply(board: EntryBoard, agent: AgentState) -> None:
+    """Sends an agent its lease and its part of the configuration."""
+    if board.configuration is None:
+        return
+    beat = agent.heartbeat
+    name = message.node_name(agent.node)
+    limits = board.configuration.service(beat.service)
+    board.send(
+        agent.node,
+        message.HeartbeatReply(
+            entry=board.node,
+            echo_s=beat.sent_s,
+            config_offset=board.config_offset,
+            lease_s=max(0.0, board.lease_until_s - board.now_s),
+            withdrawn=pool.is_withdrawn(board, beat.zone),
+            draining=pool.is_drained(board, name),
+            slots=limits.slots if limits else 0,
+            retention_s=board.configuration.retention_s,
+            clock_error_s=board.configuration.clock_error_s,
+            entries=tuple(e.address for e in board.membership.entries.values()),
+            shards=_shard_views(board, agent),
+        ),
+    )
+
+
+def _shard_views(
+    board: EntryBoard, agent: AgentState
+) -> tuple[message.ShardView, ...]:
+    """Returns the shards an agent belongs to or still believes it does."""
+    name = message.node_name(agent.node)
+    believed = {number for number, _ in agent.heartbeat.shard_epochs}
+    return tuple(
+        message.ShardView(
+            number, shard.epoch, shard.members, is_fenced(board, number)
+        )
+        for number, shard in board.membership.shards.items()
+        if name in shard.members or number in believed
+    )
+
+
+def is_fenced(board: EntryBoard, number: int) -> bool:
+    """Whether no majority of a shard's older epoch can answer any more."""
+    if number in board.fenced.get(board.membership.shards[number].epoch, ()):
+        return True
+    shard = board.membership.shards[number]
+    adopted = {
+        message.node_name(agent.node)
+        for agent in board.agents.values()
+        if (number, shard.epoch) in agent.heartbeat.shard_epochs
+    }
+    if not members.is_fenced(shard, adopted):
+        return False
+    board.fenced.setdefault(shard.epoch, set()).add(number)
+    return True
+
+
+def on_configuration(board: EntryBoard) -> None:
+    """Tells every agent at once of a configuration newly in force."""
+    renew_lease(board)
+    for agent in board.agents.values():
+        if agent.connected:
+            reply(board, agent)
+    for service in list(board.queues):
+        dispatch.run(board, service)
+
+
+def renew_lease(board: EntryBoard) -> None:
+    """Works out until when the configuration may be acted on."""
+    if board.configuration is None:
+        return
+    age_s = lease.confirmed_age_s(
+        board.log_age_s,
+        board.config_offset,
+        _entry_names(board),
+        _peer_views(board),
+    )
+    board.lease_until_s = board.now_s + board.settings.lease_s - age_s
+
+
+def is_log_out(board: EntryBoard) -> bool:
+    """Whether work goes on only because the entries agree on an outage."""
+    age_s = min(
+        [board.log_age_s]
+        + [
+            view.heard_age_s + view.log_age_s
+            for view in _peer_views(board)
+            if view.config_offset >= board.config_offset
+        ]
+    )
+    return age_s >= lease.OUTAGE_AFTER_S
+
+
+def _entry_names(board: EntryBoard) -> tuple[str, ...]:
+    own = message.node_name(board.node)
+    return tuple({own, *board.membership.entries})
+
+
+def _peer_views(board: EntryBoard) -> list[lease.PeerView]:
+    """Returns what others said, aged by this entry's own clock."""
+    return [
+        lease.PeerView(
+            name=message.node_name(node),
+            heard_age_s=board.now_s - peer.state.echo_s,
+            config_offset=peer.state.config_offset,
+            log_age_s=peer.state.log_age_s,
+        )
+        for node, peer in board.peers.items()
+        if peer.state.echo_s > 0
+    ]
+
+
+def on_entry_state(
+    board: EntryBoard, node: str, state: message.EntryState
+) -> None:
+    """Takes in what another entry says of itself."""
+    for other in list(board.peers):
+        same_name = message.node_name(other) == message.node_name(node)
+        if same_name and other != node:
+            del board.peers[other]
+    board.peers[node] = PeerState(state, board.now_s)
+    renew_lease(board)
+
+
+def is_alive(board: EntryBoard, node: str) -> bool:
+    """Whether another entry was heard of not long ago."""
+    peer = board.peers.get(node)
+    if peer is None:
+        return False
+    return board.now_s - peer.heard_s < board.settings.suspect_after_s
+
+
+def send_states(board: EntryBoard) -> None:
+    """Tells the other entries of this one's liveness, log and demand."""
+    demand = board.quotas.demand(board.now_s)
+    for node in board.entry_links:
+        peer = board.peers.get(node)
+        board.send(
+            node,
+            message.EntryState(
+                entry=board.node,
+                address=board.address,
+                sent_s=board.now_s,
+                echo_s=peer.state.sent_s if peer else 0.0,
+                config_offset=board.config_offset,
+                log_age_s=min(NEVER_READ_S, board.log_age_s),
+                demand=demand,
+            ),
+        )
+
+
+def forget_silent(board: EntryBoard) -> None:
+    """Removes agents and entries that have been silent for too long."""
+    limit_s = board.now_s - board.settings.dead_after_s
+    for node, agent in list(board.agents.items()):
+        if agent.heard_s < limit_s:
+            remove_agent(board, node)
+    for node, peer in list(board.peers.items()):
+        if peer.heard_s < limit_s:
+            del board.peers[node]
+
+
+def propose(board: EntryBoard) -> None:
+    """Works out a record for the members stream, if one is due here.
+
+    Only the live entry with the lowest name proposes; a race is settled by
+    the expected offset of the append.
+    """
+    board.proposal = ""
+    if board.configuration is None or not _is_proposer(board):
+        return
+    board.proposal = _entry_removal(board) or _shard_changes(board)
+
+
+def _is_proposer(board: EntryBoard) -> bool:
+    own = message.node_name(board.node)
+    alive = [message.node_name(node) for node in board.peers]
+    return own <= min(alive, default=own)
+
+
+def _entry_removal(board: EntryBoard) -> str:
+    heard = {message.node_name(node) for node in board.peers}
+    own = message.node_name(board.node)
+    for name, member in board.membership.entries.items():
+        if name in heard or name == own:
+            board.absent_since_s.pop(name, None)
+            continue
+        since_s = board.absent_since_s.setdefault(name, board.now_s)
+        if board.now_s - since_s >= REMOVE_ENTRY_AFTER_S:
+            return members.entry_down_record(member)
+    return ""
+
+
+def _shard_changes(board: EntryBoard) -> str:
+    if board.now_s - board.started_s < FIRST_TABLE_AFTER_S:
+        return ""
+    if not board.membership.shards and len(board.agents) == 0:
+        return ""
+    fenced = {n for n in board.membership.shards if is_fenced(board, n)}
+    changes = members.propose_shards(
+        board.membership,
+        board.configuration.shards,
+        _candidates(board),
+        fenced,
+    )
+    if not changes:
+        return ""
+    count = board.membership.shard_count or board.configuration.shards
+    return members.shards_record(count, changes)
+
+
+def _candidates(board: EntryBoard) -> list[members.Candidate]:
+    """Returns the agents that are, or may stay, witnesses.
+
+    A present member stays for a while after it fell silent, since it may
+    only be restarting and its successor needs no change of the table.
+    """
+    present = {
+        name
+        for shard in board.membership.shards.values()
+        for name in shard.members
+    }
+    found = {}
+    for agent in board.agents.values():
+        beat = agent.heartbeat
+        name = message.node_name(agent.node)
+        leaving = beat.draining or pool.is_drained(board, name)
+        if not leaving:
+            found[name] = members.Candidate(name, beat.zone)
+            board.absent_since_s.pop(name, None)
+    for name in present - set(found):
+        since_s = board.absent_since_s.setdefault(name, board.now_s)
+        if board.now_s - since_s < REPLACE_WITNESS_AFTER_S:
+            zone = board.witness_zones.get(name, "")
+            found[name] = members.Candidate(name, zone)
+    board.witness_zones.update((c.name, c.zone) for c in found.values())
+    return list(found.values())
--- /dev/null
+++ b/egretthread/controllers/pool.py
@@ -0,0 +1,100 @@
+"""Entry: which agents may get tasks now."""
+
+import dataclasses
+
+from egretthread import ejection, placement
+from egretthread.blackboard import AgentState, EntryBoard
+
+# Most agents that one job may be registered with.
+MAX_AGENTS = 64
+# A new or returning agent gets its full share of work after this time.
+RAMP_S = 5.0
+
+
+def is_withdrawn(board: EntryBoard, zone_name: str) -> bool:
+    """Whether a zone takes no work; an unknown zone takes none either."""
+    zone = board.configuration.zone(zone_name)
+    return zone is None or zone.withdrawn
+
+
+def is_drained(board: EntryBoard, name: str) -> bool:
+    """Whether operators drain the backend server of an agent."""
+    return name in board.configuration.draining_servers
+
+
+def takes_work(board: EntryBoard, agent: AgentState) -> bool:
+    """Whether an agent may be handed tasks, as far as this entry knows."""
+    beat = agent.heartbeat
+    if not agent.connected or not beat.healthy or beat.draining:
+        return False
+    if board.now_s - agent.heard_s >= board.settings.suspect_after_s:
+        return False
+    if is_withdrawn(board, beat.zone):
+        return False
+    return not is_drained(board, beat.agent.rpartition("#")[0])
+
+
+def eligible(board: EntryBoard, service: str) -> list[AgentState]:
+    """Returns the agents of a service that may be handed tasks."""
+    return [
+        agent
+        for agent in board.agents.values()
+        if agent.heartbeat.service == service and takes_work(board, agent)
+    ]
+
+
+def probation(board: EntryBoard, service: str) -> ejection.Probation:
+    """Returns the record of a service's ejected backend servers."""
+    return board.probations.setdefault(service, ejection.Probation())
+
+
+def update_probations(board: EntryBoard) -> None:
+    """Ejects backend servers that fail what they start, within limits."""
+    for limits in board.configuration.services:
+        views = [
+            ejection.HealthView(agent.node, agent.heartbeat.failure_share)
+            for agent in eligible(board, limits.name)
+        ]
+        state = probation(board, limits.name)
+        state.update(views, limits.eject_share, board.now_s)
+
+
+def widen(
+    board: EntryBoard, service: str, agents: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Returns the given agents and more of the service, up to a limit."""
+    known = set(agents)
+    fresh = [a.node for a in eligible(board, service) if a.node not in known]
+    board.rng.shuffle(fresh)
+    room = max(0, MAX_AGENTS - len(agents))
+    return tuple(sorted([*agents, *fresh[:room]]))
+
+
+def views(board: EntryBoard, service: str) -> dict[str, placement.AgentView]:
+    """Returns what the placement policy sees of each agent, by node id."""
+    trials = probation(board, service)
+    return {
+        agent.node: _view(board, agent, trials)
+        for agent in eligible(board, service)
+    }
+
+
+def _view(
+    board: EntryBoard, agent: AgentState, trials: ejection.Probation
+) -> placement.AgentView:
+    slots = agent.heartbeat.slots
+    ramp = ejection.ramp_weight(board.now_s - agent.joined_s, RAMP_S)
+    trial = trials.weight(agent.node, slots, board.now_s)
+    return placement.AgentView(
+        node=agent.node,
+        zone=agent.heartbeat.zone,
+        slots=slots,
+        free=max(0, agent.free),
+        load_share=1.0 - agent.free / max(1, slots),
+        weight=min(ramp, trial),
+    )
+
+
+def take_free(view: placement.AgentView, count: int) -> placement.AgentView:
+    """Returns the view after so many of its free slots were used."""
+    return dataclasses.replace(view, free=max(0, view.free - count))
--- /dev/null
+++ b/egretthread/controllers/recovery.py
@@ -0,0 +1,151 @@
+"""Entry: taking over a job whose coordinator is gone."""
+
+from egretthread import message, outcome
+from egretthread.blackboard import EntryBoard, HandOut, JobState, Phase
+from egretthread.controllers import claims, pool, rounds
+from egretthread.message import Registration, TaskState
+
+# An agent that has not answered a seal is asked again after this time.
+SEAL_AGAIN_S = 0.5
+
+
+def begin_seal(
+    board: EntryBoard, state: JobState, found: list[Registration]
+) -> None:
+    """Seals every agent that may hold a task of the job."""
+    state.registration = _merge(found, state)
+    state.phase = Phase.SEALING
+    state.wake_s = board.now_s + board.settings.dead_after_s
+    state.agents = state.registration.agents
+    _send_seals(board, state)
+    advance(board, state)
+
+
+def _merge(found: list[Registration], state: JobState) -> Registration:
+    """Joins what the witnesses hold: the newest word, all the agents."""
+    agents = {agent for item in found for agent in item.agents}
+    newest = max(
+        found, key=lambda item: (item.ballot, item.closed), default=None
+    )
+    return Registration(
+        digest=state.submission.digest,
+        ballot=state.ballot,
+        agents=tuple(sorted(agents)),
+        closed=newest.closed if newest else False,
+        not_run=newest.not_run if newest else (),
+    )
+
+
+def _send_seals(board: EntryBoard, state: JobState) -> None:
+    for node in _unsealed(state):
+        agent = board.agents.get(node)
+        if agent is not None and agent.connected:
+            board.send(node, message.Seal(state.job, state.ballot, node))
+        elif _is_replaced(board, node):
+            state.vanished.add(node)
+
+
+def _unsealed(state: JobState) -> list[str]:
+    return [
+        node
+        for node in state.registration.agents
+        if node not in state.seals and node not in state.vanished
+    ]
+
+
+def _is_replaced(board: EntryBoard, node: str) -> bool:
+    """Whether a newer incarnation of the same agent has announced itself."""
+    current = board.agent_names.get(message.node_name(node))
+    if current is None:
+        return False
+    return message.node_incarnation(current) > message.node_incarnation(node)
+
+
+def on_seal_reply(
+    board: EntryBoard, node: str, reply: message.SealReply
+) -> None:
+    """Takes in what an agent holds of the job."""
+    state = board.jobs.get(reply.job)
+    if state is None or state.phase is not Phase.SEALING:
+        return
+    if reply.ballot > state.ballot:
+        claims.find_new_coordinator(board, state, reply.ballot)
+        return
+    if reply.ballot < state.ballot:
+        return
+    state.seals[reply.agent] = reply
+    advance(board, state)
+
+
+def on_tick(board: EntryBoard, state: JobState) -> None:
+    """Asks again, and gives up on agents that stay out of reach."""
+    _send_seals(board, state)
+    if board.now_s >= state.wake_s:
+        state.vanished.update(_unsealed(state))
+    advance(board, state)
+
+
+def advance(board: EntryBoard, state: JobState) -> None:
+    """Settles every task once all agents are sealed or gone."""
+    if _unsealed(state):
+        return
+    _settle_reported(board, state)
+    if state.registration.closed:
+        _settle_closed(state)
+    elif state.vanished:
+        _settle_vanished(state)
+    state.phase = Phase.ACCEPTING
+    agents = pool.widen(board, state.submission.service, state.agents)
+    registration = Registration(
+        state.submission.digest,
+        state.ballot,
+        agents,
+        state.registration.closed,
+        state.registration.not_run,
+    )
+    state.round = rounds.begin(board, state.job, message.Accept, registration)
+    claims.advance(board, state)
+
+
+def _settle_reported(board: EntryBoard, state: JobState) -> None:
+    """Takes over the tasks that an agent has started or finished."""
+    for node, reply in state.seals.items():
+        if node in state.vanished:
+            continue
+        for report in reply.tasks:
+            state.attempts[report.index] = max(
+                state.attempts[report.index], report.attempt
+            )
+            if report.state is TaskState.FINISHED:
+                state.outcomes.setdefault(report.index, report.outcome)
+            elif report.index not in state.outcomes:
+                state.hand_outs[report.index] = HandOut(
+                    node, report.attempt, board.now_s
+                )
+
+
+def _unsettled(state: JobState) -> list[int]:
+    return [
+        index
+        for index in range(len(state.submission.tasks))
+        if index not in state.outcomes and index not in state.hand_outs
+    ]
+
+
+def _settle_vanished(state: JobState) -> None:
+    """Nobody knows whether the agents that are gone started the rest."""
+    for index in _unsettled(state):
+        state.outcomes[index] = outcome.unknown(
+            "the agent that may have started it is gone"
+        )
+
+
+def _settle_closed(state: JobState) -> None:
+    """The answer was final before: nothing more of the job may start."""
+    for index in _unsettled(state):
+        if index in state.registration.not_run:
+            state.outcomes[index] = outcome.not_run("the job was closed")
+        else:
+            state.outcomes[index] = outcome.unknown(
+                "its outcome was lost with its coordinator"
+            )
--- /dev/null
+++ b/egretthread/controllers/submissions.py
@@ -0,0 +1,180 @@
+"""Entry: takes submissions from callers or refuses them."""
+
+from egretthread import message
+from egretthread.blackboard import (
+    EntryBoard,
+    JobState,
+    Phase,
+    Refusal,
+    Submission,
+)
+from egretthread.config import Service
+from egretthread.controllers import answers, claims, entry_members, pool
+from egretthread.message import Ballot, Registration
+
+# What a caller is told to wait for a service without any free agent.
+NO_AGENT_RETRY_S = 1.0
+
+
+def submit(board: EntryBoard, submission: Submission) -> Refusal | None:
+    """Takes a job, or joins the caller to the same job under way.
+
+    Args:
+        board: The entry's blackboard.
+        submission: The job, whose form has been checked.
+
+    Returns:
+        Why it is refused; None when its answer will come.
+    """
+    known = board.jobs.get(submission.job)
+    if known is not None:
+        return _join(known, submission)
+    refusal = _check(board, submission)
+    if refusal is not None:
+        board.counters[f"refused_{refusal.kind}"] += 1
+        return refusal
+    _begin(board, submission)
+    return None
+
+
+def _join(known: JobState, submission: Submission) -> Refusal | None:
+    if known.submission.digest != submission.digest:
+        return answers.CONFLICT
+    return None
+
+
+def _check(board: EntryBoard, submission: Submission) -> Refusal | None:
+    """Returns the first reason to refuse a job of which nothing is known."""
+    for check in CHECKS:
+        refusal = check(board, submission)
+        if refusal is not None:
+            return refusal
+    return None
+
+
+def _check_serving(board: EntryBoard, submission: Submission):
+    if board.shutting_down:
+        return _unavailable("this entry is shutting down")
+    if not board.lease_open:
+        return _unavailable("this entry's configuration may be out of date")
+    return None
+
+
+def _check_outage(board: EntryBoard, submission: Submission):
+    organisation = board.configuration.organisation(submission.job.organisation)
+    if organisation is None:
+        return _unavailable("the organisation is not in the configuration")
+    stops = organisation.during_log_outage == "stop"
+    if stops and entry_members.is_log_out(board):
+        return _unavailable("the log is out and the organisation waits")
+    return None
+
+
+def _check_service(board: EntryBoard, submission: Submission):
+    service = board.configuration.service(submission.service)
+    if service is None or (
+        submission.job.organisation not in service.organisations
+    ):
+        return Refusal(
+            "unknown_service",
+            f"there is no service {submission.service!r} for you",
+            "correct the service's name or ask its operators for access",
+        )
+    return None
+
+
+def _check_key(board: EntryBoard, submission: Submission):
+    job = submission.job
+    error_s = board.configuration.clock_error_s
+    if job.issued_s < board.horizon_s or job.issued_s > board.unix_s + error_s:
+        return answers.outside_retention(board, job)
+    return None
+
+
+def _check_quota(board: EntryBoard, submission: Submission):
+    admission = board.quotas.admit(
+        submission.job.organisation, len(submission.tasks), board.now_s
+    )
+    if admission.ok:
+        return None
+    return Refusal(
+        "quota_exceeded",
+        "the organisation's quota is used up",
+        "submit again with the same key after the stated time",
+        retry_after_s=admission.retry_after_s,
+    )
+
+
+CHECKS = (
+    _check_serving,
+    _check_outage,
+    _check_service,
+    _check_key,
+    _check_quota,
+)
+
+
+def _unavailable(cause: str) -> Refusal:
+    return Refusal(
+        "unavailable",
+        cause,
+        "submit again with the same key through another entry",
+        retry_after_s=1.0,
+    )
+
+
+def _begin(board: EntryBoard, submission: Submission) -> None:
+    ballot = Ballot(1, board.node)
+    state = JobState(
+        submission,
+        Phase.CLAIMING,
+        ballot,
+        deadline_s=board.now_s + submission.deadline_s,
+        created_s=board.now_s,
+    )
+    board.jobs[submission.job] = state
+    board.open_jobs[submission.job] = state
+    service = board.configuration.service(submission.service)
+    state.cancel_reason = _impossible(board, submission, service)
+    if board.generations.get(submission.job):
+        # This entry bid for the job before; a first ballot would be stale.
+        claims.begin_prepare(board, state)
+        return
+    closed = bool(state.cancel_reason)
+    indices = range(len(submission.tasks)) if closed else ()
+    registration = Registration(
+        submission.digest,
+        ballot,
+        () if closed else pool.widen(board, submission.service, ()),
+        closed,
+        tuple(indices),
+    )
+    claims.begin_claim(board, state, registration)
+
+
+def _impossible(
+    board: EntryBoard, submission: Submission, service: Service
+) -> str:
+    """Returns why no worker can ever run the job, or nothing."""
+    largest = max(task.memory_bytes for task in submission.tasks)
+    if largest > service.max_memory_bytes:
+        return (
+            f"a task declares {largest} bytes of memory and the service"
+            f" allows {service.max_memory_bytes}; declare less or split it"
+        )
+    workers = [
+        agent.heartbeat.memory_bytes
+        for agent in board.agents.values()
+        if agent.heartbeat.service == submission.service
+    ]
+    if workers and largest > max(workers):
+        return (
+            f"a task declares {largest} bytes of memory and the largest"
+            f" worker has {max(workers)}; declare less or split it"
+        )
+    return ""
+
+
+def status(board: EntryBoard, job: message.JobRef) -> JobState | None:
+    """Returns what this entry knows of a job, if anything."""
+    return board.jobs.get(job)
--- /dev/null
+++ b/egretthread/entryd.py
@@ -0,0 +1,25 @@
+"""The program `egretthread-entry`."""
+
+from egretthread import daemon, entryserver, settings
+
+
+def main() -> None:
+    """Runs an entry until it is told to stop."""
+    daemon.main(
+        "egretthread-entry",
+        settings.load_entry,
+        entryserver.EntryServer,
+        _addresses,
+    )
+
+
+def _addresses(server: entryserver.EntryServer) -> dict[str, str]:
+    return {
+        "http": server.http_address,
+        "admin": server.admin.address,
+        "peer": server.links.address,
+    }
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/egretthread/jobform.py
@@ -0,0 +1,123 @@
+"""The JSON form of a submitted job, checked whole."""
+
+import hashlib
+
+import orjson
+
+from egretthread import config, jobkey, util
+from egretthread.blackboard import Submission, TaskSpec
+
+JOB_KEYS = ("key", "service", "deadline_s", "tasks")
+TASK_KEYS = ("payload", "memory_bytes", "run_s")
+DIGEST_BYTES = 16
+DEFAULT_DEADLINE_S = 30.0
+MIN_DEADLINE_S = 0.01
+
+
+def parse(
+    body: bytes, organisation: str, configuration: config.Configuration
+) -> Submission:
+    """Returns the job that a request body holds.
+
+    Args:
+        body: JSON as a caller sent it.
+        organisation: Name of the organisation that sent it.
+        configuration: The limits in force.
+
+    Raises:
+        util.OptionError: The body holds faults; all of them are listed.
+    """
+    checker = util.OptionChecker()
+    document = _load(checker, body)
+    checker.unknown_keys(document, "", JOB_KEYS)
+    key = _key(checker, document)
+    name = checker.text(document, "service", "service")
+    deadline_s = checker.number(
+        document,
+        "deadline_s",
+        "deadline_s",
+        DEFAULT_DEADLINE_S,
+        MIN_DEADLINE_S,
+        configuration.max_deadline_s,
+    )
+    limits = configuration.service(name) or config.Service(name)
+    tasks = _tasks(checker, document, limits)
+    checker.finish("the request body")
+    return Submission(
+        jobkey.JobRef(organisation, key),
+        name,
+        digest(name, tasks),
+        tasks,
+        deadline_s,
+    )
+
+
+def digest(service: str, tasks: tuple[TaskSpec, ...]) -> str:
+    """Returns the digest by which two submissions are told apart."""
+    content = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    content.update(service.encode())
+    for task in tasks:
+        content.update(f"\0{task.memory_bytes}\0{task.run_s}\0".encode())
+        content.update(task.payload.encode())
+    return content.hexdigest()
+
+
+def _load(checker: util.OptionChecker, body: bytes) -> dict:
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        checker.fault("body", body[:40], f"send JSON ({error})")
+        checker.finish("the request body")
+    if not isinstance(document, dict):
+        checker.fault("body", type(document).__name__, "send a JSON object")
+        checker.finish("the request body")
+    return document
+
+
+def _key(checker: util.OptionChecker, document: dict) -> str:
+    try:
+        return jobkey.check_key(document.get("key"))
+    except jobkey.JobKeyError as error:
+        checker.fault("key", document.get("key"), error.remedy)
+        return ""
+
+
+def _tasks(
+    checker: util.OptionChecker, document: dict, limits: config.Service
+) -> tuple[TaskSpec, ...]:
+    items = document.get("tasks")
+    if not isinstance(items, list) or not items:
+        checker.fault("tasks", items, "give a list of at least one task")
+        return ()
+    if len(items) > limits.max_tasks_per_job:
+        checker.fault(
+            "tasks",
+            f"{len(items)} tasks",
+            f"give at most {limits.max_tasks_per_job}",
+        )
+        return ()
+    return tuple(
+        _task(checker, item, f"tasks[{index}]", limits)
+        for index, item in enumerate(items)
+    )
+
+
+def _task(
+    checker: util.OptionChecker, item: object, path: str, limits: config.Service
+) -> TaskSpec:
+    if not isinstance(item, dict) or "payload" not in item:
+        checker.fault(path, item, "give an object with a payload")
+        return TaskSpec("")
+    checker.unknown_keys(item, path, TASK_KEYS)
+    payload = orjson.dumps(item["payload"])
+    if len(payload) > limits.max_payload_bytes:
+        checker.fault(
+            f"{path}.payload",
+            f"{len(payload)} bytes",
+            f"give at most {limits.max_payload_bytes} bytes",
+        )
+    memory_bytes = checker.integer(
+        item, "memory_bytes", f"{path}.memory_bytes", 0
+    )
+    run_s = checker.number(item, "run_s", f"{path}.run_s", 0)
+    return TaskSpec(payload.decode(), memory_bytes, float(run_s))
--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -106,13 +106,22 @@
     registration: Registration
 
 
+@dataclasses.dataclass(frozen=True)
+class Look:
+    """Entry to witness: what is registered of this job?"""
+
+    job: JobRef
+    shard: int
+    epoch: int
+
+
 @dataclasses.dataclass(frozen=True)
 class WitnessReply:
-    """Witness to entry: the answer to Claim, Prepare or Accept.
+    """Witness to entry: the answer to Claim, Prepare, Accept, Look.
 
     Attributes:
         job: The job asked about.
-        ballot: The ballot of the request that is answered.
+        ballot: The ballot of the request that is answered, if it has one.
         request: Name of the request's class, in lower case.
         witness: Name of the answering agent (without incarnation).
         verdict: Whether it was granted, or why not.
@@ -422,6 +431,7 @@
     Claim
     | Prepare
     | Accept
+    | Look
     | WitnessReply
     | Assign
     | Report
