--- a/egretthread/configtext.py
+++ b/egretthread/configtext.py
@@ -8,7 +8,7 @@
 
 import tomli_w
 
-from egretthread import config, util
+from egretthread import accesskey, config, util
 
 SOURCE = "configuration"
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
@@ -16,7 +16,6 @@
 SALT_PATTERN = re.compile(r"[0-9a-f]{32}")
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 OUTAGE_CHOICES = ("continue", "stop")
-MAX_ACCESS_KEYS = 2
 # Keys stay remembered for a whole deadline after the longest job has ended.
 MAX_DEADLINE_SHARE = 0.5
 
@@ -108,7 +107,7 @@
     default = config.Organisation("")
     keys_path = f"{path}.access_keys"
     keys = read_rows(checker, table, "access_keys", keys_path, read_access_key)
-    if len(keys) > MAX_ACCESS_KEYS:
+    if len(keys) > accesskey.MAX_LIVE_KEYS:
         names = [key.name for key in keys]
         checker.fault(keys_path, names, "keep two live access keys at most")
     return config.Organisation(
--- a/egretthread_standins/backend.py
+++ b/egretthread_standins/backend.py
@@ -153,7 +153,7 @@
         self.peak_running = max(self.peak_running, self.running)
         try:
             if self.faults.hang:
-                await self.stopped.wait()
+                return await run_hang(self, payload)
             if self.faults.fail_all:
                 raise TaskFailedError("this backend server fails every task")
             runner = find_runner(payload)
@@ -229,7 +229,8 @@
         """Gives no answer when silent, 503 when refusing."""
         if self.backend.faults.silent:
             await self.backend.stopped.wait()
-        if self.backend.faults.refuse:
+            self.fail(503, "closed, not started")
+        elif self.backend.faults.refuse:
             self.fail(503, "refused, not started")
 
 
--- a/egretthread_standins/ledger.py
+++ b/egretthread_standins/ledger.py
@@ -5,7 +5,7 @@
 import random
 import re
 
-FIRST_NAMES = [
+FIRST_NAMES = (
     "aoife",
     "brendan",
     "ciara",
@@ -26,8 +26,8 @@
     "sean",
     "tomas",
     "una",
-]
-LAST_NAMES = [
+)
+LAST_NAMES = (
     "byrne",
     "carroll",
     "doyle",
@@ -46,7 +46,7 @@
     "sheehan",
     "tobin",
     "walsh",
-]
+)
 ACCOUNTS = 2000
 REFERENCE_PATTERN = re.compile(r"[a-z]{2}\d{6}")
 WORD_PATTERN = re.compile(r"[a-z0-9]+")
