--- /dev/null
+++ b/egretthread/fairqueue.py
@@ -0,0 +1,210 @@
+"""A queue of one service's tasks that is fair between organisations.
+
+Start-time fair queueing: each organisation with waiting tasks has a virtual
+start tag that grows by 1 / weight per task taken, and the lowest tag is
+served next. An organisation that was idle joins at the current virtual
+time, so it neither saves up service nor waits behind another's backlog.
+Within one organisation jobs leave in the order they came.
+"""
+
+import collections
+import dataclasses
+import heapq
+from collections.abc import Iterable
+
+from egretthread.jobkey import JobRef
+
+
+@dataclasses.dataclass
+class WaitingJob:
+    """The waiting tasks of one job.
+
+    Attributes:
+        since_s: When the job was queued.
+        indices: Its waiting task indices, next first.
+    """
+
+    since_s: float
+    indices: collections.deque[int]
+
+
+@dataclasses.dataclass
+class Lane:
+    """One organisation's part of the queue.
+
+    Attributes:
+        weight: Its share of service relative to other organisations.
+        tag: Virtual start tag of its next task.
+        version: Counts the changes of `tag`, to spot outdated heap entries.
+        waiting: How many of its tasks wait.
+        jobs: Its waiting jobs, next first.
+    """
+
+    weight: float
+    tag: float = 0.0
+    version: int = 0
+    waiting: int = 0
+    jobs: collections.OrderedDict[JobRef, WaitingJob] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
+class FairQueue:
+    """Waiting tasks of one service, by organisation and job.
+
+    Attributes:
+        lanes: The organisations that have or recently had waiting tasks.
+        virtual_time: Tag of the task that was taken last.
+    """
+
+    def __init__(self):
+        self.lanes: dict[str, Lane] = {}
+        self.virtual_time = 0.0
+        self._heap: list[tuple[float, int, str]] = []
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def push(
+        self,
+        organisation: str,
+        weight: float,
+        job: JobRef,
+        indices: Iterable[int],
+        now_s: float,
+    ) -> None:
+        """Queues tasks of a job behind the organisation's others.
+
+        Args:
+            organisation: Whose share of service the tasks use.
+            weight: The organisation's weight from now on, above 0.
+            job: The job; when it waits already, the tasks join it.
+            indices: Indices of the tasks.
+            now_s: The current time, from which the job's wait counts.
+        """
+        lane = self._lane(organisation, weight)
+        if job not in lane.jobs:
+            lane.jobs[job] = WaitingJob(now_s, collections.deque())
+        waiting = lane.jobs[job].indices
+        before = len(waiting)
+        waiting.extend(indices)
+        was_waiting = lane.waiting > 0
+        self._added(lane, job, len(waiting) - before)
+        if not was_waiting:
+            self._schedule(organisation, lane)
+
+    def pushback(
+        self,
+        organisation: str,
+        weight: float,
+        job: JobRef,
+        indices: Iterable[int],
+        since_s: float,
+    ) -> None:
+        """Returns tasks to the front and refunds the organisation's share.
+
+        Args:
+            organisation: Whose share of service the tasks use.
+            weight: The organisation's weight from now on, above 0.
+            job: The job they belong to.
+            indices: Indices of the tasks, next first.
+            since_s: When the job was first queued.
+        """
+        lane = self._lane(organisation, weight)
+        if job not in lane.jobs:
+            lane.jobs[job] = WaitingJob(since_s, collections.deque())
+        entry = lane.jobs[job]
+        entry.since_s = min(entry.since_s, since_s)
+        lane.jobs.move_to_end(job, last=False)
+        returned = list(indices)
+        entry.indices.extendleft(reversed(returned))
+        lane.tag -= len(returned) / lane.weight
+        self._added(lane, job, len(returned))
+        self._schedule(organisation, lane)
+
+    def pop(self) -> tuple[JobRef, int] | None:
+        """Takes the next task; None when nothing waits."""
+        lane = self._next_lane()
+        if lane is None:
+            return None
+        tag, _, organisation = heapq.heappop(self._heap)
+        job, waiting = next(iter(lane.jobs.items()))
+        index = waiting.indices.popleft()
+        self.virtual_time = max(self.virtual_time, tag)
+        lane.tag += 1.0 / lane.weight
+        if not waiting.indices:
+            del lane.jobs[job]
+        self._taken(lane, 1)
+        self._schedule(organisation, lane)
+        return job, index
+
+    def remove(self, job: JobRef) -> list[int]:
+        """Takes a whole job out and returns the indices that waited."""
+        lane = self.lanes.get(job.organisation)
+        if lane is None or job not in lane.jobs:
+            return []
+        indices = list(lane.jobs.pop(job).indices)
+        self._taken(lane, len(indices))
+        return indices
+
+    def waiting(self, job: JobRef) -> int:
+        """Returns how many tasks of a job wait."""
+        lane = self.lanes.get(job.organisation)
+        if lane is None or job not in lane.jobs:
+            return 0
+        return len(lane.jobs[job].indices)
+
+    def counts(self) -> dict[str, int]:
+        """Returns how many tasks wait by organisation."""
+        return {
+            name: lane.waiting
+            for name, lane in self.lanes.items()
+            if lane.waiting
+        }
+
+    def oldest_wait_s(self, now_s: float) -> float:
+        """Returns how long the oldest waiting job has waited; 0 for none."""
+        oldest_s = now_s
+        for lane in self.lanes.values():
+            if lane.waiting:
+                first = next(iter(lane.jobs.values()))
+                oldest_s = min(oldest_s, first.since_s)
+        return now_s - oldest_s
+
+    def _lane(self, organisation: str, weight: float) -> Lane:
+        lane = self.lanes.setdefault(organisation, Lane(weight))
+        lane.weight = weight
+        if not lane.waiting:
+            lane.tag = max(lane.tag, self.virtual_time)
+        return lane
+
+    def _added(self, lane: Lane, job: JobRef, count: int) -> None:
+        if not lane.jobs[job].indices:
+            del lane.jobs[job]
+            return
+        lane.waiting += count
+        self._count += count
+
+    def _taken(self, lane: Lane, count: int) -> None:
+        lane.waiting -= count
+        self._count -= count
+        if not self._count:
+            self.lanes.clear()
+            self._heap.clear()
+            self.virtual_time = 0.0
+
+    def _schedule(self, organisation: str, lane: Lane) -> None:
+        lane.version += 1
+        if lane.waiting:
+            entry = (lane.tag, lane.version, organisation)
+            heapq.heappush(self._heap, entry)
+
+    def _next_lane(self) -> Lane | None:
+        while self._heap:
+            _, version, organisation = self._heap[0]
+            lane = self.lanes.get(organisation)
+            if lane and lane.waiting and lane.version == version:
+                return lane
+            heapq.heappop(self._heap)
+        return None
--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,54 @@
+"""Tests of ejection and probation."""
+
+import testtools
+
+from egretthread import ejection
+
+
+def views(*shares):
+    return [
+        ejection.HealthView(f"n{number}", share, 100)
+        for number, share in enumerate(shares)
+    ]
+
+
+class EjectionTest(testtools.TestCase):
+    def test_failing_servers_are_ejected_up_to_the_cap(self):
+        agents = views(1.0, 0.9, 1.0, 0.0, 0.1, 0.0, 0.0, 0.0, 0.0, 0.0)
+        self.assertEqual({"n0", "n2"}, ejection.ejected(agents, 0.2))
+        self.assertEqual({"n0", "n1", "n2"}, ejection.ejected(agents, 0.5))
+
+    def test_no_cap_empties_a_service(self):
+        self.assertEqual(frozenset(), ejection.ejected(views(1.0), 1.0))
+        self.assertEqual(frozenset(), ejection.ejected((), 1.0))
+
+    def test_tasks_that_fail_everywhere_eject_nobody(self):
+        agents = views(1.0, 0.9, 1.0, 0.95)
+        self.assertEqual(frozenset(), ejection.ejected(agents, 0.5))
+
+    def test_ramp_grows_to_one(self):
+        weights = [ejection.ramp_weight(s, 10.0) for s in (-1, 0, 5, 20)]
+        self.assertEqual([0.0, 0.0, 0.5, 1.0], weights)
+
+
+class ProbationTest(testtools.TestCase):
+    def test_trial_tasks_bring_a_server_back(self):
+        probation = ejection.Probation()
+        agents = views(1.0, 0.0, 0.0, 0.0)
+        probation.update(agents, 0.3, 0.0)
+        self.assertEqual(0.0, probation.weight("n0", 8, 1.0))
+        for number in range(1, ejection.PROBES_TO_RETURN + 1):
+            now_s = number * ejection.PROBE_INTERVAL_S
+            self.assertEqual(1 / 8, probation.weight("n0", 8, now_s))
+            probation.pushed("n0", now_s)
+            self.assertEqual(0.0, probation.weight("n0", 8, now_s))
+            probation.finished("n0", True, now_s)
+        self.assertNotIn("n0", probation.trials)
+        back_s = probation.returned_s["n0"]
+        self.assertEqual(0.5, probation.weight("n0", 8, back_s + 5.0))
+
+    def test_gone_servers_are_forgotten(self):
+        probation = ejection.Probation()
+        probation.update(views(1.0, 0.0, 0.0, 0.0), 0.3, 0.0)
+        probation.update(views(0.0)[1:], 0.3, 1.0)
+        self.assertEqual({}, probation.trials)
