--- /dev/null
+++ b/egretthread/client.py
@@ -0,0 +1,441 @@
+"""Callers' library: submits jobs to entries and recovers their answers.
+
+A request that got no answer is sent again under the same job key, through
+the next entry, so that no task of the job starts twice.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import json
+import random
+import secrets
+import time
+from collections.abc import Callable
+
+from tornado import httpclient, ioloop
+
+from egretthread import apierror, jobkey, retry
+from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
+from egretthread.retry import RetryPolicy
+
+ANSWER_GRACE_S = 5.0
+CONTROL_WAIT_S = 10.0
+MAX_CONNECTIONS = 1000
+MAX_ANSWER_BYTES = 256 * 2**20
+
+
+@dataclasses.dataclass(frozen=True)
+class Task:
+    """One task of a job.
+
+    Attributes:
+        payload: Anything JSON can hold; handed to the backend server.
+        memory_bytes: Declared memory need; 0 for unknown.
+        run_s: Declared run time; 0 for unknown.
+    """
+
+    payload: object
+    memory_bytes: int = 0
+    run_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A parallel batch of tasks.
+
+    Attributes:
+        key: Names the job; keep it to resubmit. See `new_key`.
+        service: Name of the service that runs the tasks.
+        tasks: The tasks.
+        deadline_s: Time from submission after which no task starts.
+    """
+
+    key: str
+    service: str
+    tasks: tuple[Task, ...]
+    deadline_s: float = 30.0
+
+
+class JobState(enum.StrEnum):
+    """What an entry says of a job."""
+
+    RUNNING = "running"
+    CANCELLING = "cancelling"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    # Its coordinator is gone; submitting it again recovers it.
+    STRANDED = "stranded"
+
+
+@dataclasses.dataclass(frozen=True)
+class JobStatus:
+    """The state of a job.
+
+    Attributes:
+        key: The job key.
+        state: Its state.
+        answer: The answer, once it is complete or failed.
+    """
+
+    key: str
+    state: JobState
+    answer: JobAnswer | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class ClientSettings:
+    """Settings of a client.
+
+    Attributes:
+        endpoints: Base URLs of the entries, or of the balancer before them.
+        token: Access key, `<organisation>.<secret>`.
+        retry_policy: When requests are sent again.
+        max_connections: Requests under way at once.
+    """
+
+    endpoints: tuple[str, ...]
+    token: str
+    retry_policy: RetryPolicy = RetryPolicy()
+    max_connections: int = MAX_CONNECTIONS
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """One HTTP request to any entry.
+
+    Attributes:
+        method: HTTP method.
+        path: Path below the endpoint.
+        job: The job to submit; None for other requests.
+        key: The job key that the answer must name.
+    """
+
+    method: str
+    path: str
+    key: str
+    job: Job | None = None
+
+
+@dataclasses.dataclass
+class Call:
+    """Progress of one call over its attempts.
+
+    Attributes:
+        give_up_s: Monotonic time after which no attempt is made.
+        failures: Attempts that failed so far.
+        may_have_started: Whether an attempt may have started a task.
+    """
+
+    give_up_s: float
+    failures: int = 0
+    may_have_started: bool = False
+
+
+def new_key(name: str = "") -> str:
+    """Returns a fresh job key of the present time.
+
+    Args:
+        name: 1 to 64 of A-Z a-z 0-9 . _ - that make the key unique within
+            its millisecond; random when empty.
+
+    Raises:
+        jobkey.JobKeyError: The name holds other characters.
+    """
+    return jobkey.make_key(time.time(), name or secrets.token_hex(8))
+
+
+def job_body(job: Job) -> dict:
+    """Returns the JSON body that submits a job."""
+    return {
+        "key": job.key,
+        "service": job.service,
+        "deadline_s": job.deadline_s,
+        "tasks": [dataclasses.asdict(task) for task in job.tasks],
+    }
+
+
+def parse_outcome(body: dict) -> Outcome:
+    """Returns one task's outcome; its result is kept as JSON text."""
+    kind = OutcomeKind(body["outcome"])
+    if kind is OutcomeKind.DONE:
+        return Outcome(kind, result=json.dumps(body["result"]))
+    return Outcome(kind, reason=str(body["reason"]))
+
+
+def parse_status(body: dict) -> JobStatus:
+    """Returns the job state within an answer's body."""
+    state = JobState(body["state"])
+    answer = None
+    if state in (JobState.COMPLETE, JobState.FAILED):
+        outcomes = tuple(parse_outcome(task) for task in body["tasks"])
+        answer = JobAnswer(body["key"], outcomes)
+    return JobStatus(body["key"], state, answer)
+
+
+def check_status(request: Request, status: JobStatus) -> JobStatus:
+    """Returns the status when it is the whole answer to the request.
+
+    Raises:
+        ValueError: It is about another job or lacks outcomes.
+    """
+    if status.key != request.key:
+        raise ValueError("it names another key")
+    if request.job is None:
+        return status
+    if status.answer is None:
+        raise ValueError("it holds no outcomes")
+    if len(status.answer.outcomes) != len(request.job.tasks):
+        raise ValueError("it holds another number of outcomes")
+    return status
+
+
+def submit_request(job: Job) -> Request:
+    """Returns the request that submits a job."""
+    return Request("POST", "/v1/jobs", job.key, job)
+
+
+def keep_request(request: Request, error: apierror.ApiError) -> Request:
+    """Returns the request unchanged, whatever the error was."""
+    del error
+    return request
+
+
+def rekey_request(request: Request, error: apierror.ApiError) -> Request:
+    """Returns the request under a fresh key if nothing of it can start.
+
+    Only a shard without a majority calls for another key, and only while no
+    attempt under the present key may have started a task.
+    """
+    hopeless = isinstance(error, apierror.ShardUnavailableError)
+    if not hopeless or error.may_have_started:
+        return request
+    name = request.key.partition("-")[2]
+    return submit_request(
+        dataclasses.replace(request.job, key=new_key(name)),
+    )
+
+
+class AsyncClient:
+    """Submits jobs from within a running asyncio loop.
+
+    Attributes:
+        settings: The client's settings.
+        rng: Source of jitter and of the first endpoint.
+        budget: Bounds the retries of all calls together.
+        endpoints: The entries, in turn.
+        http: The HTTP client, while started.
+    """
+
+    def __init__(
+        self, settings: ClientSettings, rng: random.Random | None = None
+    ):
+        self.settings = settings
+        self.rng = rng or random.Random()
+        self.budget = retry.RetryBudget(settings.retry_policy)
+        self.endpoints = retry.Endpoints(settings.endpoints, self.rng)
+        self.http: httpclient.AsyncHTTPClient | None = None
+
+    def start(self) -> None:
+        """Opens the HTTP client on the running loop."""
+        self.http = httpclient.AsyncHTTPClient(
+            force_instance=True,
+            max_clients=self.settings.max_connections,
+            max_body_size=MAX_ANSWER_BYTES,
+            max_buffer_size=MAX_ANSWER_BYTES,
+        )
+
+    def close(self) -> None:
+        """Closes the HTTP client; calls under way are lost."""
+        if self.http:
+            self.http.close()
+            self.http = None
+
+    async def submit(self, job: Job, rekey: bool = False) -> JobAnswer:
+        """Submits a job and waits for its whole answer.
+
+        Lost connections and refusals that pass are retried under the same
+        key until the deadline, within the retry budget. Submitting the same
+        job again later is safe and gets the same answer.
+
+        Args:
+            job: The job.
+            rekey: Promises that this key was never submitted before, and
+                allows a fresh one while the key's shard is unavailable and
+                nothing was started; the answer then names the new key.
+
+        Raises:
+            apierror.ApiError: A refusal that stands, or the last failure
+                when time or budget ran out. `may_have_started` tells
+                whether a task may have started through this call.
+        """
+        amend = rekey_request if rekey else keep_request
+        wait_s = job.deadline_s + ANSWER_GRACE_S
+        status = await self.call(submit_request(job), wait_s, amend)
+        return status.answer
+
+    async def status(self, key: str) -> JobStatus:
+        """Returns the state of a job.
+
+        Raises:
+            apierror.ApiError: As `submit`; UnknownJobError if none is known.
+        """
+        request = Request("GET", f"/v1/jobs/{jobkey.check_key(key)}", key)
+        return await self.call(request, CONTROL_WAIT_S, keep_request)
+
+    async def cancel(self, key: str) -> JobStatus:
+        """Asks that no more tasks of a job start; running ones finish.
+
+        Raises:
+            apierror.ApiError: As `submit`; UnknownJobError if none is known.
+        """
+        request = Request("DELETE", f"/v1/jobs/{jobkey.check_key(key)}", key)
+        return await self.call(request, CONTROL_WAIT_S, keep_request)
+
+    async def call(
+        self,
+        request: Request,
+        wait_s: float,
+        amend: Callable[[Request, apierror.ApiError], Request],
+    ) -> JobStatus:
+        """Makes attempts until one is answered or retrying has to stop."""
+        call = Call(time.monotonic() + wait_s)
+        self.budget.earn()
+        while True:
+            try:
+                return await self.attempt(request, call)
+            except apierror.ApiError as error:
+                await self.pause(call, error)
+                request = amend(request, error)
+
+    async def pause(self, call: Call, error: apierror.ApiError) -> None:
+        """Waits before the next attempt; raises the error if there is none."""
+        call.failures += 1
+        call.may_have_started |= error.may_have_started
+        # A job that can't run anywhere was not started by any attempt.
+        if not isinstance(error, apierror.CannotRunError):
+            error.may_have_started = call.may_have_started
+        if not error.retryable:
+            raise error
+        delay_s = retry.pause_s(
+            self.settings.retry_policy,
+            call.failures,
+            error.retry_after_s,
+            self.rng,
+        )
+        if time.monotonic() + delay_s >= call.give_up_s:
+            raise error
+        if not self.budget.spend():
+            raise error
+        await asyncio.sleep(delay_s)
+
+    async def attempt(self, request: Request, call: Call) -> JobStatus:
+        """Sends the request to one entry and returns its checked answer."""
+        url = self.endpoints.next(time.monotonic())
+        try:
+            response = await self.fetch(url, request, call)
+        except ConnectionRefusedError as error:
+            self.avoid(url)
+            raise connection_lost(url, error, may_have_started=False) from None
+        except (OSError, httpclient.HTTPError) as error:
+            self.avoid(url)
+            raise connection_lost(url, error, request.job is not None) from None
+        return read_response(url, request, response)
+
+    def avoid(self, url: str) -> None:
+        """Passes an endpoint over for a while."""
+        until_s = time.monotonic() + self.settings.retry_policy.avoid_s
+        self.endpoints.avoid(url, until_s)
+
+    async def fetch(
+        self, url: str, request: Request, call: Call
+    ) -> httpclient.HTTPResponse:
+        """Sends the request to one entry and returns its response."""
+        body = json.dumps(job_body(request.job)) if request.job else None
+        left_s = max(0.001, call.give_up_s - time.monotonic())
+        policy = self.settings.retry_policy
+        return await self.http.fetch(
+            url + request.path,
+            raise_error=False,
+            method=request.method,
+            body=body,
+            headers={
+                "Authorization": f"Bearer {self.settings.token}",
+                "Content-Type": "application/json",
+            },
+            follow_redirects=False,
+            connect_timeout=min(left_s, policy.connect_s),
+            request_timeout=min(left_s, policy.attempt_s),
+        )
+
+
+def connection_lost(
+    url: str, cause: object, may_have_started: bool
+) -> apierror.ConnectionLostError:
+    """Returns the error for an attempt that got no whole answer."""
+    return apierror.ConnectionLostError(
+        f"no whole answer from {url}: {cause}",
+        "submit again with the same key",
+        may_have_started=may_have_started,
+    )
+
+
+def read_response(
+    url: str, request: Request, response: httpclient.HTTPResponse
+) -> JobStatus:
+    """Returns the checked job status within a response.
+
+    Raises:
+        apierror.ApiError: It is an error response or garbled.
+    """
+    submits = request.job is not None
+    try:
+        body = json.loads(response.body)
+    except ValueError:
+        body = None
+    if response.code >= 300:
+        error = apierror.from_body(response.code, body)
+        error.may_have_started &= submits
+        raise error
+    try:
+        return check_status(request, parse_status(body))
+    except (KeyError, TypeError, ValueError) as error:
+        raise connection_lost(url, error, submits) from None
+
+
+class Client:
+    """Submits jobs from a program without an event loop, one at a time.
+
+    Attributes:
+        loop: The private event loop.
+        client: The client that runs on it.
+    """
+
+    def __init__(self, settings: ClientSettings):
+        self.loop = ioloop.IOLoop(make_current=False)
+        self.client = AsyncClient(settings)
+
+    def start(self) -> None:
+        """Opens the HTTP client."""
+
+        async def start_client():
+            self.client.start()
+
+        self.loop.run_sync(start_client)
+
+    def close(self) -> None:
+        """Closes the HTTP client and the private event loop."""
+        self.client.close()
+        self.loop.close()
+
+    def submit(self, job: Job, rekey: bool = False) -> JobAnswer:
+        """Submits a job and waits; see `AsyncClient.submit`."""
+        return self.loop.run_sync(lambda: self.client.submit(job, rekey))
+
+    def status(self, key: str) -> JobStatus:
+        """Returns the state of a job; see `AsyncClient.status`."""
+        return self.loop.run_sync(lambda: self.client.status(key))
+
+    def cancel(self, key: str) -> JobStatus:
+        """Cancels a job; see `AsyncClient.cancel`."""
+        return self.loop.run_sync(lambda: self.client.cancel(key))
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,188 @@
+"""Tests of the callers' library against scripted entries."""
+
+import asyncio
+import random
+import socket
+
+import testtools
+
+from egretthread import apierror, client, jobkey, retry
+from egretthread.client import Job, JobState, Task
+from tests.fakeentry import CUT_OFF, FakeEntry, answer_to, refusal
+
+QUICK = retry.RetryPolicy(base_s=0.001, max_s=0.002)
+TWO_TASKS = (Task({"line": 1}), Task({"line": 2}))
+
+
+def a_job(deadline_s=30.0):
+    return Job(client.new_key("j"), "ledger-match", TWO_TASKS, deadline_s)
+
+
+async def with_client(entries, use, policy=QUICK, extra_urls=()):
+    for entry in entries:
+        entry.start()
+    urls = (*extra_urls, *(entry.url for entry in entries))
+    caller = client.AsyncClient(
+        client.ClientSettings(urls, "dublin.secret", policy),
+        rng=random.Random(1),
+    )
+    caller.start()
+    try:
+        return await use(caller)
+    finally:
+        caller.close()
+        for entry in entries:
+            await entry.close()
+
+
+def free_url():
+    """Returns a URL that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"http://127.0.0.1:{probe.getsockname()[1]}"
+
+
+def submit(*entries, job=None, rekey=False, **options):
+    job = job or a_job()
+    return asyncio.run(
+        with_client(entries, lambda c: c.submit(job, rekey), **options)
+    )
+
+
+class SubmitTest(testtools.TestCase):
+    def refused(self, *entries, error, **options):
+        return self.assertRaises(error, submit, *entries, **options)
+
+    def test_whole_answer_with_results_as_json_text(self):
+        entry = FakeEntry(answer_to)
+        answer = submit(entry)
+        self.assertTrue(answer.complete)
+        self.assertEqual('{"line": 2}', answer.outcomes[1].result)
+        self.assertEqual(["Bearer dublin.secret"], entry.tokens)
+
+    def test_cut_off_connection_is_retried_under_the_same_key(self):
+        entry = FakeEntry(CUT_OFF, answer_to)
+        submit(entry)
+        first, second = entry.requests
+        self.assertEqual(first, second)
+
+    def test_refused_connection_moves_to_another_entry(self):
+        entry = FakeEntry(answer_to)
+        answer = submit(entry, extra_urls=(free_url(),))
+        self.assertTrue(answer.complete)
+
+    def test_passing_refusals_are_retried(self):
+        for status, kind in (
+            (429, "quota_exceeded"),
+            (429, "overloaded"),
+            (503, "unavailable"),
+            (503, "superseded"),
+        ):
+            pause = refusal(status, kind, retry_after_s=0.001)
+            entry = FakeEntry(pause, answer_to)
+            submit(entry)
+            self.assertEqual(2, len(entry.requests), kind)
+
+    def test_standing_refusals_are_typed_and_not_retried(self):
+        for status, error in (
+            (400, apierror.BadRequestError),
+            (401, apierror.UnauthorisedError),
+            (404, apierror.UnknownServiceError),
+            (409, apierror.KeyConflictError),
+            (410, apierror.KeyExpiredError),
+            (422, apierror.CannotRunError),
+            (425, apierror.KeyInFutureError),
+        ):
+            entry = FakeEntry(refusal(status, error.kind, faults=["key = 1"]))
+            seen = self.refused(entry, error=error)
+            self.assertEqual(1, len(entry.requests))
+            self.assertEqual(("key = 1",), seen.faults)
+            self.assertFalse(seen.may_have_started)
+
+    def test_refusal_after_a_lost_answer_may_have_started(self):
+        entry = FakeEntry(CUT_OFF, refusal(410, "key_expired"))
+        seen = self.refused(entry, error=apierror.KeyExpiredError)
+        self.assertTrue(seen.may_have_started)
+
+    def test_job_that_cannot_run_never_started(self):
+        entry = FakeEntry(CUT_OFF, refusal(422, "cannot_run", not_run=True))
+        seen = self.refused(entry, error=apierror.CannotRunError)
+        self.assertFalse(seen.may_have_started)
+
+    def test_foreign_partial_and_garbled_answers_are_not_taken(self):
+        def foreign(body):
+            return answer_to(body | {"key": client.new_key()})
+
+        def partial(body):
+            return answer_to(body | {"tasks": body["tasks"][:1]})
+
+        entry = FakeEntry(foreign, partial, (200, "[1"), answer_to)
+        self.assertTrue(submit(entry).complete)
+        self.assertEqual(4, len(entry.requests))
+
+    def test_retry_after_beyond_the_deadline_gives_up(self):
+        entry = FakeEntry(refusal(503, "unavailable", retry_after_s=60.0))
+        self.refused(
+            entry, error=apierror.UnavailableError, job=a_job(deadline_s=0.1)
+        )
+        self.assertEqual(1, len(entry.requests))
+
+    def test_retry_budget_bounds_attempts(self):
+        entry = FakeEntry(refusal(503, "unavailable"))
+        policy = retry.RetryPolicy(base_s=0.001, max_s=0.002, budget_size=3)
+        self.refused(entry, error=apierror.UnavailableError, policy=policy)
+        self.assertEqual(4, len(entry.requests))
+
+
+class RekeyTest(testtools.TestCase):
+    def test_fresh_key_only_when_allowed_and_unstarted(self):
+        shard = refusal(503, "shard_unavailable")
+        for script, rekey, fresh in (
+            ((shard, answer_to), True, True),
+            ((shard, answer_to), False, False),
+            ((CUT_OFF, shard, answer_to), True, False),
+        ):
+            entry = FakeEntry(*script)
+            job = Job(jobkey.make_key(1.0, "j"), "s", TWO_TASKS)
+            answer = submit(entry, job=job, rekey=rekey)
+            self.assertEqual(fresh, answer.key != job.key)
+            self.assertTrue(answer.key.endswith("-j"))
+
+
+class ControlTest(testtools.TestCase):
+    def test_status_and_cancel(self):
+        key = client.new_key()
+        entry = FakeEntry(
+            (200, {"key": key, "state": "stranded"}),
+            (202, {"key": key, "state": "cancelling"}),
+            refusal(404, "unknown_job"),
+        )
+
+        async def use(caller):
+            self.assertEqual(
+                JobState.STRANDED, (await caller.status(key)).state
+            )
+            self.assertEqual(
+                JobState.CANCELLING, (await caller.cancel(key)).state
+            )
+            try:
+                await caller.status(key)
+            except apierror.UnknownJobError as error:
+                return error
+            return None
+
+        error = asyncio.run(with_client([entry], use))
+        self.assertFalse(error.may_have_started)
+        methods = [request[0] for request in entry.requests]
+        self.assertEqual(["GET", "DELETE", "GET"], methods)
+
+    def test_sync_client_works_without_a_loop(self):
+        policy = retry.RetryPolicy(budget_size=0.0)
+        settings = client.ClientSettings((free_url(),), "a.b", policy)
+        caller = client.Client(settings)
+        caller.start()
+        self.addCleanup(caller.close)
+        error = self.assertRaises(
+            apierror.ConnectionLostError, caller.submit, a_job()
+        )
+        self.assertFalse(error.may_have_started)
