--- /dev/null
+++ b/egretthread/logs.py
@@ -0,0 +1,118 @@
+"""Logging set-up: one line of key=value pairs for each event."""
+
+import json
+import logging
+import math
+import re
+import sys
+import time
+
+from pythonjsonlogger import core
+
+# Values of these characters alone are written without quotes.
+BARE_VALUE = re.compile(r"[A-Za-z0-9._:/#@+,*%&()\[\]{}<>|~^!?;-]+")
+KEY_CHARACTERS = re.compile(r"[^A-Za-z0-9_.]")
+
+logger = logging.getLogger("egretthread")
+
+
+class KeyValueFormatter(core.BaseJsonFormatter):
+    """Formats a record as `time=… level=… event=… key=value …`."""
+
+    def formatTime(self, record, datefmt=None):  # noqa: N802
+        """Returns the record's time in UTC with milliseconds."""
+        seconds = time.strftime(
+            "%Y-%m-%dT%H:%M:%S", time.gmtime(record.created)
+        )
+        return f"{seconds}.{int(record.msecs):03d}Z"
+
+    def serialize_log_record(self, log_data: dict) -> str:
+        """Returns the fields of a record as one line."""
+        return " ".join(
+            f"{KEY_CHARACTERS.sub('_', str(key))}={quote(value)}"
+            for key, value in log_data.items()
+        )
+
+
+def quote(value: object) -> str:
+    """Returns a value as text without line breaks, quoted where needed."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, float) and math.isfinite(value):
+        return f"{value:.6g}"
+    text = str(value)
+    if BARE_VALUE.fullmatch(text):
+        return text
+    return json.dumps(text)
+
+
+def setup(level: str, process_name: str, stream=None) -> None:
+    """Sends all log records to a stream as key=value lines.
+
+    Args:
+        level: Least severity that is logged, such as `info`.
+        process_name: Value of the field `process` in every line.
+        stream: Where the lines go; standard error when None.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        KeyValueFormatter(
+            ("asctime", "levelname", "message"),
+            rename_fields={
+                "asctime": "time",
+                "levelname": "level",
+                "message": "event",
+            },
+            static_fields={"process": process_name},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+
+
+def event(level: int, name: str, **fields: object) -> None:
+    """Logs one event.
+
+    Args:
+        level: Severity, such as `logging.INFO`.
+        name: Name of the event in snake case.
+        **fields: What the line says besides. Names that logging keeps for
+            itself get a trailing underscore.
+    """
+    if not logger.isEnabledFor(level):
+        return
+    extra = {
+        f"{key}_" if key in core.RESERVED_ATTRS else key: value
+        for key, value in fields.items()
+    }
+    logger.log(level, name.replace("%", "%%"), extra=extra)
+
+
+def debug(name: str, **fields: object) -> None:
+    """Logs an event at level debug."""
+    event(logging.DEBUG, name, **fields)
+
+
+def info(name: str, **fields: object) -> None:
+    """Logs an event at level info."""
+    event(logging.INFO, name, **fields)
+
+
+def warning(name: str, **fields: object) -> None:
+    """Logs an event at level warning."""
+    event(logging.WARNING, name, **fields)
+
+
+def error(name: str, **fields: object) -> None:
+    """Logs an event at level error."""
+    event(logging.ERROR, name, **fields)
+
+
+def exception(name: str, **fields: object) -> None:
+    """Logs an event at level error with the exception being handled."""
+    extra = {
+        f"{key}_" if key in core.RESERVED_ATTRS else key: value
+        for key, value in fields.items()
+    }
+    logger.error(name, exc_info=True, extra=extra)
--- /dev/null
+++ b/egretthread/wire.py
@@ -0,0 +1,492 @@
+"""Codec between messages and capnp frames."""
+
+import dataclasses
+import enum
+import pathlib
+import types
+import typing
+from collections.abc import Callable, Sequence
+
+import capnp
+
+from egretthread import util
+from egretthread.jobkey import JobRef
+from egretthread.message import (
+    Assign,
+    Ballot,
+    Message,
+    Refusal,
+    Report,
+    SealReply,
+    TaskAssignment,
+    TaskReport,
+    TaskState,
+)
+from egretthread.outcome import Outcome, OutcomeKind
+
+WIRE_VERSION = 1
+MAX_FRAME_BYTES = 16 * 2**20
+MAX_HANDSHAKE_BYTES = 4096
+WORD_BYTES = 8
+# Lets a frame be read twice over; bounds what a small hostile one can cost.
+TRAVERSAL_LIMIT_WORDS = 2 * MAX_FRAME_BYTES // WORD_BYTES
+
+TASK_STATES = tuple(TaskState)
+REFUSALS = tuple(Refusal)
+OUTCOME_KINDS = tuple(OutcomeKind)
+STATE_NUMBERS = {state: n for n, state in enumerate(TASK_STATES)}
+REFUSAL_NUMBERS = {refusal: n for n, refusal in enumerate(REFUSALS)}
+# 0 stands for a report without an outcome.
+KIND_NUMBERS = {kind: n for n, kind in enumerate(OUTCOME_KINDS, start=1)}
+
+# Also what pycapnp raises for values that do not fit their field.
+CODEC_ERRORS = (
+    capnp.KjException,
+    AttributeError,
+    IndexError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
+Write = Callable[[object, object], None]
+Read = Callable[[object], object]
+
+capnp.remove_import_hook()
+schema = capnp.load(str(pathlib.Path(__file__).with_name("wire.capnp")))
+
+
+class WireError(util.EgretthreadError):
+    """A frame cannot be encoded or decoded."""
+
+    kind = "wire"
+
+
+class VersionError(WireError):
+    """A frame is of another version of the protocol."""
+
+    kind = "version"
+
+
+class OversizeError(WireError):
+    """A frame is longer than allowed."""
+
+    kind = "oversize"
+
+
+class MalformedError(WireError):
+    """A frame, or a value in it, does not fit the schema."""
+
+    kind = "malformed"
+
+
+@dataclasses.dataclass(frozen=True)
+class Hello:
+    """The first frame of either end of a link.
+
+    Attributes:
+        version: Version of the protocol that the end speaks.
+        node: Its node id.
+        role: `entry` or `agent`.
+        nonce: Random bytes that the other end's proof covers.
+    """
+
+    version: int
+    node: str
+    role: str
+    nonce: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Proof:
+    """Shows that an end holds the shared key."""
+
+    digest: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class HandshakeRefusal:
+    """Says why an end does not open the link.
+
+    Attributes:
+        kind: Kind of the error, such as `wrong_key` or `version`.
+    """
+
+    kind: str
+
+
+Handshake = Hello | Proof | HandshakeRefusal
+
+
+@dataclasses.dataclass(frozen=True)
+class Codec:
+    """Writes and reads one data class.
+
+    Attributes:
+        write: Fills a struct builder from a value.
+        read: Returns the value of a struct reader.
+    """
+
+    write: Write
+    read: Read
+
+
+def encode(messages: Sequence[Message]) -> bytes:
+    """Returns one frame that holds the messages in order.
+
+    Raises:
+        OversizeError: The frame would exceed MAX_FRAME_BYTES.
+        MalformedError: A value does not fit its field.
+    """
+    batch = schema.Batch.new_message()
+    batch.version = WIRE_VERSION
+    try:
+        rows = batch.init("messages", len(messages))
+        for row, message in zip(rows, messages, strict=True):
+            variant = VARIANTS[type(message)]
+            CODECS[variant].write(row.init(variant), message)
+    except CODEC_ERRORS as error:
+        raise _malformed(error) from error
+    data = batch.to_bytes()
+    _check_size(data, MAX_FRAME_BYTES)
+    return data
+
+
+def decode(data: bytes) -> tuple[Message, ...]:
+    """Returns the messages of one frame in order.
+
+    Raises:
+        VersionError: The frame is of another version.
+        OversizeError: The frame exceeds MAX_FRAME_BYTES.
+        MalformedError: The frame does not fit the schema.
+    """
+    _check_size(data, MAX_FRAME_BYTES)
+    try:
+        with schema.Batch.from_bytes(
+            data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ) as batch:
+            check_version(batch.version)
+            return tuple([_read_message(row) for row in batch.messages])
+    except CODEC_ERRORS as error:
+        raise _malformed(error) from error
+
+
+def encode_handshake(frame: Handshake) -> bytes:
+    """Returns one handshake frame."""
+    builder = schema.Handshake.new_message()
+    if isinstance(frame, Hello):
+        hello = builder.init("hello")
+        for field in dataclasses.fields(Hello):
+            setattr(hello, field.name, getattr(frame, field.name))
+    elif isinstance(frame, Proof):
+        builder.proof = frame.digest
+    else:
+        builder.refusal = frame.kind
+    return builder.to_bytes()
+
+
+def decode_handshake(data: bytes) -> Handshake:
+    """Returns the content of one handshake frame.
+
+    Raises:
+        OversizeError: The frame exceeds MAX_HANDSHAKE_BYTES.
+        MalformedError: The frame does not fit the schema.
+    """
+    _check_size(data, MAX_HANDSHAKE_BYTES)
+    try:
+        with schema.Handshake.from_bytes(data) as frame:
+            return _read_handshake(frame)
+    except CODEC_ERRORS as error:
+        raise _malformed(error) from error
+
+
+def check_version(version: int) -> None:
+    """Raises VersionError unless the version is this package's own."""
+    if version != WIRE_VERSION:
+        raise VersionError(
+            f"the frame is of version {version}, not {WIRE_VERSION}",
+            "run the same release of egretthread at both ends",
+        )
+
+
+def _read_handshake(frame) -> Handshake:
+    variant = frame.which()
+    if variant == "hello":
+        hello = frame.hello
+        return Hello(hello.version, hello.node, hello.role, hello.nonce)
+    if variant == "proof":
+        return Proof(frame.proof)
+    return HandshakeRefusal(frame.refusal)
+
+
+def _read_message(row) -> Message:
+    variant = row.which()
+    return CODECS[variant].read(getattr(row, variant))
+
+
+def _check_size(data: bytes, limit_bytes: int) -> None:
+    if len(data) > limit_bytes:
+        raise OversizeError(
+            f"a frame of {len(data)} bytes exceeds {limit_bytes}",
+            "split the batch, or lower the payload limit of the service",
+        )
+
+
+def _malformed(error: Exception) -> MalformedError:
+    lines = str(error).splitlines() or [type(error).__name__]
+    return MalformedError(
+        f"the frame does not fit the schema: {lines[0]}",
+        "run the same release of egretthread at both ends",
+    )
+
+
+# Assign, Report and SealReply: written by hand, since they carry the tasks.
+
+
+def _write_job(builder, job: JobRef) -> None:
+    builder.organisation = job.organisation
+    builder.key = job.key
+
+
+def _read_job(reader) -> JobRef:
+    return JobRef(reader.organisation, reader.key)
+
+
+def _write_ballot(builder, ballot: Ballot) -> None:
+    builder.generation = ballot.generation
+    builder.coordinator = ballot.coordinator
+
+
+def _read_ballot(reader) -> Ballot:
+    return Ballot(reader.generation, reader.coordinator)
+
+
+def _write_assign(builder, message: Assign) -> None:
+    _write_job(builder.init("job"), message.job)
+    builder.service = message.service
+    _write_ballot(builder.init("ballot"), message.ballot)
+    builder.agent = message.agent
+    tasks = message.tasks
+    builder.indices = [task.index for task in tasks]
+    builder.attempts = [task.attempt for task in tasks]
+    builder.payloads = [task.payload for task in tasks]
+    builder.timeouts = [task.timeout_s for task in tasks]
+
+
+def _read_assign(reader) -> Assign:
+    columns = zip(
+        reader.indices,
+        reader.attempts,
+        reader.payloads,
+        reader.timeouts,
+        strict=True,
+    )
+    return Assign(
+        _read_job(reader.job),
+        reader.service,
+        _read_ballot(reader.ballot),
+        reader.agent,
+        tuple([TaskAssignment(*row) for row in columns]),
+    )
+
+
+def _write_reports(builder, tasks: tuple[TaskReport, ...]) -> None:
+    outcomes = [task.outcome for task in tasks]
+    known = [outcome for outcome in outcomes if outcome is not None]
+    builder.indices = [task.index for task in tasks]
+    builder.attempts = [task.attempt for task in tasks]
+    builder.states = [STATE_NUMBERS[task.state] for task in tasks]
+    builder.refusals = [REFUSAL_NUMBERS[task.refusal] for task in tasks]
+    builder.kinds = [
+        0 if outcome is None else KIND_NUMBERS[outcome.kind]
+        for outcome in outcomes
+    ]
+    builder.results = [outcome.result for outcome in known]
+    builder.reasons = [outcome.reason for outcome in known]
+
+
+def _read_reports(reader) -> tuple[TaskReport, ...]:
+    texts = zip(reader.results, reader.reasons, strict=True)
+    outcomes = [
+        Outcome(OUTCOME_KINDS[kind - 1], *next(texts)) if kind else None
+        for kind in reader.kinds
+    ]
+    columns = zip(
+        reader.indices,
+        reader.attempts,
+        reader.states,
+        outcomes,
+        reader.refusals,
+        strict=True,
+    )
+    return tuple(
+        [
+            TaskReport(
+                index, attempt, TASK_STATES[state], outcome, REFUSALS[refusal]
+            )
+            for index, attempt, state, outcome, refusal in columns
+        ]
+    )
+
+
+def _write_report(builder, message: Report) -> None:
+    _write_seal_reply(builder, message)
+    builder.free = message.free
+
+
+def _read_report(reader) -> Report:
+    return Report(
+        _read_job(reader.job),
+        _read_ballot(reader.ballot),
+        reader.agent,
+        _read_reports(reader.tasks),
+        reader.free,
+    )
+
+
+def _write_seal_reply(builder, message: SealReply | Report) -> None:
+    _write_job(builder.init("job"), message.job)
+    _write_ballot(builder.init("ballot"), message.ballot)
+    builder.agent = message.agent
+    _write_reports(builder.init("tasks"), message.tasks)
+
+
+def _read_seal_reply(reader) -> SealReply:
+    return SealReply(
+        _read_job(reader.job),
+        _read_ballot(reader.ballot),
+        reader.agent,
+        _read_reports(reader.tasks),
+    )
+
+
+# All others: derived from the fields of the data class.
+
+
+def _camel_case(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(word.capitalize() for word in rest)
+
+
+def _struct_codec(cls: type) -> Codec:
+    """Returns a codec that handles a data class field by field."""
+    hints = typing.get_type_hints(cls)
+    fields = [
+        (field.name, _field_codec(_camel_case(field.name), hints[field.name]))
+        for field in dataclasses.fields(cls)
+    ]
+
+    def write(builder, value) -> None:
+        for name, codec in fields:
+            codec.write(builder, getattr(value, name))
+
+    def read(reader):
+        return cls(*[codec.read(reader) for _, codec in fields])
+
+    return Codec(write, read)
+
+
+def _field_codec(field: str, hint: object) -> Codec:
+    """Returns a codec for one field of a struct builder or reader."""
+    if hint in (bool, int, float, str):
+        return _plain_field(field)
+    if isinstance(hint, types.UnionType):
+        return _optional_field(field, _item_codec(typing.get_args(hint)[0]))
+    if typing.get_origin(hint) is tuple:
+        item = typing.get_args(hint)[0]
+        if item in (int, str):
+            return _plain_list_field(field)
+        return _struct_list_field(field, _item_codec(item))
+    if issubclass(hint, enum.Enum):
+        return _enum_field(field, tuple(hint))
+    return _struct_field(field, _item_codec(hint))
+
+
+def _item_codec(hint: object) -> Codec:
+    if typing.get_origin(hint) is tuple:
+        return Codec(_write_pair, _read_pair)
+    return HAND_WRITTEN.get(hint) or _struct_codec(hint)
+
+
+def _write_pair(builder, pair: tuple) -> None:
+    builder.first, builder.second = pair
+
+
+def _read_pair(reader) -> tuple:
+    return reader.first, reader.second
+
+
+def _plain_field(field: str) -> Codec:
+    return Codec(
+        lambda builder, value: setattr(builder, field, value),
+        lambda reader: getattr(reader, field),
+    )
+
+
+def _plain_list_field(field: str) -> Codec:
+    return Codec(
+        lambda builder, value: setattr(builder, field, list(value)),
+        lambda reader: tuple(getattr(reader, field)),
+    )
+
+
+def _enum_field(field: str, members: tuple[enum.Enum, ...]) -> Codec:
+    numbers = {member: number for number, member in enumerate(members)}
+    return Codec(
+        lambda builder, value: setattr(builder, field, numbers[value]),
+        lambda reader: members[getattr(reader, field)],
+    )
+
+
+def _struct_field(field: str, codec: Codec) -> Codec:
+    return Codec(
+        lambda builder, value: codec.write(builder.init(field), value),
+        lambda reader: codec.read(getattr(reader, field)),
+    )
+
+
+def _optional_field(field: str, codec: Codec) -> Codec:
+    def write(builder, value) -> None:
+        if value is not None:
+            codec.write(builder.init(field), value)
+
+    def read(reader):
+        if not reader._has(field):
+            return None
+        return codec.read(getattr(reader, field))
+
+    return Codec(write, read)
+
+
+def _struct_list_field(field: str, codec: Codec) -> Codec:
+    def write(builder, values) -> None:
+        rows = builder.init(field, len(values))
+        for row, value in zip(rows, values, strict=True):
+            codec.write(row, value)
+
+    def read(reader) -> tuple:
+        return tuple([codec.read(row) for row in getattr(reader, field)])
+
+    return Codec(write, read)
+
+
+def _variant(cls: type) -> str:
+    return cls.__name__[0].lower() + cls.__name__[1:]
+
+
+HAND_WRITTEN: dict[type, Codec] = {
+    JobRef: Codec(_write_job, _read_job),
+    Ballot: Codec(_write_ballot, _read_ballot),
+    Assign: Codec(_write_assign, _read_assign),
+    Report: Codec(_write_report, _read_report),
+    SealReply: Codec(_write_seal_reply, _read_seal_reply),
+}
+
+# The union member of each message class, and the codec of each union member.
+VARIANTS: dict[type, str] = {
+    cls: _variant(cls) for cls in typing.get_args(Message)
+}
+CODECS: dict[str, Codec] = {
+    variant: _item_codec(cls) for cls, variant in VARIANTS.items()
+}
