--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -82,6 +82,17 @@
 
         self.run_with_backend(scenario)
 
+    def test_silent_request_never_starts(self):
+        async def scenario(server, send):
+            await send("/control", {"silent": True})
+            await self.assert_no_answer(send("/tasks/o/k/0", {}, 0.2))
+            server.stopped.set()
+            # Answered after the handlers that `stopped` woke have run.
+            await send("/starts")
+            self.assertEqual({}, dict(server.starts))
+
+        self.run_with_backend(scenario)
+
     def test_hanging_tasks_have_started(self):
         async def scenario(server, send):
             asked = asyncio.ensure_future(
--- a/tests/test_logclient.py
+++ b/tests/test_logclient.py
@@ -1,12 +1,16 @@
 """Tests of the log client, above all of answers that are lost."""
 
 import asyncio
+from unittest import mock
 
 import testtools
 
 from egretthread import logclient
+from egretthread_standins import logservice
 from tests import logfixture
 
+ENVELOPE = logclient.Envelope("i", "ann", 2.5, "x\ny")
+
 
 async def contents(log: logclient.LogClient) -> list[str]:
     """Returns the content of every envelope on the stream."""
@@ -82,6 +86,35 @@
 
         logfixture.run_with_log(scenario)
 
+    def test_late_first_append_is_found_by_the_repeat(self):
+        async def scenario(service, log):
+            append = log.append
+            texts = []
+
+            async def append_late(stream, text, expected):
+                texts.append(text)
+                if not texts[1:]:
+                    raise logclient.answer_lost(stream, "delayed")
+                service.append(stream, texts[0])
+                return await append(stream, text, expected)
+
+            log.append = append_late
+            offset = await log.append_resolving("s", "a", "ann", 0)
+            self.assertEqual(0, offset)
+            self.assertEqual(["a"], await contents(log))
+
+        logfixture.run_with_log(scenario)
+
+    @mock.patch.object(logservice, "MAX_BATCH_RECORDS", 1)
+    def test_reading_back_spans_batches(self):
+        async def scenario(service, log):
+            for text in ("other", logclient.encode_envelope(ENVELOPE)):
+                service.append("s", text)
+            self.assertEqual(1, await log.find("s", 0, ENVELOPE.id))
+            self.assertIsNone(await log.find("s", 0, "missing"))
+
+        logfixture.run_with_log(scenario)
+
     def test_lost_append_to_any_offset_stays_unresolved(self):
         async def scenario(service, log):
             service.control({"lose_appends": 1})
@@ -135,8 +168,7 @@
         logfixture.run_with_log(scenario)
 
     def test_envelope_round_trip_and_foreign_text(self):
-        envelope = logclient.Envelope("i", "ann", 2.5, "x\ny")
-        text = logclient.encode_envelope(envelope)
-        self.assertEqual(envelope, logclient.decode_envelope(text))
+        text = logclient.encode_envelope(ENVELOPE)
+        self.assertEqual(ENVELOPE, logclient.decode_envelope(text))
         for foreign in ("", "[]", "3", '{"id": "i"}'):
             self.assertIsNone(logclient.decode_envelope(foreign))
