--- a/egretthread/logs.py
+++ b/egretthread/logs.py
@@ -71,12 +71,15 @@
     root.setLevel(level.upper())
 
 
-def event(level: int, name: str, **fields: object) -> None:
+def event(
+    level: int, name: str, with_exception: bool = False, **fields: object
+) -> None:
     """Logs one event.
 
     Args:
         level: Severity, such as `logging.INFO`.
         name: Name of the event in snake case.
+        with_exception: Whether to add the exception being handled.
         **fields: What the line says besides. Names that logging keeps for
             itself get a trailing underscore.
     """
@@ -86,7 +89,7 @@
         f"{key}_" if key in core.RESERVED_ATTRS else key: value
         for key, value in fields.items()
     }
-    logger.log(level, name.replace("%", "%%"), extra=extra)
+    logger.log(level, name, exc_info=with_exception, extra=extra)
 
 
 def debug(name: str, **fields: object) -> None:
@@ -111,8 +114,4 @@
 
 def exception(name: str, **fields: object) -> None:
     """Logs an event at level error with the exception being handled."""
-    extra = {
-        f"{key}_" if key in core.RESERVED_ATTRS else key: value
-        for key, value in fields.items()
-    }
-    logger.error(name, exc_info=True, extra=extra)
+    event(logging.ERROR, name, with_exception=True, **fields)
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,333 @@
+"""Tests of links over real sockets, ended by conditions."""
+
+import asyncio
+import dataclasses
+import io
+import logging
+import pathlib
+import random
+import socket
+
+import testtools
+from tornado import tcpserver
+
+from egretthread import link, logs, settings, wire
+from egretthread.message import Credit
+from egretthread_standins import relay
+from tests.aio import HANG_S, run_async, until
+
+DATA = pathlib.Path(__file__).with_name("data")
+
+OPTIONS = settings.EntrySettings(
+    name="entry-1",
+    region="eire-east",
+    zone="zone-a",
+    http_address="127.0.0.1:0",
+    admin_address="127.0.0.1:0",
+    peer_address="127.0.0.1:0",
+    log_url="http://127.0.0.1:1",
+    shared_key="a shared key of the tests",
+    keepalive_s=0.02,
+    liveness_s=0.3,
+)
+TLS = {
+    "tls_cert": str(DATA / "tls_cert.pem"),
+    "tls_key": str(DATA / "tls_key.pem"),
+    "tls_ca": str(DATA / "tls_cert.pem"),
+}
+
+
+class Recorder:
+    """Records what one end of a link sees.
+
+    Attributes:
+        opened: Peers whose link opened.
+        closed: Peers whose link closed.
+        batches: The messages, by batch.
+    """
+
+    def __init__(self):
+        self.opened = []
+        self.closed = []
+        self.batches = []
+
+    def handlers(self) -> dict:
+        return {
+            "on_messages": lambda _, batch: self.batches.append(batch),
+            "on_open": self.opened.append,
+            "on_close": self.closed.append,
+        }
+
+    @property
+    def messages(self) -> list:
+        return [message for batch in self.batches for message in batch]
+
+
+class Impostor(tcpserver.TCPServer):
+    """A server without the key that reflects the client's own proof.
+
+    Attributes:
+        reflected: Proofs sent back.
+    """
+
+    reflected = 0
+
+    async def handle_stream(self, stream, address):
+        await link._read_hello(stream)
+        hello = link._new_hello("entry-1#1", "entry")
+        await link._write_handshake(stream, hello)
+        proof = await link._read_handshake(stream, wire.Proof)
+        await link._write_handshake(stream, proof)
+        self.reflected += 1
+
+
+class LinkTest(testtools.TestCase):
+    def setUp(self):  # noqa: N802
+        super().setUp()
+        self.log = io.StringIO()
+        logs.setup("info", "test", self.log)
+        self.addCleanup(logging.getLogger().handlers.clear)
+        self.near = Recorder()
+        self.far = Recorder()
+
+    async def start_server(self, **changes) -> link.LinkServer:
+        options = dataclasses.replace(OPTIONS, **changes)
+        server = link.LinkServer(
+            options, "entry-1#1", "entry", **self.far.handlers()
+        )
+        server.start()
+        self.stack.push_async_callback(server.close)
+        return server
+
+    async def start_relay(self, server) -> relay.Relay:
+        path = relay.Relay(server.address)
+        await path.start()
+        self.stack.push_async_callback(path.close)
+        return path
+
+    def start_client(self, address, **changes) -> link.LinkClient:
+        options = dataclasses.replace(OPTIONS, **changes)
+        client = link.LinkClient(
+            address,
+            options,
+            "agent-1#2",
+            "agent",
+            **self.near.handlers(),
+            rng=random.Random(1),
+        )
+        client.start()
+        self.stack.push_async_callback(client.close)
+        return client
+
+    async def connect(self, **changes) -> link.LinkClient:
+        server = await self.start_server(**changes)
+        client = self.start_client(server.address, **changes)
+        await until(lambda: self.near.opened and self.far.opened)
+        return client
+
+    @run_async
+    async def test_both_ends_know_each_other(self):
+        client = await self.connect()
+        agent = self.far.opened[0]
+        self.assertEqual(("entry-1#1", "entry"), _names(client.peer))
+        self.assertEqual(("agent-1#2", "agent"), _names(agent))
+
+    @run_async
+    async def test_messages_of_one_turn_travel_in_one_batch(self):
+        client = await self.connect()
+        sent = tuple(Credit("agent-1#2", count) for count in range(5))
+        for message in sent:
+            client.peer.send(message)
+        self.far.opened[0].send(Credit("back", 1))
+        await until(lambda: self.far.batches and self.near.batches)
+        self.assertEqual([sent], self.far.batches)
+        self.assertEqual([(Credit("back", 1),)], self.near.batches)
+
+    @run_async
+    async def test_a_batch_beyond_a_frame_is_split(self):
+        client = await self.connect()
+        text = "x" * (wire.MAX_FRAME_BYTES // 3)
+        for count in range(4):
+            client.peer.send(Credit(text, count))
+        client.peer.send(Credit(text * 3, 4))
+        client.peer.send(Credit("last", 5))
+        await until(lambda: len(self.far.messages) == 5)
+        counts = [message.count for message in self.far.messages]
+        self.assertEqual([0, 1, 2, 3, 5], counts)
+        self.assertIn("event=message_dropped", self.log.getvalue())
+
+    @run_async
+    async def test_close_sends_what_is_queued(self):
+        client = await self.connect()
+        client.peer.send(Credit("agent-1#2", 7))
+        await client.close()
+        await until(lambda: self.far.closed)
+        self.assertEqual([Credit("agent-1#2", 7)], self.far.messages)
+        self.assertEqual("local", self.near.closed[0].close_reason)
+
+    @run_async
+    async def test_server_close_ends_its_links(self):
+        server = await self.start_server()
+        self.start_client(server.address)
+        await until(lambda: self.far.opened)
+        self.far.opened[0].send(Credit("bye", 1))
+        await server.close()
+        await until(lambda: self.near.closed)
+        self.assertEqual([Credit("bye", 1)], self.near.messages)
+        self.assertEqual({}, server.peers)
+
+    @run_async
+    async def test_a_wrong_key_is_refused(self):
+        server = await self.start_server()
+        client = self.start_client(server.address, shared_key="another key")
+        await until(lambda: client.failures > 1)
+        self.assertIsInstance(client.last_error, link.WrongKeyError)
+        self.assertEqual([], self.near.opened + self.far.opened)
+        lines = self.log.getvalue().splitlines()
+        refused = [line for line in lines if "event=link_refused" in line]
+        self.assertIn("kind=wrong_key", refused[0])
+
+    @run_async
+    async def test_an_impostor_server_is_refused(self):
+        impostor = Impostor()
+        impostor.listen(0, "127.0.0.1")
+        self.addCleanup(impostor.stop)
+        (listener,) = impostor._sockets.values()
+        address = settings.join_address(*listener.getsockname())
+        client = self.start_client(address)
+        await until(lambda: client.failures > 1)
+        self.assertTrue(impostor.reflected)
+        self.assertIsInstance(client.last_error, link.WrongKeyError)
+        self.assertEqual([], self.near.opened)
+
+    @run_async
+    async def test_strangers_learn_nothing_and_are_closed(self):
+        server = await self.start_server()
+        host, port = settings.split_address(server.address)
+        for data in (b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\x08" + bytes(8)):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(data)
+            self.assertEqual(b"", await _read_all(reader))
+            writer.close()
+        self.assertEqual([], self.far.opened)
+
+    @run_async
+    async def test_a_silent_server_bounds_the_handshake(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        address = settings.join_address(*listener.getsockname())
+        client = self.start_client(address, liveness_s=0.05)
+        await until(lambda: client.failures > 1)
+        self.assertIsInstance(client.last_error, TimeoutError)
+
+    @run_async
+    async def test_a_silent_path_is_left_for_a_new_one(self):
+        server = await self.start_server()
+        path = await self.start_relay(server)
+        client = self.start_client(f"127.0.0.1:{path.port}")
+        await until(lambda: self.far.opened)
+        path.silence()
+        await until(lambda: len(self.far.opened) == 2)
+        self.assertEqual("silent", self.near.closed[0].close_reason)
+        await until(lambda: client.peer)
+        client.peer.send(Credit("again", 1))
+        await until(lambda: self.far.messages)
+        self.assertIs(self.far.opened[1], server.peers["agent-1#2"])
+
+    @run_async
+    async def test_a_new_link_supersedes_the_old_one(self):
+        server = await self.start_server(liveness_s=HANG_S)
+        path = await self.start_relay(server)
+        self.start_client(f"127.0.0.1:{path.port}")
+        await until(lambda: self.far.opened)
+        path.silence()
+        await until(lambda: len(self.far.opened) == 2)
+        self.assertEqual("superseded", self.far.closed[0].close_reason)
+
+    @run_async
+    async def test_client_reconnects_after_a_cut(self):
+        server = await self.start_server()
+        path = await self.start_relay(server)
+        self.start_client(f"127.0.0.1:{path.port}")
+        for count in range(1, 4):
+            await until(lambda n=count: len(self.near.opened) == n)
+            path.cut()
+        await until(lambda: len(self.near.closed) == 3)
+        self.assertEqual("lost", self.near.closed[0].close_reason)
+
+    @run_async
+    async def test_idle_links_stay_open(self):
+        client = await self.connect()
+        peer = client.peer
+        started_at = peer.received_at
+        enough_s = 3 * OPTIONS.liveness_s
+        await until(lambda: peer.received_at - started_at > enough_s)
+        self.assertIs(peer, client.peer)
+
+    @run_async
+    async def test_a_peer_that_does_not_drain_is_closed(self):
+        server = await self.start_server(liveness_s=HANG_S)
+        path = await self.start_relay(server)
+        client = self.start_client(f"127.0.0.1:{path.port}", liveness_s=HANG_S)
+        await until(lambda: client.peer)
+        path.silence()
+        text = "x" * (wire.MAX_FRAME_BYTES // 2)
+        peer = client.peer
+        for _ in range(12):
+            peer.send(Credit(text, 1))
+        await until(lambda: peer.close_reason)
+        self.assertEqual("slow", peer.close_reason)
+
+    @run_async
+    async def test_a_pause_of_this_process_is_not_silence(self):
+        client = await self.connect()
+        peer = client.peer
+        peer.received_at -= 10 * OPTIONS.liveness_s
+        peer.tick(peer.loop.time() - 10 * OPTIONS.liveness_s)
+        self.assertEqual("", peer.close_reason)
+
+    @run_async
+    async def test_a_failing_handler_does_not_end_the_link(self):
+        client = await self.connect()
+        self.far.batches = None
+        client.peer.send(Credit("a", 1))
+        await until(lambda: "link_handler_failed" in self.log.getvalue())
+        self.far.batches = []
+        client.peer.send(Credit("b", 2))
+        await until(lambda: self.far.messages)
+        self.assertEqual([], self.far.closed)
+
+    @run_async
+    async def test_tls_links(self):
+        client = await self.connect(**TLS)
+        client.peer.send(Credit("agent-1#2", 7))
+        await until(lambda: self.far.messages)
+        self.assertIsNotNone(client.peer.stream.socket.cipher())
+        await client.close()
+
+    @run_async
+    async def test_plain_client_is_refused_by_a_tls_server(self):
+        server = await self.start_server(**TLS)
+        client = self.start_client(server.address)
+        await until(lambda: client.failures > 1)
+        self.assertEqual([], self.far.opened)
+
+
+class BackoffTest(testtools.TestCase):
+    def test_grows_within_bounds(self):
+        rng = random.Random(3)
+        waits = [link.backoff_s(failures, rng) for failures in range(20)]
+        self.assertTrue(waits[0] <= link.BACKOFF_BASE_S)
+        self.assertTrue(waits[-1] >= link.BACKOFF_MAX_S / 2)
+        self.assertTrue(max(waits) <= link.BACKOFF_MAX_S)
+
+
+def _names(peer) -> tuple[str, str]:
+    return peer.node, peer.role
+
+
+async def _read_all(reader) -> bytes:
+    try:
+        return await reader.read()
+    except ConnectionError:
+        return b""
