--- /dev/null
+++ b/egretthread/adminapi.py
@@ -0,0 +1,131 @@
+"""HTTP interface of every process towards operators: state and metrics."""
+
+from collections.abc import Callable, Mapping
+
+import orjson
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from egretthread import dump, metrics
+from egretthread.blackboard import EntryBoard
+from egretthread.controllers import agent_leases, entry_members
+from egretthread.settings import join_address, split_address
+
+Gauges = Mapping[str, Callable[[object], float]]
+
+
+def _entry_queue(board: EntryBoard) -> float:
+    return sum(len(queue) for queue in board.queues.values())
+
+
+ENTRY_GAUGES: Gauges = {
+    "config_offset": lambda board: board.config_offset,
+    "log_age_seconds": lambda board: min(
+        entry_members.NEVER_READ_S, board.log_age_s
+    ),
+    "lease_open": lambda board: float(board.lease_open),
+    "agents": lambda board: len(board.agents),
+    "open_jobs": lambda board: len(board.open_jobs),
+    "kept_jobs": lambda board: len(board.jobs),
+    "queued_tasks": _entry_queue,
+}
+
+AGENT_GAUGES: Gauges = {
+    "config_offset": lambda board: board.lease.config_offset,
+    "lease_open": lambda board: float(agent_leases.is_open(board)),
+    "slots": lambda board: board.slots,
+    "running_tasks": lambda board: board.running,
+    "ledger_jobs": lambda board: len(board.ledger.jobs),
+    "witness_records": lambda board: len(board.witness.records),
+    "witness_shards": lambda board: len(board.witness.shards),
+}
+
+
+class StateHandler(tornado.web.RequestHandler):
+    """Dumps the blackboard: GET /state."""
+
+    def initialize(self, server):
+        """Keeps the admin server."""
+        self.server = server
+
+    def get(self):
+        """Answers with the blackboard as JSON, without secrets."""
+        body = dump.to_json(self.server.board)
+        self.set_header("Content-Type", "application/json")
+        self.finish(orjson.dumps(body, option=orjson.OPT_NON_STR_KEYS))
+
+
+class MetricsHandler(tornado.web.RequestHandler):
+    """Gives the metrics: GET /metrics."""
+
+    def initialize(self, server):
+        """Keeps the admin server."""
+        self.server = server
+
+    def get(self):
+        """Answers with the metrics in Prometheus' text format."""
+        body, content_type = self.server.metrics.render(
+            self.server.board.counters, self.server.gauge_values()
+        )
+        self.set_header("Content-Type", content_type)
+        self.finish(body)
+
+
+class HealthHandler(tornado.web.RequestHandler):
+    """Says whether the process serves: GET /health."""
+
+    def initialize(self, server):
+        """Keeps the admin server."""
+        self.server = server
+
+    def get(self):
+        """Answers 200 while the process may act, else 503."""
+        gauges = self.server.gauge_values()
+        if not gauges["lease_open"]:
+            self.set_status(503)
+        self.set_header("Content-Type", "application/json")
+        self.finish(orjson.dumps(gauges))
+
+
+class AdminServer:
+    """The admin HTTP server of one process.
+
+    Attributes:
+        board: The process's blackboard.
+        metrics: The process's metrics.
+        gauges: Functions that read a gauge off the blackboard, by name.
+        address: `host:port` it listens on, once started.
+    """
+
+    def __init__(self, role: str, board, address: str, gauges: Gauges):
+        self.board = board
+        self.metrics = metrics.Metrics(role)
+        self.gauges = gauges
+        self.address = address
+        context = {"server": self}
+        application = tornado.web.Application(
+            [
+                (r"/state", StateHandler, context),
+                (r"/metrics", MetricsHandler, context),
+                (r"/health", HealthHandler, context),
+            ],
+            log_function=lambda handler: None,
+        )
+        self.http = tornado.httpserver.HTTPServer(application)
+
+    def gauge_values(self) -> dict[str, float]:
+        """Returns every gauge's present value."""
+        return {name: read(self.board) for name, read in self.gauges.items()}
+
+    def start(self) -> None:
+        """Listens at the settings' admin address."""
+        host, port = split_address(self.address)
+        sockets = tornado.netutil.bind_sockets(port, host)
+        self.http.add_sockets(sockets)
+        self.address = join_address(*sockets[0].getsockname()[:2])
+
+    async def close(self) -> None:
+        """Stops listening and closes the connections."""
+        self.http.stop()
+        await self.http.close_all_connections()
--- a/egretthread/agentserver.py
+++ b/egretthread/agentserver.py
@@ -182,7 +182,9 @@
         return set(ranked[: self.settings.entry_fanout])
 
     def _rank(self, address: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{self.settings.name}/{address}")
+        return xxhash.xxh3_64_intdigest(
+            f"{self.settings.name}/{address}".encode()
+        )
 
     async def _tick_loop(self) -> None:
         while True:
--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -5,21 +5,14 @@
 import enum
 import random
 
-from egretthread import (
-    config,
-    ejection,
-    fairqueue,
-    lease,
-    ledger,
-    members,
-    message,
-    quota,
-    settings,
-    witness,
-)
+from egretthread import config, ejection, fairqueue, members, message, quota
 from egretthread.jobkey import JobRef
+from egretthread.lease import NO_LEASE, AgentLease
+from egretthread.ledger import Ledger
 from egretthread.message import Ballot, Message, Registration
 from egretthread.outcome import JobAnswer, Outcome
+from egretthread.settings import AgentSettings, EntrySettings
+from egretthread.witness import Request, WitnessRegister
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,7 +90,7 @@
         started_s: Monotonic time when the round began.
     """
 
-    request: witness.Request
+    request: Request
     replies: dict[str, message.WitnessReply]
     sent_s: float
     started_s: float
@@ -278,7 +271,7 @@
         shutting_down: Whether new submissions are refused.
     """
 
-    settings: settings.EntrySettings
+    settings: EntrySettings
     node: str
     rng: random.Random
     now_s: float = 0.0
@@ -405,16 +398,16 @@
         counters: Event counts for the metrics.
     """
 
-    settings: settings.AgentSettings
+    settings: AgentSettings
     node: str
     now_s: float = 0.0
     unix_s: float = 0.0
     horizon_s: float = 0.0
-    lease: lease.AgentLease = lease.NO_LEASE
+    lease: AgentLease = NO_LEASE
     view: message.HeartbeatReply | None = None
     entries: tuple[str, ...] = ()
-    ledger: ledger.Ledger = dataclasses.field(default_factory=ledger.Ledger)
-    witness: witness.WitnessRegister | None = None
+    ledger: Ledger = dataclasses.field(default_factory=Ledger)
+    witness: WitnessRegister | None = None
     slots: int = 0
     running: int = 0
     held: list[tuple[float, str, int]] = dataclasses.field(default_factory=list)
--- a/egretthread/members.py
+++ b/egretthread/members.py
@@ -148,7 +148,8 @@
 
 def shard_of(job: JobRef, count: int) -> int:
     """Returns the shard of the witness table that holds a job's key."""
-    return xxhash.xxh3_64_intdigest(f"{job.organisation}/{job.key}") % count
+    name = f"{job.organisation}/{job.key}"
+    return xxhash.xxh3_64_intdigest(name.encode()) % count
 
 
 def majority(size: int) -> int:
@@ -183,7 +184,7 @@
 
 
 def _score(shard: int, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{shard}/{name}")
+    return xxhash.xxh3_64_intdigest(f"{shard}/{name}".encode())
 
 
 def choose_members(
--- a/egretthread/operators.py
+++ b/egretthread/operators.py
@@ -78,7 +78,7 @@
     "withdraw_zone",
 ]
 
-DEFAULT_STREAM = "configuration"
+DEFAULT_STREAM = "config"
 
 Edit = Callable[[Configuration], Configuration]
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,7 +8,7 @@
 from egretthread import configtext, logclient, operators, util
 from tests import logfixture
 
-STREAM = "configuration"
+STREAM = "config"
 BASE = operators.Configuration(
     zones=tuple(operators.AvailabilityZone(name, "eire-east") for name in "abc")
 )
