Count free slots without the tasks on their way; fence shards at once

Cause: a report that crossed an assignment counted its slots as free, so 25 of 255 hand-outs came back busy. Agents now echo how many tasks of the present link they have received, and the entry takes off those under way. A proposal for the witness table was appended a second time when the first was just being read; reading a record now voids what was proposed before. Entries tell witnesses of a new epoch at once and these confirm at once.

--- a/egretthread/agent.py
+++ b/egretthread/agent.py
@@ -51,7 +51,7 @@
 
 def on_link_open(board: AgentBoard, node: str) -> None:
     """Announces the agent to an entry it has just reached."""
-    board.links.add(node)
+    board.links[node] = 0
     agent_leases.send_heartbeats(board)
 
 
--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -201,6 +201,7 @@
         heard_s: Monotonic time when it was last heard.
         joined_s: Monotonic time when work may have begun to flow to it.
         free: Slots believed free.
+        assigned: Tasks assigned to it over the present link.
         connected: Whether a link to it is open.
         wanted: Slots this entry last asked for.
         wanted_s: Monotonic time of that wish.
@@ -211,6 +212,7 @@
     heard_s: float
     joined_s: float
     free: int
+    assigned: int = 0
     connected: bool = True
     wanted: int = 0
     wanted_s: float = 0.0
@@ -392,7 +394,7 @@
         healthy: Whether the backend server answers.
         draining: Whether the process is shutting down.
         recent: Whether recent tasks failed, newest last.
-        links: Node ids of the entries connected.
+        links: Tasks received over the present link, by entry node id.
         outbox: (node id, message) pairs to be sent.
         to_start: Tasks for the shell to run.
         counters: Event counts for the metrics.
@@ -417,7 +419,7 @@
     recent: collections.deque = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=50)
     )
-    links: set[str] = dataclasses.field(default_factory=set)
+    links: dict[str, int] = dataclasses.field(default_factory=dict)
     outbox: list[tuple[str, Message]] = dataclasses.field(default_factory=list)
     to_start: list[StartOrder] = dataclasses.field(default_factory=list)
     counters: collections.Counter = dataclasses.field(
--- a/egretthread/controllers/agent_leases.py
+++ b/egretthread/controllers/agent_leases.py
@@ -1,5 +1,7 @@
 """Agent: heartbeats to the entries and the lease they grant."""
 
+import dataclasses
+
 from egretthread import lease, message, witness
 from egretthread.blackboard import AgentBoard
 
@@ -40,7 +42,6 @@
     """Announces the agent to every connected entry."""
     settings = board.settings
     draining = board.draining or bool(board.view and board.view.draining)
-    shards = board.witness.shards.items()
     beat = message.Heartbeat(
         agent=board.node,
         zone=settings.zone,
@@ -53,10 +54,11 @@
         draining=draining,
         failure_share=failure_share(board),
         sent_s=board.now_s,
-        shard_epochs=tuple((number, m.epoch) for number, m in shards),
+        received=0,
+        shard_epochs=_epochs(board),
     )
-    for node in board.links:
-        board.send(node, beat)
+    for node, received in board.links.items():
+        board.send(node, dataclasses.replace(beat, received=received))
 
 
 def on_heartbeat_reply(
@@ -75,7 +77,17 @@
         return
     board.view = reply
     board.slots = min(board.settings.slots, reply.slots)
+    before = _epochs(board)
     _adopt_shards(board, reply)
+    if _epochs(board) != before:
+        # The entries wait for this to fence off the older epochs.
+        send_heartbeats(board)
+
+
+def _epochs(board: AgentBoard) -> tuple[tuple[int, int], ...]:
+    """Returns (shard, epoch) pairs of the shards this agent answers for."""
+    shards = board.witness.shards.items()
+    return tuple((number, member.epoch) for number, member in shards)
 
 
 def _adopt_shards(board: AgentBoard, reply: message.HeartbeatReply) -> None:
--- a/egretthread/controllers/agent_tasks.py
+++ b/egretthread/controllers/agent_tasks.py
@@ -34,7 +34,9 @@
     if assign.agent != board.node:
         board.counters["assigns_for_others"] += 1
         return
-    _release_holds(board, node, len(assign.tasks))
+    count = len(assign.tasks)
+    board.links[node] = board.links.get(node, 0) + count
+    _release_holds(board, node, count)
     entry = ledger.job_entry(board.ledger, assign.job)
     superseded = assign.ballot < entry.ballot
     if not superseded:
@@ -107,9 +109,16 @@
     entry: ledger.JobEntry,
     reports: tuple[TaskReport, ...],
 ) -> None:
-    free = agent_leases.free_slots(board)
     board.send(
-        node, message.Report(job, entry.ballot, board.node, reports, free)
+        node,
+        message.Report(
+            job,
+            entry.ballot,
+            board.node,
+            reports,
+            free=agent_leases.free_slots(board),
+            received=board.links.get(node, 0),
+        ),
     )
 
 
@@ -140,8 +149,8 @@
     report = ledger.withdraw_start(entry, order.index, refusal)
     board.running -= 1
     board.counters[f"refused_{refusal}"] += 1
-    _send_report(board, entry.ballot.coordinator, order.job, entry, (report,))
     give_credits(board)
+    _send_report(board, entry.ballot.coordinator, order.job, entry, (report,))
 
 
 def on_finished(board: AgentBoard, order: StartOrder, outcome: Outcome) -> None:
@@ -155,9 +164,10 @@
     board.running -= 1
     board.recent.append(outcome.kind is not OutcomeKind.DONE)
     board.counters[f"tasks_{outcome.kind}"] += 1
-    if not entry.running or board.wishes:
-        flush_job(board, order.job)
+    # Slots given as credits must not be reported as free too.
     give_credits(board)
+    if not entry.running:
+        flush_job(board, order.job)
 
 
 def flush_job(board: AgentBoard, job: JobRef) -> None:
@@ -220,6 +230,6 @@
 
 def on_link_closed(board: AgentBoard, node: str) -> None:
     """Forgets the wishes of an entry whose link is gone."""
-    board.links.discard(node)
+    board.links.pop(node, None)
     board.wishes.pop(node, None)
     board.held = [hold for hold in board.held if hold[1] != node]
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -145,6 +145,9 @@
     board: EntryBoard, state: JobState, node: str, indices: list[int]
 ) -> None:
     submission = state.submission
+    agent = board.agents.get(node)
+    if agent is not None:
+        agent.assigned += len(indices)
     limits = board.configuration.service(submission.service)
     timeout_s = limits.max_task_s if limits else 0.0
     tasks = tuple(
@@ -204,11 +207,21 @@
     run(board, agent.heartbeat.service)
 
 
+def note_free(agent: AgentState, free: int, received: int) -> None:
+    """Takes over an agent's count of free slots.
+
+    The tasks that were on their way when the agent counted use up slots
+    that it still took for free.
+    """
+    under_way = max(0, agent.assigned - received)
+    agent.free = free - under_way
+
+
 def on_report(board: EntryBoard, node: str, report: message.Report) -> None:
     """Takes in finished and refused tasks."""
     agent = board.agents.get(report.agent)
     if agent is not None:
-        agent.free = report.free
+        note_free(agent, report.free, report.received)
     state = board.jobs.get(report.job)
     if state is not None and state.answer is None:
         for item in report.tasks:
--- a/egretthread/controllers/entry_members.py
+++ b/egretthread/controllers/entry_members.py
@@ -26,7 +26,7 @@
     agent.heartbeat = beat
     agent.heard_s = board.now_s
     agent.connected = True
-    agent.free = beat.free
+    dispatch.note_free(agent, beat.free, beat.received)
     reply(board, agent)
     dispatch.run(board, beat.service)
 
@@ -131,6 +131,18 @@
         dispatch.run(board, service)
 
 
+def tell_witnesses(board: EntryBoard) -> None:
+    """Tells the agents at once of shards that have other members now."""
+    names = {
+        name
+        for shard in board.membership.shards.values()
+        for name in shard.members + shard.previous
+    }
+    for agent in board.agents.values():
+        if agent.connected and message.node_name(agent.node) in names:
+            reply(board, agent)
+
+
 def renew_lease(board: EntryBoard) -> None:
     """Works out until when the configuration may be acted on."""
     if board.configuration is None:
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -85,6 +85,7 @@
     if agent is not None:
         agent.connected = True
         agent.wanted = 0
+        agent.assigned = 0
         dispatch.resend(board, node)
 
 
@@ -127,7 +128,12 @@
 
 def on_members_record(board: EntryBoard, offset: int, text: str) -> None:
     """Takes in one record of the members stream."""
+    before = dict(board.membership.shards)
     members.apply(board.membership, offset, text)
+    # What was proposed rests on the membership before this record.
+    board.proposal = ""
+    if board.membership.shards != before:
+        entry_members.tell_witnesses(board)
 
 
 def submit(board: EntryBoard, submission: Submission) -> Refusal | None:
--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -227,6 +227,8 @@
         agent: The agent's node id.
         tasks: One report per task.
         free: Slots now free at the agent.
+        received: Tasks that this entry has assigned over the present link,
+            as far as the agent has received them.
     """
 
     job: JobRef
@@ -234,6 +236,7 @@
     agent: str
     tasks: tuple[TaskReport, ...]
     free: int
+    received: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -322,6 +325,8 @@
         draining: Whether it takes no new tasks.
         failure_share: Share of recent tasks that failed, 0 to 1.
         sent_s: The agent's monotonic clock when it sent this.
+        received: Tasks that this entry has assigned over the present link,
+            as far as the agent has received them.
         shard_epochs: (shard, epoch) pairs that the agent has adopted.
     """
 
@@ -336,6 +341,7 @@
     draining: bool
     failure_share: float
     sent_s: float
+    received: int
     shard_epochs: tuple[tuple[int, int], ...] = ()
 
 
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -126,6 +126,7 @@
   agent @2 :Text;
   tasks @3 :TaskReports;
   free @4 :Int64;
+  received @5 :Int64;
 }
 
 struct Want {
@@ -177,7 +178,8 @@
   draining @8 :Bool;
   failureShare @9 :Float64;
   sentS @10 :Float64;
-  shardEpochs @11 :List(ShardEpoch);
+  received @11 :Int64;
+  shardEpochs @12 :List(ShardEpoch);
 }
 
 struct HeartbeatReply {
--- a/egretthread/wire.py
+++ b/egretthread/wire.py
@@ -333,6 +333,7 @@
 def _write_report(builder, message: Report) -> None:
     _write_seal_reply(builder, message)
     builder.free = message.free
+    builder.received = message.received
 
 
 def _read_report(reader) -> Report:
@@ -342,6 +343,7 @@
         reader.agent,
         _read_reports(reader.tasks),
         reader.free,
+        reader.received,
     )
 
 
