Give every message the slots its entry may fill; keep wishes standing

Cause: a credit of one slot and a report of free slots added up wrongly when they crossed assignments (6 of 236 hand-outs busy), and a wish used up by its first credits left slots idle until it was repeated 0.5 s later (a job of 100 tasks of 0.1 s took 0.99 s in place of 0.5 s). Credits now state all slots the entry may fill, wishes stand until withdrawn, and what follows an agent's message costs the same however many agents there are.

--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -262,6 +262,7 @@
         open_jobs: The jobs among them that have no answer yet.
         generations: Highest generation used by this entry, by job.
         queues: Fair queue of waiting tasks, by service.
+        wanting: Node ids of agents asked for slots, by service.
         probations: Ejected backend servers, by service.
         quotas: Quotas by organisation.
         askers: Node ids of entries to be told the answer, by job.
@@ -302,6 +303,7 @@
     queues: dict[str, fairqueue.FairQueue] = dataclasses.field(
         default_factory=dict
     )
+    wanting: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     probations: dict[str, ejection.Probation] = dataclasses.field(
         default_factory=dict
     )
@@ -363,11 +365,10 @@
     """An entry's wish for free slots at an agent.
 
     Attributes:
-        count: Slots it would fill.
-        since_s: Monotonic time since when its oldest task has waited.
+        since_s: Monotonic time since when its oldest task has waited, or
+            when it was last given a slot.
     """
 
-    count: int
     since_s: float
 
 
--- a/egretthread/controllers/agent_leases.py
+++ b/egretthread/controllers/agent_leases.py
@@ -31,6 +31,14 @@
     return max(0, board.slots - board.running - held)
 
 
+def free_for(board: AgentBoard, node: str) -> int:
+    """Returns the slots that an entry may fill now."""
+    if not is_open(board):
+        return 0
+    held = sum(count for _, holder, count in board.held if holder == node)
+    return min(free_slots(board) + held, board.slots - board.running)
+
+
 def failure_share(board: AgentBoard) -> float:
     """Returns the share of the recent tasks that failed, 0 to 1."""
     if not board.recent:
@@ -49,7 +57,7 @@
         processors=settings.processors,
         memory_bytes=settings.memory_bytes,
         slots=board.slots,
-        free=free_slots(board) if is_open(board) else 0,
+        free=0,
         healthy=board.healthy,
         draining=draining,
         failure_share=failure_share(board),
@@ -58,7 +66,10 @@
         shard_epochs=_epochs(board),
     )
     for node, received in board.links.items():
-        board.send(node, dataclasses.replace(beat, received=received))
+        free = free_for(board, node)
+        board.send(
+            node, dataclasses.replace(beat, free=free, received=received)
+        )
 
 
 def on_heartbeat_reply(
--- a/egretthread/controllers/agent_tasks.py
+++ b/egretthread/controllers/agent_tasks.py
@@ -1,5 +1,7 @@
 """Agent: starts each task at most once and reports what became of it."""
 
+import collections
+
 from egretthread import ledger, message
 from egretthread.blackboard import AgentBoard, EntryWish, StartOrder
 from egretthread.controllers import agent_leases
@@ -99,7 +101,7 @@
     """Remembers that an entry has work for slots that were not free."""
     busy = sum(report.refusal is Refusal.BUSY for report in reports)
     if busy and node not in board.wishes:
-        board.wishes[node] = EntryWish(busy, board.now_s)
+        board.wishes[node] = EntryWish(board.now_s)
 
 
 def _send_report(
@@ -116,7 +118,7 @@
             entry.ballot,
             board.node,
             reports,
-            free=agent_leases.free_slots(board),
+            free=agent_leases.free_for(board, node),
             received=board.links.get(node, 0),
         ),
     )
@@ -184,34 +186,34 @@
     if want.count <= 0:
         board.wishes.pop(node, None)
         return
-    since_s = board.now_s - want.waited_s
-    board.wishes[node] = EntryWish(want.count, since_s)
+    board.wishes[node] = EntryWish(board.now_s - want.waited_s)
     give_credits(board)
 
 
 def give_credits(board: AgentBoard) -> None:
-    """Gives free slots to the entries whose tasks have waited longest."""
-    if not agent_leases.is_open(board):
+    """Gives free slots to the entries whose tasks have waited longest.
+
+    A wish stands until the entry withdraws it. An entry that was given a
+    slot goes behind the others.
+    """
+    if not board.wishes or not agent_leases.is_open(board):
         return
-    free = agent_leases.free_slots(board)
-    waiting = sorted(board.wishes.items(), key=lambda item: item[1].since_s)
-    for node, wish in waiting:
-        if free <= 0:
-            return
-        count = min(free, wish.count)
-        free -= count
-        _give_credit(board, node, wish, count)
-
-
-def _give_credit(
-    board: AgentBoard, node: str, wish: EntryWish, count: int
-) -> None:
-    wish.count -= count
-    if wish.count <= 0:
-        del board.wishes[node]
-    board.held.append((board.now_s + CREDIT_HOLD_S, node, count))
+    given = collections.Counter()
+    for _ in range(agent_leases.free_slots(board)):
+        node = min(board.wishes, key=lambda name: board.wishes[name].since_s)
+        board.wishes[node].since_s = board.now_s
+        given[node] += 1
+    for node, count in given.items():
+        board.held.append((board.now_s + CREDIT_HOLD_S, node, count))
+    for node, count in given.items():
+        _send_credit(board, node, count)
+
+
+def _send_credit(board: AgentBoard, node: str, count: int) -> None:
     board.counters["credits"] += count
-    board.send(node, message.Credit(board.node, count))
+    free = agent_leases.free_for(board, node)
+    received = board.links.get(node, 0)
+    board.send(node, message.Credit(board.node, free, received))
 
 
 def on_seal(board: AgentBoard, node: str, seal: message.Seal) -> None:
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -10,16 +10,11 @@
     JobState,
     Phase,
 )
-from egretthread.controllers import answers, claims, pool, rounds
+from egretthread.controllers import answers, claims, pool, rounds, wants
 from egretthread.controllers.rounds import Tally
-from egretthread.message import Refusal, TaskReport, TaskState
 
 # A hand-out without news is sent again after this time.
 RESEND_S = 10.0
-# A wish for slots is repeated after this time.
-WANT_AGAIN_S = 0.5
-# A task refused this often is given up as not run.
-MAX_ATTEMPTS = 50
 
 
 def queue_for(board: EntryBoard, service: str) -> fairqueue.FairQueue:
@@ -30,7 +25,7 @@
 def begin_running(board: EntryBoard, state: JobState) -> None:
     """Queues the tasks of a job that nobody has started."""
     state.phase = Phase.RUNNING
-    _enqueue(board, state, _unsettled(state))
+    enqueue(board, state, _unsettled(state))
     if state.cancel_reason:
         give_up_queued(board, state)
     answers.check_over(board, state)
@@ -45,7 +40,8 @@
     ]
 
 
-def _enqueue(board: EntryBoard, state: JobState, indices: list[int]) -> None:
+def enqueue(board: EntryBoard, state: JobState, indices: list[int]) -> None:
+    """Queues tasks of a job behind its organisation's others."""
     if not indices:
         return
     name = state.job.organisation
@@ -74,15 +70,40 @@
 
 def run(board: EntryBoard, service: str) -> None:
     """Hands out as many waiting tasks of a service as slots are free."""
-    queue = queue_for(board, service)
-    if board.configuration.service(service) is None:
+    if not len(queue_for(board, service)):
+        wants.withdraw(board, service)
+    elif _may_hand_out(board, service):
+        _hand_out_to(board, service, pool.views(board, service))
+        wants.update(board, service)
+
+
+def run_agent(board: EntryBoard, agent: AgentState) -> None:
+    """Hands waiting tasks to one agent that has free slots.
+
+    This costs the same however many agents there are; it is what follows
+    each message of an agent.
+    """
+    service = agent.heartbeat.service
+    waiting = len(queue_for(board, service))
+    if not waiting or agent.free <= 0 or not _may_hand_out(board, service):
         return
-    if len(queue) and board.lease_open:
-        views = pool.views(board, service)
-        free = sum(placement.usable_slots(v) for v in views.values())
-        for state, indices in _take(board, queue, free):
-            _place(board, queue, state, indices, views)
-    _update_wants(board, service, queue)
+    if pool.takes_work(board, agent):
+        view = pool.view(board, agent)
+        _hand_out_to(board, service, {agent.node: view})
+    if not len(queue_for(board, service)):
+        wants.withdraw(board, service)
+
+
+def _may_hand_out(board: EntryBoard, service: str) -> bool:
+    known = board.configuration.service(service) is not None
+    return known and board.lease_open
+
+
+def _hand_out_to(board: EntryBoard, service: str, views: dict) -> None:
+    queue = queue_for(board, service)
+    free = sum(placement.usable_slots(view) for view in views.values())
+    for state, indices in _take(board, queue, free):
+        _place(board, queue, state, indices, views)
 
 
 def _take(
@@ -167,148 +188,6 @@
     )
 
 
-def _update_wants(
-    board: EntryBoard, service: str, queue: fairqueue.FairQueue
-) -> None:
-    """Tells the agents of a service whether tasks wait here for slots."""
-    waiting = len(queue)
-    for agent in pool.eligible(board, service) if waiting else ():
-        count = min(waiting, agent.heartbeat.slots)
-        fresh = board.now_s - agent.wanted_s < WANT_AGAIN_S
-        if agent.wanted and fresh:
-            continue
-        _send_want(board, agent, service, count, queue)
-    if not waiting:
-        for agent in board.agents.values():
-            if agent.wanted and agent.heartbeat.service == service:
-                _send_want(board, agent, service, 0, queue)
-
-
-def _send_want(
-    board: EntryBoard,
-    agent: AgentState,
-    service: str,
-    count: int,
-    queue: fairqueue.FairQueue,
-) -> None:
-    agent.wanted = count
-    agent.wanted_s = board.now_s
-    waited_s = queue.oldest_wait_s(board.now_s) if count else 0.0
-    board.send(agent.node, message.Want(board.node, service, count, waited_s))
-
-
-def on_credit(board: EntryBoard, node: str, credit: message.Credit) -> None:
-    """Uses the slots that an agent holds for this entry."""
-    agent = board.agents.get(credit.agent)
-    if agent is None:
-        return
-    agent.wanted = max(0, agent.wanted - credit.count)
-    agent.free = max(agent.free, 0) + credit.count
-    run(board, agent.heartbeat.service)
-
-
-def note_free(agent: AgentState, free: int, received: int) -> None:
-    """Takes over an agent's count of free slots.
-
-    The tasks that were on their way when the agent counted use up slots
-    that it still took for free.
-    """
-    under_way = max(0, agent.assigned - received)
-    agent.free = free - under_way
-
-
-def on_report(board: EntryBoard, node: str, report: message.Report) -> None:
-    """Takes in finished and refused tasks."""
-    agent = board.agents.get(report.agent)
-    if agent is not None:
-        note_free(agent, report.free, report.received)
-    state = board.jobs.get(report.job)
-    if state is not None and state.answer is None:
-        for item in report.tasks:
-            TAKERS[item.state](board, state, report, item)
-            if state.phase not in _TAKING:
-                break
-        answers.check_over(board, state)
-    if agent is not None:
-        run(board, agent.heartbeat.service)
-
-
-# Phases in which reports of this entry's own ballot are of use.
-_TAKING = (Phase.SEALING, Phase.ACCEPTING, Phase.RUNNING, Phase.CLOSING)
-
-
-def _take_finished(
-    board: EntryBoard,
-    state: JobState,
-    report: message.Report,
-    item: TaskReport,
-) -> None:
-    """Records an outcome; what was unknown is known now."""
-    if state.phase not in _TAKING:
-        return
-    known = state.outcomes.get(item.index)
-    if known is not None and known.kind is not outcome.OutcomeKind.UNKNOWN:
-        return
-    state.outcomes[item.index] = item.outcome
-    state.hand_outs.pop(item.index, None)
-    pool.probation(board, state.submission.service).finished(
-        report.agent,
-        item.outcome.kind is outcome.OutcomeKind.DONE,
-        board.now_s,
-    )
-
-
-def _take_refused(
-    board: EntryBoard,
-    state: JobState,
-    report: message.Report,
-    item: TaskReport,
-) -> None:
-    """Puts a task that did not start back into the queue."""
-    if item.refusal is Refusal.SEALED:
-        if report.ballot > state.ballot and state.phase is Phase.RUNNING:
-            claims.find_new_coordinator(board, state, report.ballot)
-        return
-    held = state.hand_outs.get(item.index)
-    if held is None or held.agent != report.agent:
-        return
-    if report.ballot != state.ballot or item.attempt < held.attempt:
-        return
-    del state.hand_outs[item.index]
-    board.counters[f"handed_back_{item.refusal}"] += 1
-    _note_refusal(board, report.agent, item.refusal)
-    if state.phase is not Phase.RUNNING:
-        return
-    if state.cancel_reason or held.attempt >= MAX_ATTEMPTS:
-        reason = state.cancel_reason or "every backend server refused it"
-        state.outcomes[item.index] = outcome.not_run(reason)
-    else:
-        _enqueue(board, state, [item.index])
-
-
-def _note_refusal(board: EntryBoard, node: str, refusal: Refusal) -> None:
-    """Sends an agent nothing more until it speaks of free slots again."""
-    agent = board.agents.get(node)
-    if agent is not None and refusal is not Refusal.BUSY:
-        agent.free = 0
-
-
-def _take_started(
-    board: EntryBoard,
-    state: JobState,
-    report: message.Report,
-    item: TaskReport,
-) -> None:
-    """A started task needs nothing but patience."""
-
-
-TAKERS = {
-    TaskState.FINISHED: _take_finished,
-    TaskState.REFUSED: _take_refused,
-    TaskState.STARTED: _take_started,
-}
-
-
 def resend(board: EntryBoard, node: str) -> None:
     """Sends an agent again all that it holds for this entry.
 
--- a/egretthread/controllers/entry_members.py
+++ b/egretthread/controllers/entry_members.py
@@ -2,7 +2,7 @@
 
 from egretthread import lease, members, message
 from egretthread.blackboard import AgentState, EntryBoard, PeerState
-from egretthread.controllers import dispatch, pool
+from egretthread.controllers import dispatch, pool, reports
 
 # The log's age that an entry states when it never read the log, seconds.
 NEVER_READ_S = 1e9
@@ -26,9 +26,9 @@
     agent.heartbeat = beat
     agent.heard_s = board.now_s
     agent.connected = True
-    dispatch.note_free(agent, beat.free, beat.received)
+    reports.note_free(agent, beat.free, beat.received)
     reply(board, agent)
-    dispatch.run(board, beat.service)
+    dispatch.run_agent(board, agent)
 
 
 def _takes_work(board: EntryBoard, beat: message.Heartbeat) -> bool:
@@ -56,6 +56,17 @@
     return agent
 
 
+def _joined_s(board: EntryBoard) -> float:
+    """Returns since when a newly announced agent counts as present.
+
+    To an entry that has only just started every agent is new; the ramp is
+    for those that join a running system.
+    """
+    if board.now_s - board.started_s < board.settings.dead_after_s:
+        return float("-inf")
+    return board.now_s
+
+
 def remove_agent(board: EntryBoard, node: str) -> None:
     """Forgets an agent that is gone for good, and what it held."""
     del board.agents[node]
--- a/egretthread/controllers/pool.py
+++ b/egretthread/controllers/pool.py
@@ -72,16 +72,14 @@
 
 def views(board: EntryBoard, service: str) -> dict[str, placement.AgentView]:
     """Returns what the placement policy sees of each agent, by node id."""
-    trials = probation(board, service)
     return {
-        agent.node: _view(board, agent, trials)
-        for agent in eligible(board, service)
+        agent.node: view(board, agent) for agent in eligible(board, service)
     }
 
 
-def _view(
-    board: EntryBoard, agent: AgentState, trials: ejection.Probation
-) -> placement.AgentView:
+def view(board: EntryBoard, agent: AgentState) -> placement.AgentView:
+    """Returns what the placement policy sees of one agent."""
+    trials = probation(board, agent.heartbeat.service)
     slots = agent.heartbeat.slots
     ramp = ejection.ramp_weight(board.now_s - agent.joined_s, RAMP_S)
     trial = trials.weight(agent.node, slots, board.now_s)
--- /dev/null
+++ b/egretthread/controllers/reports.py
@@ -0,0 +1,120 @@
+"""Entry: takes in what agents report of the tasks they hold."""
+
+from egretthread import message, outcome
+from egretthread.blackboard import AgentState, EntryBoard, JobState, Phase
+from egretthread.controllers import answers, claims, dispatch, pool
+from egretthread.message import Refusal, TaskReport, TaskState
+
+# A task refused this often is given up as not run.
+MAX_ATTEMPTS = 50
+
+
+def on_credit(board: EntryBoard, node: str, credit: message.Credit) -> None:
+    """Uses the slots that an agent holds for this entry."""
+    agent = board.agents.get(credit.agent)
+    if agent is None:
+        return
+    note_free(agent, credit.free, credit.received)
+    dispatch.run_agent(board, agent)
+
+
+def note_free(agent: AgentState, free: int, received: int) -> None:
+    """Takes over an agent's count of free slots.
+
+    The tasks that were on their way when the agent counted use up slots
+    that it still took for free.
+    """
+    under_way = max(0, agent.assigned - received)
+    agent.free = free - under_way
+
+
+def on_report(board: EntryBoard, node: str, report: message.Report) -> None:
+    """Takes in finished and refused tasks."""
+    agent = board.agents.get(report.agent)
+    if agent is not None:
+        note_free(agent, report.free, report.received)
+    state = board.jobs.get(report.job)
+    if state is not None and state.answer is None:
+        for item in report.tasks:
+            TAKERS[item.state](board, state, report, item)
+            if state.phase not in _TAKING:
+                break
+        answers.check_over(board, state)
+    if agent is not None:
+        dispatch.run_agent(board, agent)
+
+
+# Phases in which reports of this entry's own ballot are of use.
+_TAKING = (Phase.SEALING, Phase.ACCEPTING, Phase.RUNNING, Phase.CLOSING)
+
+
+def _take_finished(
+    board: EntryBoard,
+    state: JobState,
+    report: message.Report,
+    item: TaskReport,
+) -> None:
+    """Records an outcome; what was unknown is known now."""
+    if state.phase not in _TAKING:
+        return
+    known = state.outcomes.get(item.index)
+    if known is not None and known.kind is not outcome.OutcomeKind.UNKNOWN:
+        return
+    state.outcomes[item.index] = item.outcome
+    state.hand_outs.pop(item.index, None)
+    pool.probation(board, state.submission.service).finished(
+        report.agent,
+        item.outcome.kind is outcome.OutcomeKind.DONE,
+        board.now_s,
+    )
+
+
+def _take_refused(
+    board: EntryBoard,
+    state: JobState,
+    report: message.Report,
+    item: TaskReport,
+) -> None:
+    """Puts a task that did not start back into the queue."""
+    if item.refusal is Refusal.SEALED:
+        if report.ballot > state.ballot and state.phase is Phase.RUNNING:
+            claims.find_new_coordinator(board, state, report.ballot)
+        return
+    held = state.hand_outs.get(item.index)
+    if held is None or held.agent != report.agent:
+        return
+    if report.ballot != state.ballot or item.attempt < held.attempt:
+        return
+    del state.hand_outs[item.index]
+    board.counters[f"handed_back_{item.refusal}"] += 1
+    _note_refusal(board, report.agent, item.refusal)
+    if state.phase is not Phase.RUNNING:
+        return
+    if state.cancel_reason or held.attempt >= MAX_ATTEMPTS:
+        reason = state.cancel_reason or "every backend server refused it"
+        state.outcomes[item.index] = outcome.not_run(reason)
+    else:
+        dispatch.enqueue(board, state, [item.index])
+
+
+def _note_refusal(board: EntryBoard, node: str, refusal: Refusal) -> None:
+    """Sends an agent nothing more until it speaks of free slots again."""
+    agent = board.agents.get(node)
+    if agent is not None and refusal is not Refusal.BUSY:
+        agent.free = 0
+
+
+def _take_started(
+    board: EntryBoard,
+    state: JobState,
+    report: message.Report,
+    item: TaskReport,
+) -> None:
+    """A started task needs nothing but patience."""
+
+
+TAKERS = {
+    TaskState.FINISHED: _take_finished,
+    TaskState.REFUSED: _take_refused,
+    TaskState.STARTED: _take_started,
+}
--- /dev/null
+++ b/egretthread/controllers/wants.py
@@ -0,0 +1,46 @@
+"""Entry: tells agents whether tasks wait here for their slots."""
+
+from egretthread import fairqueue, message
+from egretthread.blackboard import AgentState, EntryBoard
+from egretthread.controllers import dispatch, pool
+
+# A wish for slots is repeated after this time.
+WANT_AGAIN_S = 0.5
+
+
+def update(board: EntryBoard, service: str) -> None:
+    """Asks all agents of a service for slots while tasks wait."""
+    queue = dispatch.queue_for(board, service)
+    if not len(queue):
+        withdraw(board, service)
+        return
+    for agent in pool.eligible(board, service):
+        fresh = board.now_s - agent.wanted_s < WANT_AGAIN_S
+        if not (agent.wanted and fresh):
+            count = min(len(queue), agent.heartbeat.slots)
+            _send(board, agent, service, count, queue)
+
+
+def withdraw(board: EntryBoard, service: str) -> None:
+    """Tells the agents that were asked that nothing waits any more."""
+    queue = dispatch.queue_for(board, service)
+    for node in board.wanting.pop(service, ()):
+        agent = board.agents.get(node)
+        if agent is not None and agent.wanted:
+            _send(board, agent, service, 0, queue)
+
+
+def _send(
+    board: EntryBoard,
+    agent: AgentState,
+    service: str,
+    count: int,
+    queue: fairqueue.FairQueue,
+) -> None:
+    agent.wanted = count
+    agent.wanted_s = board.now_s
+    waited_s = 0.0
+    if count:
+        waited_s = queue.oldest_wait_s(board.now_s)
+        board.wanting.setdefault(service, set()).add(agent.node)
+    board.send(agent.node, message.Want(board.node, service, count, waited_s))
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -12,6 +12,7 @@
     lookups,
     pool,
     recovery,
+    reports,
     submissions,
 )
 from egretthread.jobkey import JobRef
@@ -20,8 +21,8 @@
     message.WitnessReply: claims.on_witness_reply,
     message.AskReply: claims.on_ask_reply,
     message.SealReply: recovery.on_seal_reply,
-    message.Report: dispatch.on_report,
-    message.Credit: dispatch.on_credit,
+    message.Report: reports.on_report,
+    message.Credit: reports.on_credit,
     message.Heartbeat: entry_members.on_heartbeat,
     message.EntryState: entry_members.on_entry_state,
     message.Ask: answers.on_ask,
--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -226,7 +226,7 @@
         ballot: The highest ballot the agent has seen for the job.
         agent: The agent's node id.
         tasks: One report per task.
-        free: Slots now free at the agent.
+        free: Slots that the entry may fill now.
         received: Tasks that this entry has assigned over the present link,
             as far as the agent has received them.
     """
@@ -258,10 +258,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Credit:
-    """Agent to entry: these slots are free and held for the entry briefly."""
+    """Agent to entry: slots are free and some are held for the entry briefly.
+
+    Attributes:
+        agent: The agent's node id.
+        free: Slots that the entry may fill now.
+        received: Tasks that this entry has assigned over the present link,
+            as far as the agent has received them.
+    """
 
     agent: str
-    count: int
+    free: int
+    received: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -320,7 +328,7 @@
         processors: Processors of the worker.
         memory_bytes: Memory of the worker.
         slots: Tasks it runs at once.
-        free: Slots now free.
+        free: Slots that the entry may fill now.
         healthy: Whether its backend server answers.
         draining: Whether it takes no new tasks.
         failure_share: Share of recent tasks that failed, 0 to 1.
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -138,7 +138,8 @@
 
 struct Credit {
   agent @0 :Text;
-  count @1 :Int64;
+  free @1 :Int64;
+  received @2 :Int64;
 }
 
 struct Seal {
