Bound the opening of a link without swallowing cancellation

LinkClient.close() hung when it met a handshake that completed in the same turn, as wait_for of Python 3.11 then drops the cancellation.

--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -496,7 +496,10 @@
 
 
 async def _bounded(options: Settings, opening):
-    return await asyncio.wait_for(opening, options.liveness_s)
+    """Awaits the opening of a link for at most liveness_s."""
+    # Unlike wait_for of Python 3.11, this never swallows a cancellation.
+    async with asyncio.timeout(options.liveness_s):
+        return await opening
 
 
 async def _accept(
