--- a/egretthread/logs.py
+++ b/egretthread/logs.py
@@ -71,47 +71,50 @@
     root.setLevel(level.upper())
 
 
-def event(
-    level: int, name: str, with_exception: bool = False, **fields: object
-) -> None:
+def event(level: int, name: str, /, **fields: object) -> None:
     """Logs one event.
 
     Args:
         level: Severity, such as `logging.INFO`.
         name: Name of the event in snake case.
-        with_exception: Whether to add the exception being handled.
         **fields: What the line says besides. Names that logging keeps for
             itself get a trailing underscore.
     """
-    if not logger.isEnabledFor(level):
-        return
-    extra = {
-        f"{key}_" if key in core.RESERVED_ATTRS else key: value
-        for key, value in fields.items()
-    }
-    logger.log(level, name, exc_info=with_exception, extra=extra)
+    _write(level, name, fields)
 
 
-def debug(name: str, **fields: object) -> None:
+def debug(name: str, /, **fields: object) -> None:
     """Logs an event at level debug."""
-    event(logging.DEBUG, name, **fields)
+    _write(logging.DEBUG, name, fields)
 
 
-def info(name: str, **fields: object) -> None:
+def info(name: str, /, **fields: object) -> None:
     """Logs an event at level info."""
-    event(logging.INFO, name, **fields)
+    _write(logging.INFO, name, fields)
 
 
-def warning(name: str, **fields: object) -> None:
+def warning(name: str, /, **fields: object) -> None:
     """Logs an event at level warning."""
-    event(logging.WARNING, name, **fields)
+    _write(logging.WARNING, name, fields)
 
 
-def error(name: str, **fields: object) -> None:
+def error(name: str, /, **fields: object) -> None:
     """Logs an event at level error."""
-    event(logging.ERROR, name, **fields)
+    _write(logging.ERROR, name, fields)
 
 
-def exception(name: str, **fields: object) -> None:
+def exception(name: str, /, **fields: object) -> None:
     """Logs an event at level error with the exception being handled."""
-    event(logging.ERROR, name, with_exception=True, **fields)
+    _write(logging.ERROR, name, fields, with_exception=True)
+
+
+def _write(
+    level: int, name: str, fields: dict, with_exception: bool = False
+) -> None:
+    if not logger.isEnabledFor(level):
+        return
+    extra = {
+        f"{key}_" if key in core.RESERVED_ATTRS else key: value
+        for key, value in fields.items()
+    }
+    logger.log(level, name, exc_info=with_exception, extra=extra)
--- /dev/null
+++ b/egretthread/metrics.py
@@ -0,0 +1,218 @@
+"""Metrics of a process: counted cheaply, folded into aioprometheus on demand.
+
+The hot path adds to plain dictionaries; collectors of aioprometheus are
+filled only when the metrics are rendered.
+"""
+
+import bisect
+import dataclasses
+import itertools
+import pathlib
+import resource
+import time
+from collections.abc import Callable, Sequence
+
+import aioprometheus
+from aioprometheus import histogram
+
+COUNTER = "counter"
+GAUGE = "gauge"
+HISTOGRAM = "histogram"
+PREFIX = "egretthread_"
+STATM = pathlib.Path("/proc/self/statm")
+# Upper bounds of the buckets, in seconds.
+BUCKETS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+    120.0,
+)
+
+Labels = tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Metric:
+    """Declares one metric.
+
+    Attributes:
+        name: Name without the common prefix.
+        kind: COUNTER, GAUGE or HISTOGRAM.
+        doc: What it tells.
+        labels: Names of its labels.
+    """
+
+    name: str
+    kind: str
+    doc: str
+    labels: Labels = ()
+
+
+METRICS = (
+    Metric("jobs_total", COUNTER, "Jobs answered.", ("organisation", "state")),
+    Metric("refusals_total", COUNTER, "Requests refused.", ("reason",)),
+    Metric("resubmissions_total", COUNTER, "Jobs met again.", ("result",)),
+    Metric("tasks_total", COUNTER, "Tasks answered.", ("service", "outcome")),
+    Metric("starts_total", COUNTER, "Tasks started.", ("service",)),
+    Metric("task_refusals_total", COUNTER, "Hand-outs refused.", ("refusal",)),
+    Metric("messages_sent_total", COUNTER, "Messages sent.", ("message",)),
+    Metric("messages_received_total", COUNTER, "Messages read.", ("message",)),
+    Metric("messages_wasted_total", COUNTER, "Useless messages.", ("message",)),
+    Metric("takeovers_total", COUNTER, "Jobs taken over.", ("result",)),
+    Metric("links_closed_total", COUNTER, "Links closed.", ("reason",)),
+    Metric("log_requests_total", COUNTER, "Requests to the log.", ("result",)),
+    Metric("lease_losses_total", COUNTER, "Configuration leases lost."),
+    Metric("job_seconds", HISTOGRAM, "Time to answer a job.", ("service",)),
+    Metric("queue_seconds", HISTOGRAM, "Wait for a slot.", ("service",)),
+    Metric("task_seconds", HISTOGRAM, "Run time of a task.", ("service",)),
+    Metric("claim_seconds", HISTOGRAM, "Time to register a job."),
+    Metric("queued_tasks", GAUGE, "Tasks waiting for a slot.", ("service",)),
+    Metric("running_tasks", GAUGE, "Tasks handed out.", ("service",)),
+    Metric("open_jobs", GAUGE, "Jobs without an answer yet."),
+    Metric("free_slots", GAUGE, "Slots believed free.", ("service",)),
+    Metric("agents", GAUGE, "Agents known.", ("zone", "state")),
+    Metric("entries", GAUGE, "Entries known.", ("state",)),
+    Metric("links", GAUGE, "Links open.", ("role",)),
+    Metric("lease_seconds", GAUGE, "Time left of the lease."),
+    Metric("config_offset", GAUGE, "Log offset of the configuration."),
+    Metric("log_age_seconds", GAUGE, "Time since the log's end was read."),
+    Metric("cpu_seconds_total", COUNTER, "Processor time of the process."),
+    Metric("resident_bytes", GAUGE, "Resident memory of the process."),
+)
+
+
+class Samples:
+    """Observations of one histogram and one set of labels.
+
+    Attributes:
+        counts: Observations per bucket; the last has no upper bound.
+        sum_s: Sum of the observations, in seconds.
+    """
+
+    def __init__(self):
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.sum_s = 0.0
+
+    def add(self, value_s: float) -> None:
+        """Adds one observation."""
+        self.counts[bisect.bisect_left(BUCKETS_S, value_s)] += 1
+        self.sum_s += value_s
+
+    def to_histogram(self) -> histogram.Histogram:
+        """Returns the observations as aioprometheus keeps them."""
+        folded = histogram.Histogram(*BUCKETS_S)
+        totals = itertools.accumulate(self.counts)
+        for bound, total in zip(folded.buckets, totals, strict=True):
+            folded.buckets[bound] = total
+        folded.observations = sum(self.counts)
+        folded.sum = self.sum_s
+        return folded
+
+
+class Metrics:
+    """The metrics of one process.
+
+    Attributes:
+        table: The declared metrics by name.
+        values: Values of counters and gauges by name and label values.
+        samples: Observations by name and label values.
+        refreshers: Functions called before each rendering, to set gauges.
+    """
+
+    def __init__(self, table: Sequence[Metric] = METRICS):
+        self.table = {metric.name: metric for metric in table}
+        self.values: dict[str, dict[Labels, float]] = {
+            name: {} for name in self.table
+        }
+        self.samples: dict[str, dict[Labels, Samples]] = {
+            name: {} for name in self.table
+        }
+        self.refreshers: list[Callable[[Metrics], None]] = [measure_process]
+
+    def count(self, name: str, *labels: str, amount: float = 1) -> None:
+        """Adds to a counter."""
+        values = self.values[name]
+        values[labels] = values.get(labels, 0) + amount
+
+    def set(self, name: str, value: float, *labels: str) -> None:
+        """Sets a gauge."""
+        self.values[name][labels] = value
+
+    def observe(self, name: str, value_s: float, *labels: str) -> None:
+        """Adds an observation, in seconds, to a histogram."""
+        samples = self.samples[name]
+        if labels not in samples:
+            samples[labels] = Samples()
+        samples[labels].add(value_s)
+
+    def clear(self, name: str) -> None:
+        """Forgets all values of a gauge, before its labels are set anew."""
+        self.values[name].clear()
+
+    def render(self, accept: Sequence[str] = ()) -> tuple[bytes, str]:
+        """Returns the metrics for a scrape.
+
+        Args:
+            accept: The request's Accept headers.
+
+        Returns:
+            The body and its content type.
+        """
+        for refresh in self.refreshers:
+            refresh(self)
+        registry = aioprometheus.Registry()
+        for metric in self.table.values():
+            self.fold(metric, registry)
+        body, headers = aioprometheus.render(registry, list(accept))
+        return body, headers["Content-Type"]
+
+    def fold(self, metric: Metric, registry: aioprometheus.Registry) -> None:
+        """Registers one metric with its present values."""
+        collector = COLLECTORS[metric.kind](
+            PREFIX + metric.name, metric.doc, registry=registry
+        )
+        for labels, value in self.values[metric.name].items():
+            collector.set_value(_label_values(metric, labels), value)
+        for labels, samples in self.samples[metric.name].items():
+            collector.set_value(
+                _label_values(metric, labels), samples.to_histogram()
+            )
+
+
+def measure_process(metrics: Metrics) -> None:
+    """Sets the metrics of the process itself."""
+    metrics.set("cpu_seconds_total", time.process_time())
+    pages = int(STATM.read_text().split()[1])
+    metrics.set("resident_bytes", pages * resource.getpagesize())
+
+
+def _label_values(metric: Metric, labels: Labels) -> dict[str, str]:
+    # aioprometheus writes label values as they are.
+    return {
+        name: _escape(str(value))
+        for name, value in zip(metric.labels, labels, strict=True)
+    }
+
+
+def _escape(value: str) -> str:
+    value = value.replace("\\", "\\\\").replace('"', '\\"')
+    return value.replace("\n", "\\n")
+
+
+COLLECTORS = {
+    COUNTER: aioprometheus.Counter,
+    GAUGE: aioprometheus.Gauge,
+    HISTOGRAM: aioprometheus.Histogram,
+}
--- a/egretthread/settings.py
+++ b/egretthread/settings.py
@@ -312,8 +312,10 @@
 
 
 def _check_order(checker: util.OptionChecker, values: dict) -> None:
+    faulty = {fault.key for fault in checker.faults}
     for shorter, longer in ORDERED_DURATIONS:
-        if shorter not in values or longer not in values:
+        pair = {shorter, longer}
+        if pair & faulty or not pair <= values.keys():
             continue
         if values[shorter] >= values[longer]:
             checker.fault(
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -28,8 +28,10 @@
     log_url="http://127.0.0.1:1",
     shared_key="a shared key of the tests",
     keepalive_s=0.02,
-    liveness_s=0.3,
+    liveness_s=HANG_S,
 )
+# A liveness_s for tests of silence.
+SHORT_S = 0.3
 TLS = {
     "tls_cert": str(DATA / "tls_cert.pem"),
     "tls_key": str(DATA / "tls_key.pem"),
@@ -224,7 +226,7 @@
     async def test_a_silent_path_is_left_for_a_new_one(self):
         server = await self.start_server()
         path = await self.start_relay(server)
-        client = self.start_client(f"127.0.0.1:{path.port}")
+        client = self.start_client(f"127.0.0.1:{path.port}", liveness_s=SHORT_S)
         await until(lambda: self.far.opened)
         path.silence()
         await until(lambda: len(self.far.opened) == 2)
@@ -236,9 +238,9 @@
 
     @run_async
     async def test_a_new_link_supersedes_the_old_one(self):
-        server = await self.start_server(liveness_s=HANG_S)
+        server = await self.start_server()
         path = await self.start_relay(server)
-        self.start_client(f"127.0.0.1:{path.port}")
+        self.start_client(f"127.0.0.1:{path.port}", liveness_s=SHORT_S)
         await until(lambda: self.far.opened)
         path.silence()
         await until(lambda: len(self.far.opened) == 2)
@@ -257,18 +259,18 @@
 
     @run_async
     async def test_idle_links_stay_open(self):
-        client = await self.connect()
+        client = await self.connect(liveness_s=SHORT_S)
         peer = client.peer
         started_at = peer.received_at
-        enough_s = 3 * OPTIONS.liveness_s
+        enough_s = 3 * SHORT_S
         await until(lambda: peer.received_at - started_at > enough_s)
         self.assertIs(peer, client.peer)
 
     @run_async
     async def test_a_peer_that_does_not_drain_is_closed(self):
-        server = await self.start_server(liveness_s=HANG_S)
+        server = await self.start_server()
         path = await self.start_relay(server)
-        client = self.start_client(f"127.0.0.1:{path.port}", liveness_s=HANG_S)
+        client = self.start_client(f"127.0.0.1:{path.port}")
         await until(lambda: client.peer)
         path.silence()
         text = "x" * (wire.MAX_FRAME_BYTES // 2)
@@ -278,6 +280,14 @@
         await until(lambda: peer.close_reason)
         self.assertEqual("slow", peer.close_reason)
 
+    @run_async
+    async def test_a_peer_that_drains_nothing_in_time_is_closed(self):
+        client = await self.connect()
+        peer = client.peer
+        peer.stalled_at = peer.loop.time() - 2 * OPTIONS.liveness_s
+        await until(lambda: peer.close_reason)
+        self.assertEqual("slow", peer.close_reason)
+
     @run_async
     async def test_a_pause_of_this_process_is_not_silence(self):
         client = await self.connect()
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,76 @@
+"""Tests of the metrics."""
+
+import testtools
+
+from egretthread import metrics
+
+
+def lines(held):
+    """Returns the rendered lines that start with the common prefix."""
+    body, content_type = held.render()
+    assert content_type.startswith("text/plain")
+    return [
+        line.removeprefix(metrics.PREFIX)
+        for line in body.decode().splitlines()
+        if line.startswith(metrics.PREFIX)
+    ]
+
+
+class MetricsTest(testtools.TestCase):
+    def test_counters_and_gauges(self):
+        held = metrics.Metrics()
+        held.count("tasks_total", "ledger-match", "done")
+        held.count("tasks_total", "ledger-match", "done", amount=4)
+        held.set("open_jobs", 3)
+        shown = lines(held)
+        label = 'outcome="done",service="ledger-match"'
+        self.assertIn(f"tasks_total{{{label}}} 5", shown)
+        self.assertIn("open_jobs 3", shown)
+
+    def test_histograms_are_cumulative(self):
+        held = metrics.Metrics()
+        for value_s in (0.001, 0.003, 0.003, 500.0):
+            held.observe("claim_seconds", value_s)
+        shown = lines(held)
+        for bound, count in ((0.001, 1), (0.002, 1), (0.005, 3), (120.0, 3)):
+            line = f'claim_seconds_bucket{{le="{bound}"}} {count}.0'
+            self.assertIn(line, shown)
+        self.assertIn('claim_seconds_bucket{le="+Inf"} 4.0', shown)
+        self.assertIn("claim_seconds_count 4.0", shown)
+        self.assertIn("claim_seconds_sum 500.007", shown)
+
+    def test_rendering_twice_does_not_count_twice(self):
+        held = metrics.Metrics()
+        held.count("lease_losses_total")
+        lines(held)
+        self.assertIn("lease_losses_total 1", lines(held))
+
+    def test_refreshers_set_gauges_at_each_rendering(self):
+        held = metrics.Metrics()
+        links = {"agent": 1}
+
+        def refresh(target):
+            target.clear("links")
+            for role, count in links.items():
+                target.set("links", count, role)
+
+        held.refreshers.append(refresh)
+        self.assertIn('links{role="agent"} 1', lines(held))
+        links = {"entry": 2}
+        shown = [line for line in lines(held) if line.startswith("links{")]
+        self.assertEqual(['links{role="entry"} 2'], shown)
+
+    def test_label_values_are_escaped(self):
+        held = metrics.Metrics()
+        held.count("refusals_total", 'a"b\\c\n')
+        self.assertIn('refusals_total{reason="a\\"b\\\\c\\n"} 1', lines(held))
+
+    def test_process_metrics_are_there(self):
+        shown = dict(line.split(" ") for line in lines(metrics.Metrics()))
+        self.assertTrue(int(shown["resident_bytes"]) > 2**20)
+
+    def test_wrong_names_and_labels_fail(self):
+        held = metrics.Metrics()
+        self.assertRaises(KeyError, held.count, "absent_total")
+        held.count("refusals_total")
+        self.assertRaises(ValueError, held.render)
