--- a/egretthread/client.py
+++ b/egretthread/client.py
@@ -15,12 +15,18 @@
 
 from tornado import httpclient, ioloop
 
-from egretthread import apierror, jobkey, retry
+from egretthread import apierror, endpoints, jobkey, retry
 from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
-from egretthread.retry import RetryPolicy
 
 ANSWER_GRACE_S = 5.0
 CONTROL_WAIT_S = 10.0
+# Retries as a share of the calls that succeed, and without any success.
+RETRY_SHARE = 0.2
+MIN_RETRIES_PER_S = 10.0
+# The least pause before the retry budget is asked again.
+BUDGET_PAUSE_S = 0.1
+# How far the pause that an entry asks for is stretched, at most.
+RETRY_AFTER_STRETCH = 1.5
 MAX_CONNECTIONS = 1000
 MAX_ANSWER_BYTES = 256 * 2**20
 
@@ -90,13 +96,22 @@
     Attributes:
         endpoints: Base URLs of the entries, or of the balancer before them.
         token: Access key, `<organisation>.<secret>`.
-        retry_policy: When requests are sent again.
+        attempt_s: Longest wait for one answer before the same request is
+            sent again elsewhere, so that a silent connection costs no more.
+        connect_s: Longest wait for a connection.
+        avoid_s: How long an endpoint is avoided after a lost connection.
+        retry_share: Retries earned by each call that succeeds.
+        min_retries_per_s: Retries that are allowed without any success.
         max_connections: Requests under way at once.
     """
 
     endpoints: tuple[str, ...]
     token: str
-    retry_policy: RetryPolicy = RetryPolicy()
+    attempt_s: float = 15.0
+    connect_s: float = 1.0
+    avoid_s: float = 2.0
+    retry_share: float = RETRY_SHARE
+    min_retries_per_s: float = MIN_RETRIES_PER_S
     max_connections: int = MAX_CONNECTIONS
 
 
@@ -232,8 +247,10 @@
     ):
         self.settings = settings
         self.rng = rng or random.Random()
-        self.budget = retry.RetryBudget(settings.retry_policy)
-        self.endpoints = retry.Endpoints(settings.endpoints, self.rng)
+        self.budget = retry.RetryBudget(
+            settings.retry_share, settings.min_retries_per_s
+        )
+        self.endpoints = endpoints.Endpoints(settings.endpoints, self.rng)
         self.http: httpclient.AsyncHTTPClient | None = None
 
     def start(self) -> None:
@@ -300,13 +317,15 @@
     ) -> JobStatus:
         """Makes attempts until one is answered or retrying has to stop."""
         call = Call(time.monotonic() + wait_s)
-        self.budget.earn()
         while True:
             try:
-                return await self.attempt(request, call)
+                status = await self.attempt(request, call)
             except apierror.ApiError as error:
                 await self.pause(call, error)
                 request = amend(request, error)
+            else:
+                self.budget.succeed()
+                return status
 
     async def pause(self, call: Call, error: apierror.ApiError) -> None:
         """Waits before the next attempt; raises the error if there is none."""
@@ -317,16 +336,23 @@
             error.may_have_started = call.may_have_started
         if not error.retryable:
             raise error
-        delay_s = retry.pause_s(
-            self.settings.retry_policy,
-            call.failures,
-            error.retry_after_s,
-            self.rng,
-        )
+        await self.sleep(self.pause_s(call, error), call, error)
+        while not self.budget.take(time.monotonic()):
+            await self.sleep(BUDGET_PAUSE_S, call, error)
+
+    def pause_s(self, call: Call, error: apierror.ApiError) -> float:
+        """Returns how long to wait before the next attempt."""
+        if error.retry_after_s > 0.0:
+            stretch = self.rng.uniform(1.0, RETRY_AFTER_STRETCH)
+            return error.retry_after_s * stretch
+        return retry.backoff_s(call.failures, self.rng)
+
+    async def sleep(
+        self, delay_s: float, call: Call, error: apierror.ApiError
+    ) -> None:
+        """Sleeps; raises the error if that would outlast the call."""
         if time.monotonic() + delay_s >= call.give_up_s:
             raise error
-        if not self.budget.spend():
-            raise error
         await asyncio.sleep(delay_s)
 
     async def attempt(self, request: Request, call: Call) -> JobStatus:
@@ -344,7 +370,7 @@
 
     def avoid(self, url: str) -> None:
         """Passes an endpoint over for a while."""
-        until_s = time.monotonic() + self.settings.retry_policy.avoid_s
+        until_s = time.monotonic() + self.settings.avoid_s
         self.endpoints.avoid(url, until_s)
 
     async def fetch(
@@ -353,7 +379,6 @@
         """Sends the request to one entry and returns its response."""
         body = json.dumps(job_body(request.job)) if request.job else None
         left_s = max(0.001, call.give_up_s - time.monotonic())
-        policy = self.settings.retry_policy
         return await self.http.fetch(
             url + request.path,
             raise_error=False,
@@ -364,8 +389,8 @@
                 "Content-Type": "application/json",
             },
             follow_redirects=False,
-            connect_timeout=min(left_s, policy.connect_s),
-            request_timeout=min(left_s, policy.attempt_s),
+            connect_timeout=min(left_s, self.settings.connect_s),
+            request_timeout=min(left_s, self.settings.attempt_s),
         )
 
 
