--- a/egretthread/client.py
+++ b/egretthread/client.py
@@ -18,7 +18,6 @@
 from egretthread import apierror, endpoints, jobkey, retry
 from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
 
-ANSWER_GRACE_S = 5.0
 CONTROL_WAIT_S = 10.0
 # Retries as a share of the calls that succeed, and without any success.
 RETRY_SHARE = 0.2
@@ -96,6 +95,8 @@
     Attributes:
         endpoints: Base URLs of the entries, or of the balancer before them.
         token: Access key, `<organisation>.<secret>`.
+        answer_grace_s: How long after a job's deadline its answer is waited
+            for.
         attempt_s: Longest wait for one answer before the same request is
             sent again elsewhere, so that a silent connection costs no more.
         connect_s: Longest wait for a connection.
@@ -107,6 +108,7 @@
 
     endpoints: tuple[str, ...]
     token: str
+    answer_grace_s: float = 5.0
     attempt_s: float = 15.0
     connect_s: float = 1.0
     avoid_s: float = 2.0
@@ -287,7 +289,7 @@
                 whether a task may have started through this call.
         """
         amend = rekey_request if rekey else keep_request
-        wait_s = job.deadline_s + ANSWER_GRACE_S
+        wait_s = job.deadline_s + self.settings.answer_grace_s
         status = await self.call(submit_request(job), wait_s, amend)
         return status.answer
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -131,7 +131,8 @@
         self.refused(
             entry,
             error=apierror.UnavailableError,
-            job=a_job(deadline_s=0.5 - client.ANSWER_GRACE_S),
+            job=a_job(deadline_s=0.5),
+            answer_grace_s=0.0,
             min_retries_per_s=1.0,
         )
         self.assertEqual(2, len(entry.requests))
@@ -180,12 +181,14 @@
         self.assertEqual(["GET", "DELETE", "GET"], methods)
 
     def test_sync_client_works_without_a_loop(self):
-        settings = client.ClientSettings((free_url(),), "a.b")
+        settings = client.ClientSettings(
+            (free_url(),), "a.b", answer_grace_s=0.0
+        )
         caller = client.Client(settings)
         caller.start()
         self.addCleanup(caller.close)
         error = self.assertRaises(
-            apierror.ConnectionLostError, caller.cancel, client.new_key()
+            apierror.ConnectionLostError, caller.submit, a_job(deadline_s=0.2)
         )
         self.assertFalse(error.may_have_started)
 
