Add the command line of operators and callers

Operators need to check, publish and follow the configuration, withdraw zones, drain backend servers and handle access keys; callers need to submit, look up and cancel jobs. Groups of commands are modules in one table and are imported on first use.

--- /dev/null
+++ b/egretthread/commands/__init__.py
@@ -0,0 +1,14 @@
+"""The command line's groups of commands, one module each."""
+
+# Module of each group, by the group's name. A module is imported when its
+# group is first used, and a group without an installed module is left out.
+GROUPS = {
+    "config": "egretthread.commands.config",
+    "zone": "egretthread.commands.zone",
+    "server": "egretthread.commands.server",
+    "key": "egretthread.commands.key",
+    "job": "egretthread.commands.job",
+    "state": "egretthread.commands.state",
+    "settings": "egretthread.commands.settings",
+    "bench": "egretthread_bench.cmdline",
+}
--- /dev/null
+++ b/egretthread/commands/options.py
@@ -0,0 +1,87 @@
+"""Options that several commands share."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from egretthread import operators
+
+AsJson = Annotated[
+    bool, typer.Option("--json", help="Print JSON for other programs.")
+]
+LogUrl = Annotated[
+    str,
+    typer.Option(
+        "--log-url",
+        envvar="EGRETTHREAD_LOG_URL",
+        help="Base URL of the platform's log service.",
+    ),
+]
+Stream = Annotated[
+    str,
+    typer.Option(
+        "--stream",
+        envvar="EGRETTHREAD_STREAM",
+        help="Name of the configuration stream.",
+    ),
+]
+Author = Annotated[
+    str,
+    typer.Option(
+        "--author",
+        envvar="EGRETTHREAD_AUTHOR",
+        help="Who publishes; your login name by default.",
+    ),
+]
+Admin = Annotated[
+    list[str],
+    typer.Option(
+        "--admin",
+        envvar="EGRETTHREAD_ADMIN",
+        help="Admin address, host:port, of a process to wait for.",
+    ),
+]
+Wait = Annotated[
+    bool,
+    typer.Option(
+        "--wait", help="Wait until it is in force at every --admin address."
+    ),
+]
+TimeoutS = Annotated[
+    float,
+    typer.Option("--timeout-s", min=0.0, help="Longest wait, in seconds."),
+]
+InputFile = Annotated[
+    pathlib.Path,
+    typer.Argument(
+        exists=True, dir_okay=False, allow_dash=True, help="File, or - ."
+    ),
+]
+Endpoints = Annotated[
+    list[str],
+    typer.Option(
+        "--endpoint",
+        envvar="EGRETTHREAD_ENDPOINTS",
+        help="Base URL of an entry or of the balancer; may be repeated.",
+    ),
+]
+# Read from the environment, since other users can see a command's arguments.
+Token = Annotated[
+    str,
+    typer.Option(
+        "--token",
+        envvar="EGRETTHREAD_TOKEN",
+        help="Access key, ORGANISATION.SECRET; better set in the environment.",
+    ),
+]
+
+DEFAULT_STREAM = operators.DEFAULT_STREAM
+DEFAULT_TIMEOUT_S = 10.0
+
+
+def read_text(path: pathlib.Path) -> str:
+    """Returns the text of a file, or of standard input for `-`."""
+    if str(path) == "-":
+        return typer.get_text_stream("stdin").read()
+    return path.read_text(encoding="utf-8")
