--- a/egretthread/commands/key.py
+++ b/egretthread/commands/key.py
@@ -32,9 +32,10 @@
     """
     token, key = operators.make_access_key(organisation, name or time_name())
     row = dataclasses.asdict(key)
-    text = tomli_w.dumps({"token": token, "access_keys": [row]})
+    table = {"name": organisation, "access_keys": [row]}
+    toml = tomli_w.dumps({"organisations": [table]}).rstrip("\n")
     data = {"organisation": organisation, "token": token, "access_key": row}
-    console.emit(as_json, data, text.rstrip("\n"))
+    console.emit(as_json, data, f"token: {token}\n\n{toml}")
 
 
 @app.command()
--- a/egretthread/console.py
+++ b/egretthread/console.py
@@ -86,12 +86,20 @@
     if as_json:
         print(json.dumps(error_body(error)), file=sys.stderr)
         return
-    typer.echo(f"error: {error.message}", err=True)
-    for fault in error_faults(error):
+    faults = error_faults(error)
+    typer.echo(f"error: {headline(error.message, faults)}", err=True)
+    for fault in faults:
         typer.echo(f"  {fault}", err=True)
     typer.echo(f"remedy: {error.remedy}", err=True)
 
 
+def headline(message: str, faults: list[str]) -> str:
+    """Returns a message without the faults that are printed below it."""
+    if not faults:
+        return message
+    return message.partition(faults[0])[0].rstrip(": ")
+
+
 def error_body(error: util.EgretthreadError) -> dict:
     """Returns an error as JSON can hold it."""
     body = {
