--- /dev/null
+++ b/egretthread/callerjob.py
@@ -0,0 +1,93 @@
+"""Jobs, their states and their answers, as callers send and get them."""
+
+import dataclasses
+import enum
+import json
+
+from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
+
+
+@dataclasses.dataclass(frozen=True)
+class Task:
+    """One task of a job.
+
+    Attributes:
+        payload: Anything JSON can hold; handed to the backend server.
+        memory_bytes: Declared memory need; 0 for unknown.
+        run_s: Declared run time; 0 for unknown.
+    """
+
+    payload: object
+    memory_bytes: int = 0
+    run_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A parallel batch of tasks.
+
+    Attributes:
+        key: Names the job; keep it to resubmit. See `new_key`.
+        service: Name of the service that runs the tasks.
+        tasks: The tasks.
+        deadline_s: Time from submission after which no task starts.
+    """
+
+    key: str
+    service: str
+    tasks: tuple[Task, ...]
+    deadline_s: float = 30.0
+
+
+class JobState(enum.StrEnum):
+    """What an entry says of a job."""
+
+    RUNNING = "running"
+    CANCELLING = "cancelling"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    # Its coordinator is gone; submitting it again recovers it.
+    STRANDED = "stranded"
+
+
+@dataclasses.dataclass(frozen=True)
+class JobStatus:
+    """The state of a job.
+
+    Attributes:
+        key: The job key.
+        state: Its state.
+        answer: The answer, once it is complete or failed.
+    """
+
+    key: str
+    state: JobState
+    answer: JobAnswer | None = None
+
+
+def job_body(job: Job) -> dict:
+    """Returns the JSON body that submits a job."""
+    return {
+        "key": job.key,
+        "service": job.service,
+        "deadline_s": job.deadline_s,
+        "tasks": [dataclasses.asdict(task) for task in job.tasks],
+    }
+
+
+def parse_outcome(body: dict) -> Outcome:
+    """Returns one task's outcome; its result is kept as JSON text."""
+    kind = OutcomeKind(body["outcome"])
+    if kind is OutcomeKind.DONE:
+        return Outcome(kind, result=json.dumps(body["result"]))
+    return Outcome(kind, reason=str(body["reason"]))
+
+
+def parse_status(body: dict) -> JobStatus:
+    """Returns the job state within an answer's body."""
+    state = JobState(body["state"])
+    answer = None
+    if state in (JobState.COMPLETE, JobState.FAILED):
+        outcomes = tuple(parse_outcome(task) for task in body["tasks"])
+        answer = JobAnswer(body["key"], outcomes)
+    return JobStatus(body["key"], state, answer)
--- a/egretthread/client.py
+++ b/egretthread/client.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import dataclasses
-import enum
 import json
 import random
 import secrets
@@ -15,8 +14,21 @@
 
 from tornado import httpclient, ioloop
 
-from egretthread import apierror, endpoints, jobkey, retry
-from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
+from egretthread import apierror, callerjob, endpoints, jobkey, retry
+from egretthread.callerjob import Job, JobState, JobStatus, Task
+from egretthread.outcome import JobAnswer
+
+__all__ = [
+    "AsyncClient",
+    "Client",
+    "ClientSettings",
+    "Job",
+    "JobAnswer",
+    "JobState",
+    "JobStatus",
+    "Task",
+    "new_key",
+]
 
 CONTROL_WAIT_S = 10.0
 # Retries as a share of the calls that succeed, and without any success.
@@ -30,64 +42,6 @@
 MAX_ANSWER_BYTES = 256 * 2**20
 
 
-@dataclasses.dataclass(frozen=True)
-class Task:
-    """One task of a job.
-
-    Attributes:
-        payload: Anything JSON can hold; handed to the backend server.
-        memory_bytes: Declared memory need; 0 for unknown.
-        run_s: Declared run time; 0 for unknown.
-    """
-
-    payload: object
-    memory_bytes: int = 0
-    run_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True)
-class Job:
-    """A parallel batch of tasks.
-
-    Attributes:
-        key: Names the job; keep it to resubmit. See `new_key`.
-        service: Name of the service that runs the tasks.
-        tasks: The tasks.
-        deadline_s: Time from submission after which no task starts.
-    """
-
-    key: str
-    service: str
-    tasks: tuple[Task, ...]
-    deadline_s: float = 30.0
-
-
-class JobState(enum.StrEnum):
-    """What an entry says of a job."""
-
-    RUNNING = "running"
-    CANCELLING = "cancelling"
-    COMPLETE = "complete"
-    FAILED = "failed"
-    # Its coordinator is gone; submitting it again recovers it.
-    STRANDED = "stranded"
-
-
-@dataclasses.dataclass(frozen=True)
-class JobStatus:
-    """The state of a job.
-
-    Attributes:
-        key: The job key.
-        state: Its state.
-        answer: The answer, once it is complete or failed.
-    """
-
-    key: str
-    state: JobState
-    answer: JobAnswer | None = None
-
-
 @dataclasses.dataclass(frozen=True)
 class ClientSettings:
     """Settings of a client.
@@ -162,34 +116,6 @@
     return jobkey.make_key(time.time(), name or secrets.token_hex(8))
 
 
-def job_body(job: Job) -> dict:
-    """Returns the JSON body that submits a job."""
-    return {
-        "key": job.key,
-        "service": job.service,
-        "deadline_s": job.deadline_s,
-        "tasks": [dataclasses.asdict(task) for task in job.tasks],
-    }
-
-
-def parse_outcome(body: dict) -> Outcome:
-    """Returns one task's outcome; its result is kept as JSON text."""
-    kind = OutcomeKind(body["outcome"])
-    if kind is OutcomeKind.DONE:
-        return Outcome(kind, result=json.dumps(body["result"]))
-    return Outcome(kind, reason=str(body["reason"]))
-
-
-def parse_status(body: dict) -> JobStatus:
-    """Returns the job state within an answer's body."""
-    state = JobState(body["state"])
-    answer = None
-    if state in (JobState.COMPLETE, JobState.FAILED):
-        outcomes = tuple(parse_outcome(task) for task in body["tasks"])
-        answer = JobAnswer(body["key"], outcomes)
-    return JobStatus(body["key"], state, answer)
-
-
 def check_status(request: Request, status: JobStatus) -> JobStatus:
     """Returns the status when it is the whole answer to the request.
 
@@ -379,7 +305,9 @@
         self, url: str, request: Request, call: Call
     ) -> httpclient.HTTPResponse:
         """Sends the request to one entry and returns its response."""
-        body = json.dumps(job_body(request.job)) if request.job else None
+        body = (
+            json.dumps(callerjob.job_body(request.job)) if request.job else None
+        )
         left_s = max(0.001, call.give_up_s - time.monotonic())
         return await self.http.fetch(
             url + request.path,
@@ -425,7 +353,7 @@
         error.may_have_started &= submits
         raise error
     try:
-        return check_status(request, parse_status(body))
+        return check_status(request, callerjob.parse_status(body))
     except (KeyError, TypeError, ValueError) as error:
         raise connection_lost(url, error, submits) from None
 
