Know the refusals that the entry's server gives

The server also answers deadline_exceeded and bad_job_key, and a key whose time lies a little ahead passes on its own: it is now retried after the stated wait. Unknown kinds keep their name.

--- a/egretthread/apierror.py
+++ b/egretthread/apierror.py
@@ -45,6 +45,12 @@
     kind = "bad_request"
 
 
+class BadJobKeyError(ApiError):
+    """The job key in the path is not of the documented form."""
+
+    kind = "bad_job_key"
+
+
 class UnknownServiceError(ApiError):
     """There is no such service, or the organisation may not use it."""
 
@@ -73,6 +79,7 @@
     """The key's time lies ahead of the entry's clock."""
 
     kind = "key_in_future"
+    retryable = True
 
 
 class CannotRunError(ApiError):
@@ -116,6 +123,13 @@
     retryable = True
 
 
+class DeadlineExceededError(ApiError):
+    """The deadline passed while the entry sought the job's coordinator."""
+
+    kind = "deadline_exceeded"
+    retryable = True
+
+
 class ConnectionLostError(ApiError):
     """No whole answer came: refused, cut off, timed out or garbled."""
 
@@ -128,6 +142,7 @@
     for error in (
         UnauthorisedError,
         BadRequestError,
+        BadJobKeyError,
         UnknownServiceError,
         UnknownJobError,
         KeyConflictError,
@@ -139,6 +154,7 @@
         UnavailableError,
         ShardUnavailableError,
         SupersededError,
+        DeadlineExceededError,
         ConnectionLostError,
     )
 }
@@ -164,7 +180,7 @@
     kind = body.get("kind", KINDS_BY_STATUS.get(status, ""))
     not_run = body.get("not_run") is True
     unstarted = body.get("started_by_this_request") is False
-    return ERRORS.get(kind, ApiError)(
+    error = ERRORS.get(kind, ApiError)(
         str(body.get("message", f"the entry answered HTTP {status}")),
         str(body.get("remedy", "look at the entry's log")),
         status=status,
@@ -172,6 +188,9 @@
         may_have_started=not (not_run or unstarted),
         faults=tuple(fault_text(f) for f in body.get("faults", ())),
     )
+    # A kind that this version does not know is kept as it came.
+    error.kind = str(kind) or error.kind
+    return error
 
 
 def number(value: object) -> float:
--- a/egretthread/console.py
+++ b/egretthread/console.py
@@ -25,6 +25,7 @@
 EXIT_BY_KIND = {
     "append_unresolved": EXIT_UNAVAILABLE,
     "connection_lost": EXIT_UNAVAILABLE,
+    "deadline_exceeded": EXIT_UNAVAILABLE,
     "log_unavailable": EXIT_UNAVAILABLE,
     "not_in_force": EXIT_UNAVAILABLE,
     "overloaded": EXIT_UNAVAILABLE,
