--- /dev/null
+++ b/egretthread_standins/cluster.py
@@ -0,0 +1,292 @@
+"""A small cluster of child processes on loopback, for the demo.
+
+It has the log stand-in, two entries, and two agents with their backend
+server stand-ins in each of three availability zones.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+import secrets
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+
+import tomli_w
+
+from egretthread import adminclient, client, operators
+from egretthread_standins import children
+from egretthread_standins.children import Child
+
+REGION = "eire-east"
+ZONES = ("eire-east-a", "eire-east-b", "eire-east-c")
+SERVICE = "ledger-match"
+ORGANISATION = "dublin"
+STREAM = "config"
+AGENTS_PER_ZONE = 2
+SLOTS = 8
+PROCESSORS = 32
+MEMORY_BYTES = 128 * 2**30
+ANY_PORT = "127.0.0.1:0"
+READY_LIMIT_S = 30.0
+POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Worker:
+    """An agent and its backend server.
+
+    Attributes:
+        zone: Their availability zone.
+        agent: The agent's process.
+        backend: The backend server's process.
+    """
+
+    zone: str
+    agent: Child
+    backend: Child
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Start:
+    """One start of a task, as a backend server recorded it.
+
+    Attributes:
+        at_s: Unix time of the start.
+        zone: Availability zone of the backend server.
+        key: Key of the job.
+        index: The task's index within the job.
+    """
+
+    at_s: float
+    zone: str
+    key: str
+    index: int
+
+
+class Cluster:
+    """The child processes and what is needed to drive them.
+
+    Attributes:
+        directory: Holds settings and log files.
+        shared_key: Key that the processes prove to one another.
+        token: Access key of the one organisation.
+        children: Every child ever started, in order.
+        log: The log stand-in.
+        entries: The entries by name.
+        workers: The workers.
+        log_client: Client of the log.
+    """
+
+    def __init__(self, directory: pathlib.Path):
+        self.directory = directory
+        self.shared_key = secrets.token_hex(16)
+        self.token = ""
+        self.children: list[Child] = []
+        self.log: Child | None = None
+        self.entries: dict[str, Child] = {}
+        self.workers: list[Worker] = []
+        self.log_client: operators.LogClient | None = None
+
+    async def start(self) -> None:
+        """Starts every process and publishes the first configuration."""
+        self.log = await self.spawn(
+            "log", "egretthread_standins.logservice", "--port", "0"
+        )
+        self.log_client = operators.LogClient(url(self.log))
+        await self.publish_first()
+        for name in ("entry-1", "entry-2"):
+            await self.start_entry(name)
+        await asyncio.gather(
+            *(
+                self.start_worker(zone, number)
+                for zone in ZONES
+                for number in range(AGENTS_PER_ZONE)
+            )
+        )
+        self.workers.sort(key=lambda worker: worker.agent.name)
+        await self.wait_ready()
+
+    async def publish_first(self) -> None:
+        """Publishes zones, the service and an organisation with a key."""
+        self.token, key = operators.make_access_key(ORGANISATION, "demo")
+        organisation = operators.Organisation(ORGANISATION, (key,))
+        service = operators.Service(
+            SERVICE, (ORGANISATION,), region=REGION, slots=SLOTS
+        )
+        configuration = operators.Configuration(
+            organisations=(organisation,),
+            services=(service,),
+            zones=tuple(
+                operators.AvailabilityZone(name, REGION) for name in ZONES
+            ),
+        )
+        operators.print_configuration(configuration, sys.stderr)
+        await operators.publish(
+            self.log_client, STREAM, configuration, 0, "demo"
+        )
+
+    async def change(self, edit: operators.Edit) -> operators.Published:
+        """Publishes an edit of the configuration."""
+        return await operators.change(self.log_client, STREAM, edit, "demo")
+
+    async def start_entry(self, name: str) -> Child:
+        """Starts an entry, or one that takes the place of a dead one."""
+        zone = ZONES[len(self.entries) % len(ZONES)]
+        settings = {
+            "name": name,
+            "region": REGION,
+            "zone": zone,
+            "http_address": ANY_PORT,
+            "admin_address": ANY_PORT,
+            "peer_address": ANY_PORT,
+            "log_url": url(self.log),
+            "shared_key": self.shared_key,
+        }
+        entry = await self.spawn_daemon(name, "egretthread.entryd", settings)
+        self.entries[name] = entry
+        return entry
+
+    async def start_worker(self, zone: str, number: int) -> None:
+        """Starts a backend server and the agent beside it."""
+        name = f"{zone}-{number}"
+        backend = await self.spawn(
+            f"backend-{name}", "egretthread_standins.backend", "--port", "0"
+        )
+        settings = {
+            "name": f"agent-{name}",
+            "region": REGION,
+            "zone": zone,
+            "service": SERVICE,
+            "admin_address": ANY_PORT,
+            "backend_url": url(backend),
+            "entries": [
+                entry.addresses["peer"] for entry in self.entries.values()
+            ],
+            "shared_key": self.shared_key,
+            "processors": PROCESSORS,
+            "memory_bytes": MEMORY_BYTES,
+            "slots": SLOTS,
+        }
+        agent = await self.spawn_daemon(
+            f"agent-{name}", "egretthread.agentd", settings
+        )
+        self.workers.append(Worker(zone, agent, backend))
+
+    async def spawn_daemon(
+        self, name: str, module: str, settings: dict
+    ) -> Child:
+        """Starts an entry or agent with a settings file."""
+        path = self.directory / f"{name}.toml"
+        path.write_text(tomli_w.dumps(settings))
+        return await self.spawn(name, module, "--settings", str(path))
+
+    async def spawn(self, name: str, module: str, *arguments: str) -> Child:
+        """Starts a child and remembers it."""
+        log = self.directory / f"{name}.log"
+        child = await children.start(name, module, arguments, log)
+        self.children.append(child)
+        return child
+
+    async def wait_ready(self) -> None:
+        """Waits until every live entry serves and knows every agent.
+
+        Raises:
+            ChildError: It took too long.
+        """
+
+        async def is_ready() -> bool:
+            answers = [
+                await adminclient.fetch_json(
+                    entry.addresses["admin"], "/health"
+                )
+                for entry in self.entries.values()
+                if entry.running
+            ]
+            return all(
+                health["lease_open"] and health["agents"] == len(self.workers)
+                for health in answers
+            )
+
+        await wait_for(is_ready, READY_LIMIT_S, "entries that know all agents")
+
+    async def starts(self) -> list[Start]:
+        """Returns every start of a task so far, oldest first."""
+        batches = await asyncio.gather(
+            *(starts_of(worker) for worker in self.workers)
+        )
+        return sorted(start for batch in batches for start in batch)
+
+    def client(self, *entries: str) -> client.AsyncClient:
+        """Returns a started client of the named entries."""
+        urls = tuple(url(self.entries[name]) for name in entries)
+        caller = client.AsyncClient(client.ClientSettings(urls, self.token))
+        caller.start()
+        return caller
+
+    async def end(self) -> dict[str, int]:
+        """Ends all children and returns the exit code of each.
+
+        Entries and agents get SIGTERM; stand-ins, which do not handle it,
+        get SIGINT after them.
+        """
+        daemons = [c for c in self.children if is_daemon(c) and c.running]
+        stand_ins = [c for c in self.children if not is_daemon(c)]
+        codes = {}
+        for group, number in (
+            (daemons, signal.SIGTERM),
+            (stand_ins, signal.SIGINT),
+        ):
+            ended = await asyncio.gather(
+                *(children.end(child, number) for child in group)
+            )
+            names = [child.name for child in group]
+            codes.update(zip(names, ended, strict=True))
+        return codes
+
+    async def close(self) -> None:
+        """Kills what is still running and closes the client."""
+        for child in self.children:
+            await children.kill(child.process)
+        if self.log_client:
+            self.log_client.close()
+
+
+def is_daemon(child: Child) -> bool:
+    """Whether a child is an entry or an agent."""
+    return "admin" in child.addresses
+
+
+def url(child: Child) -> str:
+    """Returns the base URL of a child's HTTP server."""
+    return f"http://{child.addresses['http']}"
+
+
+async def starts_of(worker: Worker) -> list[Start]:
+    """Returns the starts that a backend server recorded."""
+    body = await adminclient.fetch_json(
+        worker.backend.addresses["http"], "/starts"
+    )
+    return [
+        Start(at_s, worker.zone, row["key"], row["index"])
+        for row in body["times"]
+        for at_s in row["times_s"]
+    ]
+
+
+async def wait_for(
+    condition: Callable[[], Awaitable[bool]], limit_s: float, what: str
+) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        ChildError: It did not hold within the limit.
+    """
+    try:
+        async with asyncio.timeout(limit_s):
+            while not await condition():
+                await asyncio.sleep(POLL_S)
+    except TimeoutError:
+        raise children.ChildError(
+            f"waited {limit_s} s in vain for {what}"
+        ) from None
