--- a/egretthread/client.py
+++ b/egretthread/client.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import dataclasses
-import enum
 import json
 import random
 import secrets
@@ -15,74 +14,34 @@
 
 from tornado import httpclient, ioloop
 
-from egretthread import apierror, jobkey, retry
-from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
-from egretthread.retry import RetryPolicy
+from egretthread import apierror, callerjob, endpoints, jobkey, retry
+from egretthread.callerjob import Job, JobState, JobStatus, Task
+from egretthread.outcome import JobAnswer
+
+__all__ = [
+    "AsyncClient",
+    "Client",
+    "ClientSettings",
+    "Job",
+    "JobAnswer",
+    "JobState",
+    "JobStatus",
+    "Task",
+    "new_key",
+]
 
-ANSWER_GRACE_S = 5.0
 CONTROL_WAIT_S = 10.0
+# Retries as a share of the calls that succeed, and without any success.
+RETRY_SHARE = 0.2
+MIN_RETRIES_PER_S = 10.0
+# The least pause before the retry budget is asked again.
+BUDGET_PAUSE_S = 0.1
+# How far the pause that an entry asks for is stretched, at most.
+RETRY_AFTER_STRETCH = 1.5
 MAX_CONNECTIONS = 1000
 MAX_ANSWER_BYTES = 256 * 2**20
 
 
-@dataclasses.dataclass(frozen=True)
-class Task:
-    """One task of a job.
-
-    Attributes:
-        payload: Anything JSON can hold; handed to the backend server.
-        memory_bytes: Declared memory need; 0 for unknown.
-        run_s: Declared run time; 0 for unknown.
-    """
-
-    payload: object
-    memory_bytes: int = 0
-    run_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True)
-class Job:
-    """A parallel batch of tasks.
-
-    Attributes:
-        key: Names the job; keep it to resubmit. See `new_key`.
-        service: Name of the service that runs the tasks.
-        tasks: The tasks.
-        deadline_s: Time from submission after which no task starts.
-    """
-
-    key: str
-    service: str
-    tasks: tuple[Task, ...]
-    deadline_s: float = 30.0
-
-
-class JobState(enum.StrEnum):
-    """What an entry says of a job."""
-
-    RUNNING = "running"
-    CANCELLING = "cancelling"
-    COMPLETE = "complete"
-    FAILED = "failed"
-    # Its coordinator is gone; submitting it again recovers it.
-    STRANDED = "stranded"
-
-
-@dataclasses.dataclass(frozen=True)
-class JobStatus:
-    """The state of a job.
-
-    Attributes:
-        key: The job key.
-        state: Its state.
-        answer: The answer, once it is complete or failed.
-    """
-
-    key: str
-    state: JobState
-    answer: JobAnswer | None = None
-
-
 @dataclasses.dataclass(frozen=True)
 class ClientSettings:
     """Settings of a client.
@@ -90,13 +49,25 @@
     Attributes:
         endpoints: Base URLs of the entries, or of the balancer before them.
         token: Access key, `<organisation>.<secret>`.
-        retry_policy: When requests are sent again.
+        answer_grace_s: How long after a job's deadline its answer is waited
+            for.
+        attempt_s: Longest wait for one answer before the same request is
+            sent again elsewhere, so that a silent connection costs no more.
+        connect_s: Longest wait for a connection.
+        avoid_s: How long an endpoint is avoided after a lost connection.
+        retry_share: Retries earned by each call that succeeds.
+        min_retries_per_s: Retries that are allowed without any success.
         max_connections: Requests under way at once.
     """
 
     endpoints: tuple[str, ...]
     token: str
-    retry_policy: RetryPolicy = RetryPolicy()
+    answer_grace_s: float = 5.0
+    attempt_s: float = 15.0
+    connect_s: float = 1.0
+    avoid_s: float = 2.0
+    retry_share: float = RETRY_SHARE
+    min_retries_per_s: float = MIN_RETRIES_PER_S
     max_connections: int = MAX_CONNECTIONS
 
 
@@ -145,34 +116,6 @@
     return jobkey.make_key(time.time(), name or secrets.token_hex(8))
 
 
-def job_body(job: Job) -> dict:
-    """Returns the JSON body that submits a job."""
-    return {
-        "key": job.key,
-        "service": job.service,
-        "deadline_s": job.deadline_s,
-        "tasks": [dataclasses.asdict(task) for task in job.tasks],
-    }
-
-
-def parse_outcome(body: dict) -> Outcome:
-    """Returns one task's outcome; its result is kept as JSON text."""
-    kind = OutcomeKind(body["outcome"])
-    if kind is OutcomeKind.DONE:
-        return Outcome(kind, result=json.dumps(body["result"]))
-    return Outcome(kind, reason=str(body["reason"]))
-
-
-def parse_status(body: dict) -> JobStatus:
-    """Returns the job state within an answer's body."""
-    state = JobState(body["state"])
-    answer = None
-    if state in (JobState.COMPLETE, JobState.FAILED):
-        outcomes = tuple(parse_outcome(task) for task in body["tasks"])
-        answer = JobAnswer(body["key"], outcomes)
-    return JobStatus(body["key"], state, answer)
-
-
 def check_status(request: Request, status: JobStatus) -> JobStatus:
     """Returns the status when it is the whole answer to the request.
 
@@ -232,8 +175,10 @@
     ):
         self.settings = settings
         self.rng = rng or random.Random()
-        self.budget = retry.RetryBudget(settings.retry_policy)
-        self.endpoints = retry.Endpoints(settings.endpoints, self.rng)
+        self.budget = retry.RetryBudget(
+            settings.retry_share, settings.min_retries_per_s
+        )
+        self.endpoints = endpoints.Endpoints(settings.endpoints, self.rng)
         self.http: httpclient.AsyncHTTPClient | None = None
 
     def start(self) -> None:
@@ -270,7 +215,7 @@
                 whether a task may have started through this call.
         """
         amend = rekey_request if rekey else keep_request
-        wait_s = job.deadline_s + ANSWER_GRACE_S
+        wait_s = job.deadline_s + self.settings.answer_grace_s
         status = await self.call(submit_request(job), wait_s, amend)
         return status.answer
 
@@ -300,13 +245,15 @@
     ) -> JobStatus:
         """Makes attempts until one is answered or retrying has to stop."""
         call = Call(time.monotonic() + wait_s)
-        self.budget.earn()
         while True:
             try:
-                return await self.attempt(request, call)
+                status = await self.attempt(request, call)
             except apierror.ApiError as error:
                 await self.pause(call, error)
                 request = amend(request, error)
+            else:
+                self.budget.succeed()
+                return status
 
     async def pause(self, call: Call, error: apierror.ApiError) -> None:
         """Waits before the next attempt; raises the error if there is none."""
@@ -317,16 +264,23 @@
             error.may_have_started = call.may_have_started
         if not error.retryable:
             raise error
-        delay_s = retry.pause_s(
-            self.settings.retry_policy,
-            call.failures,
-            error.retry_after_s,
-            self.rng,
-        )
+        await self.sleep(self.pause_s(call, error), call, error)
+        while not self.budget.take(time.monotonic()):
+            await self.sleep(BUDGET_PAUSE_S, call, error)
+
+    def pause_s(self, call: Call, error: apierror.ApiError) -> float:
+        """Returns how long to wait before the next attempt."""
+        if error.retry_after_s > 0.0:
+            stretch = self.rng.uniform(1.0, RETRY_AFTER_STRETCH)
+            return error.retry_after_s * stretch
+        return retry.backoff_s(call.failures, self.rng)
+
+    async def sleep(
+        self, delay_s: float, call: Call, error: apierror.ApiError
+    ) -> None:
+        """Sleeps; raises the error if that would outlast the call."""
         if time.monotonic() + delay_s >= call.give_up_s:
             raise error
-        if not self.budget.spend():
-            raise error
         await asyncio.sleep(delay_s)
 
     async def attempt(self, request: Request, call: Call) -> JobStatus:
@@ -344,16 +298,17 @@
 
     def avoid(self, url: str) -> None:
         """Passes an endpoint over for a while."""
-        until_s = time.monotonic() + self.settings.retry_policy.avoid_s
+        until_s = time.monotonic() + self.settings.avoid_s
         self.endpoints.avoid(url, until_s)
 
     async def fetch(
         self, url: str, request: Request, call: Call
     ) -> httpclient.HTTPResponse:
         """Sends the request to one entry and returns its response."""
-        body = json.dumps(job_body(request.job)) if request.job else None
+        body = (
+            json.dumps(callerjob.job_body(request.job)) if request.job else None
+        )
         left_s = max(0.001, call.give_up_s - time.monotonic())
-        policy = self.settings.retry_policy
         return await self.http.fetch(
             url + request.path,
             raise_error=False,
@@ -364,8 +319,8 @@
                 "Content-Type": "application/json",
             },
             follow_redirects=False,
-            connect_timeout=min(left_s, policy.connect_s),
-            request_timeout=min(left_s, policy.attempt_s),
+            connect_timeout=min(left_s, self.settings.connect_s),
+            request_timeout=min(left_s, self.settings.attempt_s),
         )
 
 
@@ -398,7 +353,7 @@
         error.may_have_started &= submits
         raise error
     try:
-        return check_status(request, parse_status(body))
+        return check_status(request, callerjob.parse_status(body))
     except (KeyError, TypeError, ValueError) as error:
         raise connection_lost(url, error, submits) from None
 
