--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,6 @@
 format: install
 	$(PY) -m ruff check --fix .
 	$(PY) -m ruff format .
+
+demo: install
+	$(PY) -m egretthread_standins.demo
--- a/egretthread/adminapi.py
+++ b/egretthread/adminapi.py
@@ -26,6 +26,7 @@
     ),
     "lease_open": lambda board: float(board.lease_open),
     "agents": lambda board: len(board.agents),
+    "entries": lambda board: len(board.peers),
     "open_jobs": lambda board: len(board.open_jobs),
     "kept_jobs": lambda board: len(board.jobs),
     "queued_tasks": _entry_queue,
@@ -65,9 +66,8 @@
 
     def get(self):
         """Answers with the metrics in Prometheus' text format."""
-        body, content_type = self.server.metrics.render(
-            self.server.board.counters, self.server.gauge_values()
-        )
+        accept = self.request.headers.get_list("Accept")
+        body, content_type = self.server.metrics.render(accept)
         self.set_header("Content-Type", content_type)
         self.finish(body)
 
@@ -98,9 +98,10 @@
         address: `host:port` it listens on, once started.
     """
 
-    def __init__(self, role: str, board, address: str, gauges: Gauges):
+    def __init__(self, board, address: str, gauges: Gauges):
         self.board = board
-        self.metrics = metrics.Metrics(role)
+        self.metrics = metrics.Metrics()
+        self.metrics.refreshers.append(self._refresh)
         self.gauges = gauges
         self.address = address
         context = {"server": self}
@@ -114,6 +115,19 @@
         )
         self.http = tornado.httpserver.HTTPServer(application)
 
+    def _refresh(self, table: metrics.Metrics) -> None:
+        """Takes over what the blackboard counts."""
+        table.take_counters(self.board.counters)
+        for name, value in self.gauge_values().items():
+            table.set(name, value)
+        self.take_samples()
+
+    def take_samples(self) -> None:
+        """Moves the durations on the blackboard into the histograms."""
+        samples, self.board.samples = self.board.samples, []
+        for name, value_s in samples:
+            self.metrics.observe(name, value_s)
+
     def gauge_values(self) -> dict[str, float]:
         """Returns every gauge's present value."""
         return {name: read(self.board) for name, read in self.gauges.items()}
--- a/egretthread/agentserver.py
+++ b/egretthread/agentserver.py
@@ -46,7 +46,7 @@
         )
         self.backend = backendclient.BackendClient(settings)
         self.admin = adminapi.AdminServer(
-            "agent", self.board, settings.admin_address, adminapi.AGENT_GAUGES
+            self.board, settings.admin_address, adminapi.AGENT_GAUGES
         )
         self.clients: dict[str, link.LinkClient] = {}
         self.peers: dict[str, link.Peer] = {}
@@ -106,6 +106,7 @@
 
     async def _run_task(self, order: StartOrder) -> None:
         refused = False
+        began_s = clock.monotonic_s()
 
         def may_start() -> bool:
             nonlocal refused
@@ -123,6 +124,8 @@
                 agent_tasks.cancel_start(self.board, order, refusal)
         else:
             self._turn()
+            run_s = self.board.now_s - began_s
+            self.board.samples.append(("task_seconds", run_s))
             agent.on_finished(self.board, order, result)
         self._pump()
 
@@ -188,6 +191,7 @@
 
     async def _tick_loop(self) -> None:
         while True:
+            self.admin.take_samples()
             await asyncio.sleep(self.settings.heartbeat_s)
             self._turn()
             self._dial()
--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -271,6 +271,7 @@
         looked_up: What the searches found, for the callers.
         finished: Jobs with an answer, or refusals, for their callers.
         counters: Event counts for the metrics.
+        samples: (histogram name, seconds) pairs for the metrics.
         shutting_down: Whether new submissions are refused.
     """
 
@@ -322,6 +323,7 @@
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    samples: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     shutting_down: bool = False
 
     @property
@@ -399,6 +401,7 @@
         outbox: (node id, message) pairs to be sent.
         to_start: Tasks for the shell to run.
         counters: Event counts for the metrics.
+        samples: (histogram name, seconds) pairs for the metrics.
     """
 
     settings: AgentSettings
@@ -426,6 +429,7 @@
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    samples: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
     def send(self, node: str, item: Message) -> None:
         """Puts a message for a node into the outbox."""
--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -113,6 +113,7 @@
     state.submission = dataclasses.replace(state.submission, tasks=())
     kind = "complete" if state.answer.complete else "failed"
     board.counters[f"jobs_{kind}"] += 1
+    board.samples.append(("job_seconds", board.now_s - state.created_s))
     board.finished.append((state.job, state.answer))
     _tell_askers(board, state.job, state.answer)
 
--- a/egretthread/controllers/claims.py
+++ b/egretthread/controllers/claims.py
@@ -67,6 +67,7 @@
 
 
 def _start_claimed(board: EntryBoard, state: JobState) -> None:
+    board.samples.append(("claim_seconds", board.now_s - state.created_s))
     if state.registration.closed:
         answers.close_unstarted(board, state)
         answers.finish(board, state)
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -159,6 +159,7 @@
         agent.node, board.now_s
     )
     board.counters["hand_outs"] += len(indices)
+    board.samples.append(("queue_seconds", board.now_s - state.created_s))
     _send_assign(board, state, agent.node, indices)
 
 
--- a/egretthread/controllers/entry_members.py
+++ b/egretthread/controllers/entry_members.py
@@ -212,9 +212,13 @@
 
 
 def is_alive(board: EntryBoard, node: str) -> bool:
-    """Whether another entry was heard of not long ago."""
+    """Whether another entry is linked and was heard of not long ago.
+
+    A process that is killed closes its links at once; one that is paused or
+    cut off falls silent. Taking over from a live one is safe, only wasteful.
+    """
     peer = board.peers.get(node)
-    if peer is None:
+    if peer is None or node not in board.entry_links:
         return False
     return board.now_s - peer.heard_s < board.settings.suspect_after_s
 
--- a/egretthread/entryserver.py
+++ b/egretthread/entryserver.py
@@ -58,7 +58,7 @@
             self._on_close,
         )
         self.admin = adminapi.AdminServer(
-            "entry", self.board, settings.admin_address, adminapi.ENTRY_GAUGES
+            self.board, settings.admin_address, adminapi.ENTRY_GAUGES
         )
         self.http = tornado.httpserver.HTTPServer(
             callerapi.application(self), max_body_size=MAX_BODY_BYTES
@@ -212,6 +212,7 @@
 
     async def _tick_loop(self) -> None:
         while True:
+            self.admin.take_samples()
             await asyncio.sleep(TICK_S)
             self._turn()
             entry.on_tick(self.board)
--- a/egretthread/metrics.py
+++ b/egretthread/metrics.py
@@ -10,7 +10,7 @@
 import pathlib
 import resource
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import aioprometheus
 from aioprometheus import histogram
@@ -61,36 +61,32 @@
 
 
 METRICS = (
-    Metric("jobs_total", COUNTER, "Jobs answered.", ("organisation", "state")),
-    Metric("refusals_total", COUNTER, "Requests refused.", ("reason",)),
-    Metric("resubmissions_total", COUNTER, "Jobs met again.", ("result",)),
-    Metric("tasks_total", COUNTER, "Tasks answered.", ("service", "outcome")),
-    Metric("starts_total", COUNTER, "Tasks started.", ("service",)),
-    Metric("task_refusals_total", COUNTER, "Hand-outs refused.", ("refusal",)),
+    Metric("events_total", COUNTER, "Events by name.", ("event",)),
     Metric("messages_sent_total", COUNTER, "Messages sent.", ("message",)),
     Metric("messages_received_total", COUNTER, "Messages read.", ("message",)),
-    Metric("messages_wasted_total", COUNTER, "Useless messages.", ("message",)),
-    Metric("takeovers_total", COUNTER, "Jobs taken over.", ("result",)),
-    Metric("links_closed_total", COUNTER, "Links closed.", ("reason",)),
-    Metric("log_requests_total", COUNTER, "Requests to the log.", ("result",)),
-    Metric("lease_losses_total", COUNTER, "Configuration leases lost."),
-    Metric("job_seconds", HISTOGRAM, "Time to answer a job.", ("service",)),
-    Metric("queue_seconds", HISTOGRAM, "Wait for a slot.", ("service",)),
-    Metric("task_seconds", HISTOGRAM, "Run time of a task.", ("service",)),
+    Metric("job_seconds", HISTOGRAM, "Time to answer a job."),
     Metric("claim_seconds", HISTOGRAM, "Time to register a job."),
-    Metric("queued_tasks", GAUGE, "Tasks waiting for a slot.", ("service",)),
-    Metric("running_tasks", GAUGE, "Tasks handed out.", ("service",)),
+    Metric("queue_seconds", HISTOGRAM, "Wait of tasks for a slot."),
+    Metric("task_seconds", HISTOGRAM, "Run time of a task."),
+    Metric("queued_tasks", GAUGE, "Tasks waiting for a slot."),
+    Metric("running_tasks", GAUGE, "Tasks running now."),
     Metric("open_jobs", GAUGE, "Jobs without an answer yet."),
-    Metric("free_slots", GAUGE, "Slots believed free.", ("service",)),
-    Metric("agents", GAUGE, "Agents known.", ("zone", "state")),
-    Metric("entries", GAUGE, "Entries known.", ("state",)),
-    Metric("links", GAUGE, "Links open.", ("role",)),
-    Metric("lease_seconds", GAUGE, "Time left of the lease."),
+    Metric("kept_jobs", GAUGE, "Jobs whose answer is kept."),
+    Metric("agents", GAUGE, "Agents known."),
+    Metric("entries", GAUGE, "Other entries heard of."),
+    Metric("slots", GAUGE, "Slots in force."),
+    Metric("ledger_jobs", GAUGE, "Jobs with tasks handed to this agent."),
+    Metric("witness_records", GAUGE, "Job keys held as a witness."),
+    Metric("witness_shards", GAUGE, "Shards of the witness table held."),
+    Metric("lease_open", GAUGE, "1 while work may start, else 0."),
     Metric("config_offset", GAUGE, "Log offset of the configuration."),
     Metric("log_age_seconds", GAUGE, "Time since the log's end was read."),
     Metric("cpu_seconds_total", COUNTER, "Processor time of the process."),
     Metric("resident_bytes", GAUGE, "Resident memory of the process."),
 )
+# Counters of a blackboard whose names begin so are messages by class.
+SENT_PREFIX = "sent_"
+RECEIVED_PREFIX = "received_"
 
 
 class Samples:
@@ -157,6 +153,18 @@
             samples[labels] = Samples()
         samples[labels].add(value_s)
 
+    def take_counters(self, counters: Mapping[str, float]) -> None:
+        """Takes over a blackboard's counts of events and messages."""
+        for name, value in counters.items():
+            if name.startswith(SENT_PREFIX):
+                label = name.removeprefix(SENT_PREFIX)
+                self.values["messages_sent_total"][(label,)] = value
+            elif name.startswith(RECEIVED_PREFIX):
+                label = name.removeprefix(RECEIVED_PREFIX)
+                self.values["messages_received_total"][(label,)] = value
+            else:
+                self.values["events_total"][(name,)] = value
+
     def clear(self, name: str) -> None:
         """Forgets all values of a gauge, before its labels are set anew."""
         self.values[name].clear()
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -137,34 +137,34 @@
     @run_async
     async def test_messages_of_one_turn_travel_in_one_batch(self):
         client = await self.connect()
-        sent = tuple(Credit("agent-1#2", count) for count in range(5))
+        sent = tuple(Credit("agent-1#2", count, 0) for count in range(5))
         for message in sent:
             client.peer.send(message)
-        self.far.opened[0].send(Credit("back", 1))
+        self.far.opened[0].send(Credit("back", 1, 0))
         await until(lambda: self.far.batches and self.near.batches)
         self.assertEqual([sent], self.far.batches)
-        self.assertEqual([(Credit("back", 1),)], self.near.batches)
+        self.assertEqual([(Credit("back", 1, 0),)], self.near.batches)
 
     @run_async
     async def test_a_batch_beyond_a_frame_is_split(self):
         client = await self.connect()
         text = "x" * (wire.MAX_FRAME_BYTES // 3)
         for count in range(4):
-            client.peer.send(Credit(text, count))
-        client.peer.send(Credit(text * 3, 4))
-        client.peer.send(Credit("last", 5))
+            client.peer.send(Credit(text, count, 0))
+        client.peer.send(Credit(text * 3, 4, 0))
+        client.peer.send(Credit("last", 5, 0))
         await until(lambda: len(self.far.messages) == 5)
-        counts = [message.count for message in self.far.messages]
+        counts = [message.free for message in self.far.messages]
         self.assertEqual([0, 1, 2, 3, 5], counts)
         self.assertIn("event=message_dropped", self.log.getvalue())
 
     @run_async
     async def test_close_sends_what_is_queued(self):
         client = await self.connect()
-        client.peer.send(Credit("agent-1#2", 7))
+        client.peer.send(Credit("agent-1#2", 7, 0))
         await client.close()
         await until(lambda: self.far.closed)
-        self.assertEqual([Credit("agent-1#2", 7)], self.far.messages)
+        self.assertEqual([Credit("agent-1#2", 7, 0)], self.far.messages)
         self.assertEqual("local", self.near.closed[0].close_reason)
 
     @run_async
@@ -172,10 +172,10 @@
         server = await self.start_server()
         self.start_client(server.address)
         await until(lambda: self.far.opened)
-        self.far.opened[0].send(Credit("bye", 1))
+        self.far.opened[0].send(Credit("bye", 1, 0))
         await server.close()
         await until(lambda: self.near.closed)
-        self.assertEqual([Credit("bye", 1)], self.near.messages)
+        self.assertEqual([Credit("bye", 1, 0)], self.near.messages)
         self.assertEqual({}, server.peers)
 
     @run_async
@@ -232,7 +232,7 @@
         await until(lambda: len(self.far.opened) == 2)
         self.assertEqual("silent", self.near.closed[0].close_reason)
         await until(lambda: client.peer)
-        client.peer.send(Credit("again", 1))
+        client.peer.send(Credit("again", 1, 0))
         await until(lambda: self.far.messages)
         self.assertIs(self.far.opened[1], server.peers["agent-1#2"])
 
@@ -276,7 +276,7 @@
         text = "x" * (wire.MAX_FRAME_BYTES // 2)
         peer = client.peer
         for _ in range(12):
-            peer.send(Credit(text, 1))
+            peer.send(Credit(text, 1, 0))
         await until(lambda: peer.close_reason)
         self.assertEqual("slow", peer.close_reason)
 
@@ -300,17 +300,17 @@
     async def test_a_failing_handler_does_not_end_the_link(self):
         client = await self.connect()
         self.far.batches = None
-        client.peer.send(Credit("a", 1))
+        client.peer.send(Credit("a", 1, 0))
         await until(lambda: "link_handler_failed" in self.log.getvalue())
         self.far.batches = []
-        client.peer.send(Credit("b", 2))
+        client.peer.send(Credit("b", 2, 0))
         await until(lambda: self.far.messages)
         self.assertEqual([], self.far.closed)
 
     @run_async
     async def test_tls_links(self):
         client = await self.connect(**TLS)
-        client.peer.send(Credit("agent-1#2", 7))
+        client.peer.send(Credit("agent-1#2", 7, 0))
         await until(lambda: self.far.messages)
         self.assertIsNotNone(client.peer.stream.socket.cipher())
         await client.close()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,6 +5,17 @@
 from egretthread import metrics
 
 
+TABLE = (
+    *metrics.METRICS,
+    metrics.Metric(
+        "tasks_total", metrics.COUNTER, "Tasks.", ("service", "outcome")
+    ),
+    metrics.Metric("lease_losses_total", metrics.COUNTER, "Losses."),
+    metrics.Metric("links", metrics.GAUGE, "Links.", ("role",)),
+    metrics.Metric("refusals_total", metrics.COUNTER, "No.", ("reason",)),
+)
+
+
 def lines(held):
     """Returns the rendered lines that start with the common prefix."""
     body, content_type = held.render()
@@ -18,7 +29,7 @@
 
 class MetricsTest(testtools.TestCase):
     def test_counters_and_gauges(self):
-        held = metrics.Metrics()
+        held = metrics.Metrics(TABLE)
         held.count("tasks_total", "ledger-match", "done")
         held.count("tasks_total", "ledger-match", "done", amount=4)
         held.set("open_jobs", 3)
@@ -28,7 +39,7 @@
         self.assertIn("open_jobs 3", shown)
 
     def test_histograms_are_cumulative(self):
-        held = metrics.Metrics()
+        held = metrics.Metrics(TABLE)
         for value_s in (0.001, 0.003, 0.003, 500.0):
             held.observe("claim_seconds", value_s)
         shown = lines(held)
@@ -40,13 +51,13 @@
         self.assertIn("claim_seconds_sum 500.007", shown)
 
     def test_rendering_twice_does_not_count_twice(self):
-        held = metrics.Metrics()
+        held = metrics.Metrics(TABLE)
         held.count("lease_losses_total")
         lines(held)
         self.assertIn("lease_losses_total 1", lines(held))
 
     def test_refreshers_set_gauges_at_each_rendering(self):
-        held = metrics.Metrics()
+        held = metrics.Metrics(TABLE)
         links = {"agent": 1}
 
         def refresh(target):
@@ -61,7 +72,7 @@
         self.assertEqual(['links{role="entry"} 2'], shown)
 
     def test_label_values_are_escaped(self):
-        held = metrics.Metrics()
+        held = metrics.Metrics(TABLE)
         held.count("refusals_total", 'a"b\\c\n')
         self.assertIn('refusals_total{reason="a\\"b\\\\c\\n"} 1', lines(held))
 
@@ -69,8 +80,15 @@
         shown = dict(line.split(" ") for line in lines(metrics.Metrics()))
         self.assertTrue(int(shown["resident_bytes"]) > 2**20)
 
-    def test_wrong_names_and_labels_fail(self):
+    def test_counters_of_a_blackboard_become_events_and_messages(self):
         held = metrics.Metrics()
+        held.take_counters({"sent_Assign": 3, "hand_outs": 8})
+        shown = lines(held)
+        self.assertIn('messages_sent_total{message="Assign"} 3', shown)
+        self.assertIn('events_total{event="hand_outs"} 8', shown)
+
+    def test_wrong_names_and_labels_fail(self):
+        held = metrics.Metrics(TABLE)
         self.assertRaises(KeyError, held.count, "absent_total")
         held.count("refusals_total")
         self.assertRaises(ValueError, held.render)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -54,7 +54,7 @@
         0, 1, message.TaskState.FINISHED, done('{"line": 7}')
     )
     reply = message.SealReply(job, ballot, "agent-1#5", (report,))
-    return wire.encode([assign, reply, message.Credit("agent-1#5", 3)])
+    return wire.encode([assign, reply, message.Credit("agent-1#5", 3, 0)])
 
 
 class WireTest(testtools.TestCase):
@@ -107,7 +107,7 @@
     def test_oversize_frames_are_refused(self):
         text = "x" * wire.MAX_FRAME_BYTES
         self.assertRaises(
-            wire.OversizeError, wire.encode, [message.Credit(text, 1)]
+            wire.OversizeError, wire.encode, [message.Credit(text, 1, 0)]
         )
         data = bytes(wire.MAX_FRAME_BYTES + 8)
         self.assertRaises(wire.OversizeError, wire.decode, data)
@@ -119,7 +119,7 @@
             self.assertRaises(
                 wire.MalformedError,
                 wire.encode,
-                [message.Credit(agent, count)],
+                [message.Credit(agent, count, 0)],
             )
 
     def test_handshake_frames_round_trip(self):
