Lay the task messages flat on the wire

Each field access of pycapnp costs nearly 1 us, so Assign, Report and SealReply now carry job, ballot and tasks in flat fields and two number and text lists.

--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -20,7 +20,7 @@
     want @6 :Want;
     credit @7 :Credit;
     seal @8 :Seal;
-    sealReply @9 :SealReply;
+    sealReply @9 :Report;
     heartbeat @10 :Heartbeat;
     heartbeatReply @11 :HeartbeatReply;
     entryState @12 :EntryState;
@@ -96,37 +96,38 @@
   registration @6 :Registration;
 }
 
-# The tasks are sent by column, which costs less to read than by row.
+# Assign, Report and SealReply carry the tasks. Their job, ballot and tasks lie
+# flat in the struct, since each access to a field or a list has its price.
+#
+# Assign.numbers holds index and attempt of each task.
+
 struct Assign {
-  job @0 :JobRef;
-  service @1 :Text;
-  ballot @2 :Ballot;
-  agent @3 :Text;
-  indices @4 :List(Int64);
-  attempts @5 :List(Int64);
-  payloads @6 :List(Text);
-  timeouts @7 :List(Float64);
-}
-
-# Task reports by column. An outcome's kind counts from 1; 0 means none. The
-# texts hold result and reason of each outcome, in the order of the outcomes.
-struct TaskReports {
-  indices @0 :List(Int64);
-  attempts @1 :List(Int64);
-  states @2 :List(UInt8);
-  refusals @3 :List(UInt8);
-  kinds @4 :List(UInt8);
-  results @5 :List(Text);
-  reasons @6 :List(Text);
+  organisation @0 :Text;
+  key @1 :Text;
+  service @2 :Text;
+  generation @3 :Int64;
+  coordinator @4 :Text;
+  agent @5 :Text;
+  numbers @6 :List(Int64);
+  payloads @7 :List(Text);
+  timeouts @8 :List(Float64);
 }
 
+# Report.numbers holds index, attempt and code of each task report; a code is
+# state + 16 * outcome kind + 256 * refusal. An outcome's kind counts from 1;
+# 0 stands for none. Report.texts holds result and reason of each outcome.
+
 struct Report {
-  job @0 :JobRef;
-  ballot @1 :Ballot;
-  agent @2 :Text;
-  tasks @3 :TaskReports;
-  free @4 :Int64;
-  received @5 :Int64;
+  organisation @0 :Text;
+  key @1 :Text;
+  generation @2 :Int64;
+  coordinator @3 :Text;
+  agent @4 :Text;
+  numbers @5 :List(Int64);
+  texts @6 :List(Text);
+  # Unused in a SealReply.
+  free @7 :Int64;
+  received @8 :Int64;
 }
 
 struct Want {
@@ -148,13 +149,6 @@
   agent @2 :Text;
 }
 
-struct SealReply {
-  job @0 :JobRef;
-  ballot @1 :Ballot;
-  agent @2 :Text;
-  tasks @3 :TaskReports;
-}
-
 struct ShardView {
   shard @0 :Int64;
   epoch @1 :Int64;
--- a/egretthread/wire.py
+++ b/egretthread/wire.py
@@ -31,13 +31,14 @@
 # Lets a frame be read twice over; bounds what a small hostile one can cost.
 TRAVERSAL_LIMIT_WORDS = 2 * MAX_FRAME_BYTES // WORD_BYTES
 
-TASK_STATES = tuple(TaskState)
-REFUSALS = tuple(Refusal)
-OUTCOME_KINDS = tuple(OutcomeKind)
-STATE_NUMBERS = {state: n for n, state in enumerate(TASK_STATES)}
-REFUSAL_NUMBERS = {refusal: n for n, refusal in enumerate(REFUSALS)}
-# 0 stands for a report without an outcome.
-KIND_NUMBERS = {kind: n for n, kind in enumerate(OUTCOME_KINDS, start=1)}
+# Code of a task report, by its state, outcome's kind and refusal.
+REPORT_CODES = {
+    (state, kind, refusal): state_number + 16 * kind_number + 256 * number
+    for state_number, state in enumerate(TaskState)
+    for kind_number, kind in enumerate((None, *OutcomeKind))
+    for number, refusal in enumerate(Refusal)
+}
+REPORT_PARTS = {code: parts for parts, code in REPORT_CODES.items()}
 
 # Also what pycapnp raises for values that do not fit their field.
 CODEC_ERRORS = (
@@ -46,6 +47,7 @@
     IndexError,
     KeyError,
     OverflowError,
+    StopIteration,
     TypeError,
     ValueError,
 )
@@ -244,125 +246,106 @@
 # Assign, Report and SealReply: written by hand, since they carry the tasks.
 
 
-def _write_job(builder, job: JobRef) -> None:
-    builder.organisation = job.organisation
-    builder.key = job.key
-
-
-def _read_job(reader) -> JobRef:
-    return JobRef(reader.organisation, reader.key)
-
-
-def _write_ballot(builder, ballot: Ballot) -> None:
-    builder.generation = ballot.generation
-    builder.coordinator = ballot.coordinator
-
-
-def _read_ballot(reader) -> Ballot:
-    return Ballot(reader.generation, reader.coordinator)
-
-
 def _write_assign(builder, message: Assign) -> None:
-    _write_job(builder.init("job"), message.job)
+    _write_head(builder, message)
     builder.service = message.service
-    _write_ballot(builder.init("ballot"), message.ballot)
-    builder.agent = message.agent
     tasks = message.tasks
-    builder.indices = [task.index for task in tasks]
-    builder.attempts = [task.attempt for task in tasks]
+    numbers = []
+    for task in tasks:
+        numbers += (task.index, task.attempt)
+    builder.numbers = numbers
     builder.payloads = [task.payload for task in tasks]
     builder.timeouts = [task.timeout_s for task in tasks]
 
 
 def _read_assign(reader) -> Assign:
-    columns = zip(
-        reader.indices,
-        reader.attempts,
+    numbers = list(reader.numbers)
+    tasks = zip(
+        numbers[0::2],
+        numbers[1::2],
         reader.payloads,
         reader.timeouts,
         strict=True,
     )
     return Assign(
-        _read_job(reader.job),
+        JobRef(reader.organisation, reader.key),
         reader.service,
-        _read_ballot(reader.ballot),
+        Ballot(reader.generation, reader.coordinator),
         reader.agent,
-        tuple([TaskAssignment(*row) for row in columns]),
-    )
-
-
-def _write_reports(builder, tasks: tuple[TaskReport, ...]) -> None:
-    outcomes = [task.outcome for task in tasks]
-    known = [outcome for outcome in outcomes if outcome is not None]
-    builder.indices = [task.index for task in tasks]
-    builder.attempts = [task.attempt for task in tasks]
-    builder.states = [STATE_NUMBERS[task.state] for task in tasks]
-    builder.refusals = [REFUSAL_NUMBERS[task.refusal] for task in tasks]
-    builder.kinds = [
-        0 if outcome is None else KIND_NUMBERS[outcome.kind]
-        for outcome in outcomes
-    ]
-    builder.results = [outcome.result for outcome in known]
-    builder.reasons = [outcome.reason for outcome in known]
-
-
-def _read_reports(reader) -> tuple[TaskReport, ...]:
-    texts = zip(reader.results, reader.reasons, strict=True)
-    outcomes = [
-        Outcome(OUTCOME_KINDS[kind - 1], *next(texts)) if kind else None
-        for kind in reader.kinds
-    ]
-    columns = zip(
-        reader.indices,
-        reader.attempts,
-        reader.states,
-        outcomes,
-        reader.refusals,
-        strict=True,
-    )
-    return tuple(
-        [
-            TaskReport(
-                index, attempt, TASK_STATES[state], outcome, REFUSALS[refusal]
-            )
-            for index, attempt, state, outcome, refusal in columns
-        ]
+        tuple([TaskAssignment(*task) for task in tasks]),
     )
 
 
 def _write_report(builder, message: Report) -> None:
-    _write_seal_reply(builder, message)
+    _write_head(builder, message)
+    _write_task_reports(builder, message.tasks)
     builder.free = message.free
     builder.received = message.received
 
 
 def _read_report(reader) -> Report:
     return Report(
-        _read_job(reader.job),
-        _read_ballot(reader.ballot),
+        JobRef(reader.organisation, reader.key),
+        Ballot(reader.generation, reader.coordinator),
         reader.agent,
-        _read_reports(reader.tasks),
+        _read_task_reports(reader),
         reader.free,
         reader.received,
     )
 
 
-def _write_seal_reply(builder, message: SealReply | Report) -> None:
-    _write_job(builder.init("job"), message.job)
-    _write_ballot(builder.init("ballot"), message.ballot)
-    builder.agent = message.agent
-    _write_reports(builder.init("tasks"), message.tasks)
+def _write_seal_reply(builder, message: SealReply) -> None:
+    _write_head(builder, message)
+    _write_task_reports(builder, message.tasks)
 
 
 def _read_seal_reply(reader) -> SealReply:
     return SealReply(
-        _read_job(reader.job),
-        _read_ballot(reader.ballot),
+        JobRef(reader.organisation, reader.key),
+        Ballot(reader.generation, reader.coordinator),
         reader.agent,
-        _read_reports(reader.tasks),
+        _read_task_reports(reader),
     )
 
 
+def _write_head(builder, message: Assign | Report | SealReply) -> None:
+    job = message.job
+    builder.organisation = job.organisation
+    builder.key = job.key
+    ballot = message.ballot
+    builder.generation = ballot.generation
+    builder.coordinator = ballot.coordinator
+    builder.agent = message.agent
+
+
+def _write_task_reports(builder, tasks: tuple[TaskReport, ...]) -> None:
+    numbers = []
+    texts = []
+    for task in tasks:
+        outcome = task.outcome
+        kind = None
+        if outcome is not None:
+            kind = outcome.kind
+            texts += (outcome.result, outcome.reason)
+        code = REPORT_CODES[task.state, kind, task.refusal]
+        numbers += (task.index, task.attempt, code)
+    builder.numbers = numbers
+    builder.texts = texts
+
+
+def _read_task_reports(reader) -> tuple[TaskReport, ...]:
+    numbers = list(reader.numbers)
+    texts = list(reader.texts)
+    results = zip(texts[0::2], texts[1::2], strict=True)
+    columns = zip(numbers[0::3], numbers[1::3], numbers[2::3], strict=True)
+    tasks = []
+    for index, attempt, code in columns:
+        state, kind, refusal = REPORT_PARTS[code]
+        outcome = Outcome(kind, *next(results)) if kind else None
+        tasks.append(TaskReport(index, attempt, state, outcome, refusal))
+    return tuple(tasks)
+
+
 # All others: derived from the fields of the data class.
 
 
@@ -478,8 +461,6 @@
 
 
 HAND_WRITTEN: dict[type, Codec] = {
-    JobRef: Codec(_write_job, _read_job),
-    Ballot: Codec(_write_ballot, _read_ballot),
     Assign: Codec(_write_assign, _read_assign),
     Report: Codec(_write_report, _read_report),
     SealReply: Codec(_write_seal_reply, _read_seal_reply),
