--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -8,32 +8,22 @@
 """
 
 import asyncio
-import hashlib
-import hmac
 import logging
 import random
-import secrets
 import socket
-import ssl
-import struct
 from collections.abc import Callable
 
 from tornado import iostream, netutil, tcpserver
 
-from egretthread import logs, settings, util, wire
+from egretthread import framing, handshake, logs, settings, tls, util, wire
 from egretthread.message import Message
 from egretthread.settings import AgentSettings, EntrySettings
 
-LENGTH = struct.Struct(">I")
 CHUNK_BYTES = 65_536
 WRITE_BUFFER_BYTES = 2 * wire.MAX_FRAME_BYTES
-NONCE_BYTES = 32
 BACKOFF_BASE_S = 0.05
 BACKOFF_MAX_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
-SERVER_LABEL = b"egretthread server"
-CLIENT_LABEL = b"egretthread client"
-
 # Reasons for which a link closes.
 REASON_LOCAL = "local"
 REASON_LOST = "lost"
@@ -46,24 +36,6 @@
 OnPeer = Callable[["Peer"], None]
 
 
-class LinkError(util.EgretthreadError):
-    """A link could not be opened."""
-
-    kind = "link"
-
-
-class WrongKeyError(LinkError):
-    """The two ends hold different shared keys."""
-
-    kind = "wrong_key"
-
-
-class RefusedError(LinkError):
-    """The other end refused the link."""
-
-    kind = "refused"
-
-
 class Peer:
     """The other end of an open link.
 
@@ -142,7 +114,7 @@
             return
         self.sent_at = self.loop.time()
         try:
-            self.watch(self.stream.write(_frame(data)))
+            self.watch(self.stream.write(framing.add_length(data)))
         except iostream.StreamBufferFullError:
             self.abort(REASON_SLOW)
         except iostream.StreamClosedError:
@@ -210,7 +182,7 @@
                     CHUNK_BYTES, partial=True
                 )
                 self.received_at = self.loop.time()
-                for frame in _take_frames(buffer):
+                for frame in framing.take_frames(buffer):
                     self.deliver(frame, on_messages)
         except iostream.StreamClosedError:
             self.abort(REASON_LOST)
@@ -276,7 +248,7 @@
         on_open: OnPeer,
         on_close: OnPeer,
     ):
-        super().__init__(ssl_options=server_tls(options))
+        super().__init__(ssl_options=tls.server_tls(options))
         self.options = options
         self.node = node
         self.role = role
@@ -315,7 +287,8 @@
         where = settings.join_address(*address[:2])
         try:
             hello = await _bounded(
-                self.options, _accept(stream, self.options, self.hello())
+                self.options,
+                handshake.accept(stream, self.options, self.hello()),
             )
         except (util.EgretthreadError, OSError, TimeoutError) as error:
             _log_failure(logging.WARNING, "link_refused", where, error)
@@ -345,7 +318,7 @@
 
     def hello(self) -> wire.Hello:
         """Returns the first frame for a new connection."""
-        return _new_hello(self.node, self.role)
+        return handshake.new_hello(self.node, self.role)
 
 
 class LinkClient:
@@ -380,7 +353,7 @@
         self.last_error: Exception | None = None
         self.failures = 0
         self.closing = False
-        self.tls = client_tls(options)
+        self.tls = tls.client_tls(options)
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -438,8 +411,10 @@
             await stream.connect((host, port))
             if self.tls:
                 stream = await stream.start_tls(False, self.tls)
-            hello = _new_hello(self.node, self.role)
-            return stream, await _introduce(stream, self.options, hello)
+            hello = handshake.new_hello(self.node, self.role)
+            return stream, await handshake.introduce(
+                stream, self.options, hello
+            )
         except BaseException:
             stream.close()
             raise
@@ -466,35 +441,6 @@
     return longest_s * rng.uniform(0.5, 1.0)
 
 
-def server_tls(options: Settings) -> ssl.SSLContext | None:
-    """Returns the TLS context of the accepting end, or None for plain TCP.
-
-    With `tls_ca` set, the connecting end has to show a certificate too.
-    """
-    if not options.tls_cert:
-        return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    context.load_cert_chain(options.tls_cert, options.tls_key)
-    if options.tls_ca:
-        context.load_verify_locations(options.tls_ca)
-        context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
-
-def client_tls(options: Settings) -> ssl.SSLContext | None:
-    """Returns the TLS context of the connecting end, or None."""
-    if not options.tls_ca:
-        return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-    # Instances are replaced at any time and are known by IP numbers, so the
-    # authority vouches for them, not their host names.
-    context.check_hostname = False
-    context.load_verify_locations(options.tls_ca)
-    if options.tls_cert:
-        context.load_cert_chain(options.tls_cert, options.tls_key)
-    return context
-
-
 async def _bounded(options: Settings, opening):
     """Awaits the opening of a link for at most liveness_s."""
     # Unlike wait_for of Python 3.11, this never swallows a cancellation.
@@ -502,149 +448,6 @@
         return await opening
 
 
-async def _accept(
-    stream: iostream.IOStream, options: Settings, hello: wire.Hello
-) -> wire.Hello:
-    """Does the accepting end's part of the handshake.
-
-    The connecting end proves the key first, so that this end shows nothing
-    derived from it to strangers.
-    """
-    stream.set_nodelay(True)
-    theirs = await _read_hello(stream)
-    if theirs.version != wire.WIRE_VERSION:
-        await _refuse(stream, wire.VersionError.kind)
-    wire.check_version(theirs.version)
-    await _write_handshake(stream, hello)
-    proof = await _read_handshake(stream, wire.Proof)
-    try:
-        _check_proof(proof, options, CLIENT_LABEL, theirs, hello)
-    except WrongKeyError:
-        await _refuse(stream, WrongKeyError.kind)
-        raise
-    mine = _digest(options, SERVER_LABEL, theirs, hello)
-    await _write_handshake(stream, wire.Proof(mine))
-    return theirs
-
-
-async def _introduce(
-    stream: iostream.IOStream, options: Settings, hello: wire.Hello
-) -> wire.Hello:
-    """Does the connecting end's part of the handshake."""
-    stream.set_nodelay(True)
-    await _write_handshake(stream, hello)
-    theirs = await _read_hello(stream)
-    wire.check_version(theirs.version)
-    mine = _digest(options, CLIENT_LABEL, hello, theirs)
-    await _write_handshake(stream, wire.Proof(mine))
-    proof = await _read_handshake(stream, wire.Proof)
-    _check_proof(proof, options, SERVER_LABEL, hello, theirs)
-    return theirs
-
-
-def _new_hello(node: str, role: str) -> wire.Hello:
-    nonce = secrets.token_bytes(NONCE_BYTES)
-    return wire.Hello(wire.WIRE_VERSION, node, role, nonce)
-
-
-def _digest(
-    options: Settings, label: bytes, client: wire.Hello, server: wire.Hello
-) -> bytes:
-    """Returns an end's proof over both hellos."""
-    parts = [label]
-    for hello in (client, server):
-        frame = wire.encode_handshake(hello)
-        parts.append(hashlib.sha256(frame).digest())
-    key = options.shared_key.encode()
-    return hmac.digest(key, b"".join(parts), "sha256")
-
-
-def _check_proof(
-    proof: wire.Proof,
-    options: Settings,
-    label: bytes,
-    client: wire.Hello,
-    server: wire.Hello,
-) -> None:
-    expected = _digest(options, label, client, server)
-    if not hmac.compare_digest(expected, proof.digest):
-        raise WrongKeyError(
-            "the other end holds another shared key",
-            "give both ends the same shared_key",
-        )
-
-
-async def _refuse(stream: iostream.IOStream, kind: str) -> None:
-    await _write_handshake(stream, wire.HandshakeRefusal(kind))
-
-
-async def _write_handshake(
-    stream: iostream.IOStream, frame: wire.Handshake
-) -> None:
-    await stream.write(_frame(wire.encode_handshake(frame)))
-
-
-async def _read_hello(stream: iostream.IOStream) -> wire.Hello:
-    hello = await _read_handshake(stream, wire.Hello)
-    if len(hello.nonce) != NONCE_BYTES or not hello.node:
-        raise wire.MalformedError(
-            "the hello lacks a node id or a nonce",
-            "run the same release of egretthread at both ends",
-        )
-    return hello
-
-
-async def _read_handshake(stream: iostream.IOStream, expected: type):
-    """Returns the next handshake frame, which must be of a class."""
-    (length,) = LENGTH.unpack(await stream.read_bytes(LENGTH.size))
-    _check_length(length, wire.MAX_HANDSHAKE_BYTES)
-    frame = wire.decode_handshake(await stream.read_bytes(length))
-    if isinstance(frame, wire.HandshakeRefusal):
-        raise _refusal(frame.kind)
-    if not isinstance(frame, expected):
-        raise wire.MalformedError(
-            f"the handshake holds a {type(frame).__name__} too early",
-            "run the same release of egretthread at both ends",
-        )
-    return frame
-
-
-def _refusal(kind: str) -> LinkError:
-    cls = WrongKeyError if kind == WrongKeyError.kind else RefusedError
-    return cls(
-        f"the other end refused the link: {kind}",
-        "see the other end's log and compare the settings",
-    )
-
-
-def _frame(data: bytes) -> bytes:
-    return LENGTH.pack(len(data)) + data
-
-
-def _take_frames(buffer: bytearray) -> list[bytes]:
-    """Removes and returns the whole frames at the start of a buffer."""
-    frames = []
-    place = 0
-    while len(buffer) - place >= LENGTH.size:
-        (length,) = LENGTH.unpack_from(buffer, place)
-        _check_length(length, wire.MAX_FRAME_BYTES)
-        end = place + LENGTH.size + length
-        if end > len(buffer):
-            break
-        frames.append(bytes(buffer[place + LENGTH.size : end]))
-        place = end
-    del buffer[:place]
-    return frames
-
-
-def _check_length(length: int, limit_bytes: int) -> None:
-    if length > limit_bytes:
-        raise wire.OversizeError(
-            f"a frame of {length} bytes exceeds {limit_bytes}",
-            "run the same release of egretthread at both ends",
-        )
-
-
 def _open(peer: Peer, on_open: OnPeer) -> None:
     logs.info("link_opened", peer=peer.node, address=peer.address)
     _call(peer, on_open, peer)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -11,7 +11,7 @@
 import testtools
 from tornado import tcpserver
 
-from egretthread import link, logs, settings, wire
+from egretthread import handshake, link, logs, settings, wire
 from egretthread.message import Credit
 from egretthread_standins import relay
 from tests.aio import HANG_S, run_async, until
@@ -75,11 +75,11 @@
     reflected = 0
 
     async def handle_stream(self, stream, address):
-        await link._read_hello(stream)
-        hello = link._new_hello("entry-1#1", "entry")
-        await link._write_handshake(stream, hello)
-        proof = await link._read_handshake(stream, wire.Proof)
-        await link._write_handshake(stream, proof)
+        await handshake.read_hello(stream)
+        hello = handshake.new_hello("entry-1#1", "entry")
+        await handshake.write_frame(stream, hello)
+        proof = await handshake.read_frame(stream, wire.Proof)
+        await handshake.write_frame(stream, proof)
         self.reflected += 1
 
 
@@ -183,7 +183,7 @@
         server = await self.start_server()
         client = self.start_client(server.address, shared_key="another key")
         await until(lambda: client.failures > 1)
-        self.assertIsInstance(client.last_error, link.WrongKeyError)
+        self.assertIsInstance(client.last_error, handshake.WrongKeyError)
         self.assertEqual([], self.near.opened + self.far.opened)
         lines = self.log.getvalue().splitlines()
         refused = [line for line in lines if "event=link_refused" in line]
@@ -199,7 +199,7 @@
         client = self.start_client(address)
         await until(lambda: client.failures > 1)
         self.assertTrue(impostor.reflected)
-        self.assertIsInstance(client.last_error, link.WrongKeyError)
+        self.assertIsInstance(client.last_error, handshake.WrongKeyError)
         self.assertEqual([], self.near.opened)
 
     @run_async
