--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -4,7 +4,6 @@
 
 from egretthread import metrics
 
-
 TABLE = (
     *metrics.METRICS,
     metrics.Metric(
