--- a/egretthread_standins/children.py
+++ b/egretthread_standins/children.py
@@ -1,6 +1,7 @@
 """Child processes of a demo or a test, ended by their own ids."""
 
 import asyncio
+import contextlib
 import dataclasses
 import pathlib
 import signal
@@ -62,15 +63,29 @@
             stderr=file,
         )
     try:
+        addresses = await listen(name, process, log)
+    except BaseException:
+        await kill(process)
+        raise
+    drain = asyncio.create_task(copy_output(process, log))
+    return Child(name, process, addresses, drain)
+
+
+async def listen(
+    name: str, process: asyncio.subprocess.Process, log: pathlib.Path
+) -> dict[str, str]:
+    """Waits until a process listens and returns its addresses.
+
+    Raises:
+        ChildError: It ended, or did not listen in time.
+    """
+    addresses = {}
+    with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(START_LIMIT_S):
             addresses = await read_addresses(process, log)
-    except TimeoutError:
-        addresses = {}
     if not addresses:
-        await kill(process)
         raise ChildError(f"{name} does not listen; see {log}")
-    drain = asyncio.create_task(copy_output(process, log))
-    return Child(name, process, addresses, drain)
+    return addresses
 
 
 async def read_addresses(
--- a/egretthread_standins/cluster.py
+++ b/egretthread_standins/cluster.py
@@ -9,7 +9,6 @@
 import pathlib
 import secrets
 import signal
-import sys
 from collections.abc import Awaitable, Callable
 
 import tomli_w
@@ -97,13 +96,10 @@
         await self.publish_first()
         for name in ("entry-1", "entry-2"):
             await self.start_entry(name)
-        await asyncio.gather(
-            *(
-                self.start_worker(zone, number)
-                for zone in ZONES
-                for number in range(AGENTS_PER_ZONE)
-            )
-        )
+        async with asyncio.TaskGroup() as starting:
+            for zone in ZONES:
+                for number in range(AGENTS_PER_ZONE):
+                    starting.create_task(self.start_worker(zone, number))
         self.workers.sort(key=lambda worker: worker.agent.name)
         await self.wait_ready()
 
@@ -121,7 +117,8 @@
                 operators.AvailabilityZone(name, REGION) for name in ZONES
             ),
         )
-        operators.print_configuration(configuration, sys.stderr)
+        with (self.directory / "configuration.toml").open("w") as file:
+            operators.print_configuration(configuration, file)
         await operators.publish(
             self.log_client, STREAM, configuration, 0, "demo"
         )
--- a/egretthread_standins/demo.py
+++ b/egretthread_standins/demo.py
@@ -8,6 +8,7 @@
 import dataclasses
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -16,7 +17,7 @@
 
 from egretthread import apierror, client, console, operators
 from egretthread.outcome import JobAnswer
-from egretthread_standins import cluster, ledger
+from egretthread_standins import children, cluster, ledger
 from egretthread_standins.cluster import Cluster, Start
 
 SEED = 1
@@ -24,9 +25,10 @@
 TASK_RUN_S = (0.05, 0.3)
 LONG_TASK_RUN_S = (0.3, 1.0)
 KILL_AFTER_STARTS = 20
-TRICKLE_TASKS = 3
+TRICKLE_TASKS = 9
 TRICKLE_RUN_S = (0.02, 0.05)
-TRICKLE_PAUSE_S = 0.05
+TRICKLE_PAUSE_S = 0.03
+TRICKLE_CALLERS = 3
 # A withdrawn zone counts as quiet after this long without a start.
 QUIET_S = 5.0
 ZONE_LIMIT_S = 30.0
@@ -51,7 +53,7 @@
 
 @dataclasses.dataclass
 class Trickle:
-    """Small jobs submitted one after the other in the background.
+    """Small jobs that a few callers submit in the background.
 
     Attributes:
         stop: Set to end it.
@@ -178,7 +180,9 @@
     zone = cluster.ZONES[0]
     await running.wait_ready()
     trickle = Trickle(asyncio.Event())
-    submitting = asyncio.create_task(submit_trickle(running, rng, trickle))
+    submitting = asyncio.gather(
+        *(submit_trickle(running, rng, trickle) for _ in range(TRICKLE_CALLERS))
+    )
     await wait_for_start(running, zone, time.time())
 
     console.progress(f"withdrawing {zone}")
@@ -229,7 +233,7 @@
 async def submit_trickle(
     running: Cluster, rng: random.Random, trickle: Trickle
 ) -> None:
-    """Submits small jobs until told to stop."""
+    """Submits small jobs one after the other until told to stop."""
     caller = running.client("entry-1", "entry-2")
     while not trickle.stop.is_set():
         job = make_job(rng, TRICKLE_TASKS, TRICKLE_RUN_S)
@@ -319,6 +323,9 @@
 
 async def run(directory: pathlib.Path) -> bool:
     """Runs the demo within its time limit; whether every check holds."""
+    own_task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, own_task.cancel)
     async with asyncio.timeout(DEMO_LIMIT_S):
         checks = await play(directory)
     print_checks(checks)
@@ -326,11 +333,17 @@
 
 
 def main() -> None:
-    """Runs the demo; its log files are kept when a check fails."""
+    """Runs the demo; its settings and logs are kept unless all went well."""
     directory = pathlib.Path(tempfile.mkdtemp(prefix="egretthread-demo-"))
     console.progress(f"settings and logs are in {directory}")
-    if not asyncio.run(run(directory)):
+    try:
+        passed = asyncio.run(run(directory))
+    except (children.ChildError, TimeoutError) as error:
+        console.progress(f"error: {error or 'the time limit passed'}")
+        passed = False
+    if not passed:
         sys.exit(1)
+    shutil.rmtree(directory)
 
 
 if __name__ == "__main__":
