Read job and configuration files from standard input too

A trial against the demo's cluster showed that '-' was refused as a missing file. It is now standard input, and a file that can't be read is wrong usage.

--- a/egretthread/commands/options.py
+++ b/egretthread/commands/options.py
@@ -1,6 +1,7 @@
 """Options that several commands share."""
 
 import pathlib
+import sys
 from typing import Annotated
 
 import typer
@@ -54,9 +55,7 @@
 ]
 InputFile = Annotated[
     pathlib.Path,
-    typer.Argument(
-        exists=True, dir_okay=False, allow_dash=True, help="File, or - ."
-    ),
+    typer.Argument(help="A file, or - for standard input."),
 ]
 Endpoints = Annotated[
     list[str],
@@ -81,7 +80,14 @@
 
 
 def read_text(path: pathlib.Path) -> str:
-    """Returns the text of a file, or of standard input for `-`."""
+    """Returns the text of a file, or of standard input for `-`.
+
+    Raises:
+        typer.BadParameter: The file can't be read as text.
+    """
     if str(path) == "-":
-        return typer.get_text_stream("stdin").read()
-    return path.read_text(encoding="utf-8")
+        return sys.stdin.read()
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise typer.BadParameter(f"{path}: {error}") from error
--- a/egretthread_standins/demo.py
+++ b/egretthread_standins/demo.py
@@ -186,15 +186,15 @@
     await wait_for_start(running, zone, time.time())
 
     console.progress(f"withdrawing {zone}")
-    withdrawn = await running.change(lambda c: operators.withdraw_zone(c, zone))
     withdrawn_s = time.time()
+    withdrawn = await running.change(lambda c: operators.withdraw_zone(c, zone))
     await wait_for_quiet(running, zone)
     before = await running.starts()
     last_s = max(s.at_s for s in before if s.zone == zone) - withdrawn_s
 
     console.progress(f"restoring {zone}")
-    restored = await running.change(lambda c: operators.restore_zone(c, zone))
     restored_s = time.time()
+    restored = await running.change(lambda c: operators.restore_zone(c, zone))
     await wait_for_start(running, zone, restored_s)
     trickle.stop.set()
     await submitting
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -69,8 +69,8 @@
         path.write_text(text)
         return str(path)
 
-    def run_command(self, *arguments, code=console.EXIT_OK, env=None):
-        result = testing.CliRunner().invoke(cmdline.app, arguments, env=env)
+    def run_command(self, *arguments, code=console.EXIT_OK, **options):
+        result = testing.CliRunner().invoke(cmdline.app, arguments, **options)
         self.assertEqual(code, result.exit_code, result.output)
         return result
 
@@ -88,7 +88,12 @@
         self.assertIn("Exit codes", shown)
 
     def test_usage_errors_exit_with_their_code(self):
-        for arguments in (("nosuch",), ("zone", "withdraw"), ("job", "x")):
+        missing = str(self.directory / "missing")
+        for arguments in (
+            ("nosuch",),
+            ("zone", "withdraw"),
+            ("config", "check", missing),
+        ):
             self.run_command(*arguments, code=console.EXIT_USAGE)
 
 
@@ -113,8 +118,7 @@
     def test_publish_show_and_history(self):
         self.publish(0)
         shown = self.run_command("config", "show", env=self.env)
-        again = self.file(shown.stdout)
-        self.run_command("config", "check", again)
+        self.run_command("config", "check", "-", input=shown.stdout)
         self.run_command("zone", "withdraw", "a", env=self.env)
         rows = self.run_json("config", "history", env=self.env)
         self.assertEqual([0, 1], [row["offset"] for row in rows])
