--- a/egretthread/apierror.py
+++ b/egretthread/apierror.py
@@ -82,12 +82,6 @@
     retryable = True
 
 
-class CannotRunError(ApiError):
-    """No worker is large enough for a task of the job; nothing ran."""
-
-    kind = "cannot_run"
-
-
 class QuotaExceededError(ApiError):
     """The organisation's quota is used up for the moment."""
 
@@ -148,7 +142,6 @@
         KeyConflictError,
         KeyExpiredError,
         KeyInFutureError,
-        CannotRunError,
         QuotaExceededError,
         OverloadedError,
         UnavailableError,
@@ -178,14 +171,13 @@
     """
     body = body if isinstance(body, dict) else {}
     kind = body.get("kind", KINDS_BY_STATUS.get(status, ""))
-    not_run = body.get("not_run") is True
     unstarted = body.get("started_by_this_request") is False
     error = ERRORS.get(kind, ApiError)(
         str(body.get("message", f"the entry answered HTTP {status}")),
         str(body.get("remedy", "look at the entry's log")),
         status=status,
         retry_after_s=number(body.get("retry_after_s")),
-        may_have_started=not (not_run or unstarted),
+        may_have_started=not unstarted,
         faults=tuple(fault_text(f) for f in body.get("faults", ())),
     )
     # A kind that this version does not know is kept as it came.
--- a/egretthread/client.py
+++ b/egretthread/client.py
@@ -259,9 +259,7 @@
         """Waits before the next attempt; raises the error if there is none."""
         call.failures += 1
         call.may_have_started |= error.may_have_started
-        # A job that can't run anywhere was not started by any attempt.
-        if not isinstance(error, apierror.CannotRunError):
-            error.may_have_started = call.may_have_started
+        error.may_have_started = call.may_have_started
         if not error.retryable:
             raise error
         await self.sleep(self.pause_s(call, error), call, error)
