Let either of two racing submissions win in a test

Two submissions of one key with different tasks race through two entries; the test expected the first to win, which no rule says.

--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -20,7 +20,7 @@
     """Returns what was violated, or nothing, and what was counted."""
     try:
         return "", histories.play(seed, steps).counts()
-    except oracle.Violation as error:
+    except oracle.ViolationError as error:
         return str(error), collections.Counter()
 
 
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -467,7 +467,7 @@
     """Plays one seeded history and settles it.
 
     Raises:
-        oracle.Violation: Something that must always hold does not; the
+        oracle.ViolationError: Something that must always hold does not; the
             message names the seed and the last steps.
     """
     rng = random.Random(seed)
@@ -479,5 +479,5 @@
     except Exception as error:
         recent = ", ".join(history.steps[-8:])
         place = f"seed {seed}, step {len(history.steps)} ({recent})"
-        raise oracle.Violation(f"{place}: {error!r}") from error
+        raise oracle.ViolationError(f"{place}: {error!r}") from error
     return history
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -21,7 +21,7 @@
 IN_FORCE_WITHIN_S = 4.0
 
 
-class Violation(AssertionError):
+class ViolationError(AssertionError):
     """Something that must always hold does not."""
 
 
@@ -167,7 +167,7 @@
 
     def _check(self, holds: bool, text: str) -> None:
         if not holds:
-            raise Violation(text)
+            raise ViolationError(text)
 
     def _digest_of(self, order: StartOrder) -> str:
         digests = {
@@ -289,7 +289,7 @@
         for job, requests in self.requests.items():
             for request in requests:
                 if request.process.alive and request.waiting:
-                    raise Violation(f"{job}: a caller still waits")
+                    raise ViolationError(f"{job}: a caller still waits")
         offset = len(world.configs) - 1
         for process in world.processes.values():
             if process.alive and not process.leaving:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -36,13 +36,16 @@
     def test_other_content_is_a_conflict(self):
         region = _settled(3)
         job = region.new_submission("same", 3)
-        region.submit("e1", job)
+        first = region.submit("e1", job)
         other = region.new_submission("same", 3, tag="other")
         self.assertEqual(job.job, other.job)
-        request = region.submit("e2", other)
-        region.run_until(lambda: request.result, 20.0)
-        self.assertIsInstance(request.result, Refusal)
-        self.assertEqual("key_conflict", request.result.kind)
+        second = region.submit("e2", other)
+        region.run_until(lambda: first.result and second.result, 20.0)
+        # The two race, so either may win.
+        results = (first.result, second.result)
+        refused = [item for item in results if isinstance(item, Refusal)]
+        self.assertEqual(["key_conflict"], [item.kind for item in refused])
+        self.assertEqual(3, region.oracle.counts["starts"])
 
     def test_every_task_is_accounted_for_after_its_coordinator_died(self):
         region = _settled(4)
--- a/tests/world.py
+++ b/tests/world.py
@@ -345,9 +345,9 @@
                 return
             if idle_s is None:
                 idle_s = self.now_s
-            if item.kind == "agent" and item.board.witness.shards:
-                if self.now_s - idle_s < HAND_OVER_S:
-                    return
+            is_witness = item.kind == "agent" and item.board.witness.shards
+            if is_witness and self.now_s - idle_s < HAND_OVER_S:
+                return
             if item.kind == "entry":
                 record = members.entry_down_record(_member(item))
                 self._append_members(item, record, None)
@@ -474,9 +474,9 @@
         since_s = self.now_s
 
         def give_up() -> None:
-            if link in self.links and self.is_cut(*link.ends):
-                if self.now_s - since_s >= LIVENESS_S:
-                    self.break_link(link)
+            silent = self.now_s - since_s >= LIVENESS_S
+            if silent and link in self.links and self.is_cut(*link.ends):
+                self.break_link(link)
 
         self.at(LIVENESS_S, give_up)
 
@@ -673,9 +673,7 @@
         """Returns the process that handed out the task about to start."""
         key = (process.node, order.job, order.index)
         hand_outs = [
-            item
-            for item in self.origins[key]
-            if item[1] == order.attempt
+            item for item in self.origins[key] if item[1] == order.attempt
         ]
         return max(hand_outs, key=lambda item: item[0])[2]
 
