Rest the lease on both streams and let fresh witnesses settle first

Cause, found by reading: an entry that had read the configuration but lagged behind on the members stream kept its lease. It could tell a witness that had just restarted of an old epoch, and the two would form a majority that the new epoch's majority does not meet: two coordinators, so a second start. Now the lease needs both streams read to their ends, and a fresh witness vouches only for keys issued 4 s after it joined, when such an entry's lease is over. Ruled out: fencing alone, since a restarted process forgets what it adopted.

--- a/egretthread/logfeed.py
+++ b/egretthread/logfeed.py
@@ -16,6 +16,8 @@
 from egretthread.blackboard import EntryBoard
 from egretthread.settings import EntrySettings
 
+# The configuration and the members.
+STREAMS = 2
 # A long poll ends after this time, so that the log's end is known afresh.
 POLL_S = 0.5
 # Wait after a read that failed.
@@ -43,6 +45,7 @@
         log: Client of the log service.
         config: The configuration as read so far.
         members_next: Offset of the next members record to read.
+        read_s: Monotonic time of the last read of each stream's end.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         self.config = configfeed.ConfigFeed()
         self.members_next = 0
         self.members_caught_up = False
+        self.read_s: dict[str, float] = {}
         self.rewritten_s = clock.monotonic_s()
         self.tasks: list[asyncio.Task] = []
 
@@ -120,11 +124,22 @@
             self.board, self.config.offset, self.config.configuration
         )
         if self.config.next_offset >= batch.end:
-            entry.on_log_read(self.board, sent_s)
+            self._note_read(self.settings.config_stream, sent_s)
         self.after()
 
+    def _note_read(self, stream: str, sent_s: float) -> None:
+        """Notes that one stream was read to its end.
+
+        The lease rests on both streams: an entry that lags behind on the
+        members would register jobs with witnesses that were replaced.
+        """
+        self.read_s[stream] = sent_s
+        if len(self.read_s) == STREAMS:
+            entry.on_log_read(self.board, min(self.read_s.values()))
+
     async def _follow_members(self) -> None:
         while True:
+            sent_s = clock.monotonic_s()
             try:
                 batch = await self.log.read(
                     self.settings.members_stream, self.members_next, POLL_S
@@ -135,9 +150,9 @@
             except logclient.LogUnavailableError:
                 await asyncio.sleep(RETRY_S)
                 continue
-            self._apply_members(batch)
+            self._apply_members(batch, sent_s)
 
-    def _apply_members(self, batch: logclient.LogBatch) -> None:
+    def _apply_members(self, batch: logclient.LogBatch, sent_s: float) -> None:
         self._turn()
         for record in batch.records:
             try:
@@ -150,6 +165,8 @@
                 )
             self.members_next = record.offset + 1
         self.members_caught_up = self.members_next >= batch.end
+        if self.members_caught_up:
+            self._note_read(self.settings.members_stream, sent_s)
         if batch.records:
             self.after()
 
--- a/egretthread/witness.py
+++ b/egretthread/witness.py
@@ -9,6 +9,10 @@
 # A key's time, the witness's clock and the clock of the witness that held
 # the shard before may each be wrong by the bound.
 CLOCK_ERRORS = 3
+# A process that has only just become a member may have been told of an old
+# epoch by an entry that lags behind. It waits until such an entry's lease on
+# the log has lapsed before it vouches for new keys.
+SETTLE_S = 4.0
 
 
 # Any of the requests that a witness answers.
@@ -79,7 +83,8 @@
         return
     membership.epoch = view.epoch
     if view.fenced and membership.ready_from_s is None:
-        membership.ready_from_s = unix_s + CLOCK_ERRORS * clock_error_s
+        settled_s = unix_s + SETTLE_S
+        membership.ready_from_s = settled_s + CLOCK_ERRORS * clock_error_s
 
 
 def forget_expired(register: WitnessRegister, horizon_s: float) -> None:
