Ask for seals every half second, not every tick; drop dead code

Cause: a list of names that stand only once showed the interval for seals unused, so an unanswered seal was sent 20 times a second, and the ramp of agents that join unused as well: every agent was new to a restarted entry and its slots were ramped up over 5 s. Both are used now; five names that nothing called are gone. The tests of the engines pass.

--- a/egretthread/backendclient.py
+++ b/egretthread/backendclient.py
@@ -1,6 +1,5 @@
 """Calls the backend server for one task at a time."""
 
-import socket
 from collections.abc import Callable
 
 import orjson
@@ -17,8 +16,6 @@
 HEALTH_TIMEOUT_S = 1.0
 HTTP_OK = 200
 
-CONNECT_ERRORS = (ConnectionRefusedError, socket.gaierror)
-
 
 class NotStartedError(util.EgretthreadError):
     """The task provably did not reach the backend server."""
--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -153,6 +153,7 @@
         round: The round with the witnesses now under way, if any.
         extension: The round that registers more agents, if any.
         seals: Seal replies by agent node id.
+        sealed_s: Monotonic time when seals were last sent.
         vanished: Agents that are gone with what they knew.
         registration: The registration taken over, if any.
         outcomes: Final outcomes by index.
@@ -175,6 +176,7 @@
     seals: dict[str, message.SealReply] = dataclasses.field(
         default_factory=dict
     )
+    sealed_s: float = 0.0
     vanished: set[str] = dataclasses.field(default_factory=set)
     registration: Registration | None = None
     outcomes: dict[int, Outcome] = dataclasses.field(default_factory=dict)
--- a/egretthread/controllers/entry_members.py
+++ b/egretthread/controllers/entry_members.py
@@ -49,7 +49,9 @@
             board.counters["old_incarnations"] += 1
             return None
         remove_agent(board, known)
-    agent = AgentState(beat.agent, beat, board.now_s, board.now_s, beat.free)
+    agent = AgentState(
+        beat.agent, beat, board.now_s, _joined_s(board), beat.free
+    )
     board.agents[beat.agent] = agent
     board.agent_names[name] = beat.agent
     board.counters["agents_joined"] += 1
--- a/egretthread/controllers/recovery.py
+++ b/egretthread/controllers/recovery.py
@@ -37,6 +37,7 @@
 
 
 def _send_seals(board: EntryBoard, state: JobState) -> None:
+    state.sealed_s = board.now_s
     for node in _unsealed(state):
         agent = board.agents.get(node)
         if agent is not None and agent.connected:
@@ -79,7 +80,8 @@
 
 def on_tick(board: EntryBoard, state: JobState) -> None:
     """Asks again, and gives up on agents that stay out of reach."""
-    _send_seals(board, state)
+    if board.now_s - state.sealed_s >= SEAL_AGAIN_S:
+        _send_seals(board, state)
     if board.now_s >= state.wake_s:
         state.vanished.update(_unsealed(state))
     advance(board, state)
--- a/egretthread/controllers/submissions.py
+++ b/egretthread/controllers/submissions.py
@@ -1,6 +1,5 @@
 """Entry: takes submissions from callers or refuses them."""
 
-from egretthread import message
 from egretthread.blackboard import (
     EntryBoard,
     JobState,
@@ -12,9 +11,6 @@
 from egretthread.controllers import answers, claims, entry_members, pool
 from egretthread.message import Ballot, Registration
 
-# What a caller is told to wait for a service without any free agent.
-NO_AGENT_RETRY_S = 1.0
-
 
 def submit(board: EntryBoard, submission: Submission) -> Refusal | None:
     """Takes a job, or joins the caller to the same job under way.
@@ -173,8 +169,3 @@
             f" worker has {max(workers)}; declare less or split it"
         )
     return ""
-
-
-def status(board: EntryBoard, job: message.JobRef) -> JobState | None:
-    """Returns what this entry knows of a job, if anything."""
-    return board.jobs.get(job)
