--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,270 @@
+"""Deliberate breaks of the design: python -m tests.mutations.
+
+Each is an edit of a scratch copy of the sources, which the seeded histories
+must catch. A break that survives means that the oracle or the histories are
+too weak.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).parent.parent
+# Seeded histories after which a break counts as having survived.
+HISTORIES = 1500
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutation:
+    """One break.
+
+    Attributes:
+        name: What is broken.
+        path: The file that is edited, below egretthread.
+        old: The text that is replaced; it must stand there once.
+        new: The text that replaces it.
+    """
+
+    name: str
+    path: str
+    old: str
+    new: str
+
+
+MUTATIONS = (
+    Mutation(
+        "skip the registration",
+        "controllers/claims.py",
+        "    state.round = rounds.begin("
+        "board, state.job, message.Claim, registration)\n",
+        "    if not registration.closed:\n"
+        "        dispatch.begin_running(board, state)\n"
+        "        return\n"
+        "    state.round = rounds.begin("
+        "board, state.job, message.Claim, registration)\n",
+    ),
+    Mutation(
+        "skip the seal",
+        "controllers/recovery.py",
+        "    _send_seals(board, state)\n    advance(board, state)\n\n\n"
+        "def _merge",
+        "    for node in _unsealed(state):\n"
+        "        state.seals[node] = message.SealReply(\n"
+        "            state.job, state.ballot, node, ()\n"
+        "        )\n"
+        "    advance(board, state)\n\n\n"
+        "def _merge",
+    ),
+    Mutation(
+        "take an empty witness for one without a registration",
+        "witness.py",
+        "    if ready_from_s is None or issued_s < ready_from_s:\n"
+        "        return Verdict.NOT_READY\n",
+        "",
+    ),
+    Mutation(
+        "accept a lower ballot at the agent",
+        "controllers/agent_tasks.py",
+        "    superseded = assign.ballot < entry.ballot\n",
+        "    superseded = False\n",
+    ),
+    Mutation(
+        "drop the lease check at the start",
+        "controllers/agent_tasks.py",
+        "    refusal = agent_leases.refusal(board)\n"
+        "    if refusal is Refusal.DRAINING and",
+        "    refusal = Refusal.NONE\n"
+        "    if refusal is Refusal.DRAINING and",
+    ),
+    Mutation(
+        "ignore that a lease has lapsed",
+        "controllers/agent_leases.py",
+        "    if board.view is None or board.now_s >= board.lease.until_s:\n",
+        "    if board.view is None:\n",
+    ),
+    Mutation(
+        "forget the incarnation in a seal",
+        "controllers/agent_tasks.py",
+        "message.SealReply(seal.job, entry.ballot, board.node, reports)",
+        "message.SealReply(seal.job, entry.ballot, seal.agent, reports)",
+    ),
+    Mutation(
+        "hand out again what a vanished agent may have started",
+        "controllers/dispatch.py",
+        "        state.outcomes[index] = outcome.unknown(\n"
+        '            "the agent that may have started it is gone"\n'
+        "        )\n"
+        "    if lost:\n",
+        "        _enqueue(board, state, [index])\n    if lost:\n",
+    ),
+    Mutation(
+        "take what a vanished agent held for unstarted in a takeover",
+        "controllers/recovery.py",
+        "    elif state.vanished:\n        _settle_vanished(state)\n",
+        "",
+    ),
+    Mutation(
+        "answer not_run without telling the witnesses",
+        "controllers/answers.py",
+        "    if complete or state.registration.closed:\n",
+        "    if state.outcomes:\n",
+    ),
+    Mutation(
+        "answer not_run though the witnesses could not be told",
+        "controllers/answers.py",
+        "    for index in _not_run(state):\n"
+        "        state.outcomes[index] = outcome.unknown(\n"
+        '            "not started here, but the witnesses could not be told'
+        ' so"\n'
+        "        )\n",
+        "",
+    ),
+    Mutation(
+        "count a vote for another registration",
+        "controllers/rounds.py",
+        "    return reply.registration != request.registration\n",
+        "    return False\n",
+    ),
+    Mutation(
+        "use more agents before the witnesses know them",
+        "controllers/dispatch.py",
+        "    registration = message.Registration(\n"
+        "        state.submission.digest, state.ballot, agents\n"
+        "    )\n",
+        "    registration = message.Registration(\n"
+        "        state.submission.digest, state.ballot, agents\n"
+        "    )\n"
+        "    state.agents = agents\n",
+    ),
+    Mutation(
+        "forget refused hand-outs",
+        "ledger.py",
+        "    entry.tasks[index] = report\n    return report\n",
+        "    entry.tasks.pop(index, None)\n    return report\n",
+    ),
+    Mutation(
+        "take a late refusal for one of the newest hand-out",
+        "controllers/dispatch.py",
+        "    if report.ballot != state.ballot or item.attempt < held.attempt:\n"
+        "        return\n",
+        "",
+    ),
+    Mutation(
+        "one witness is a majority",
+        "members.py",
+        "    return size // 2 + 1\n",
+        "    return 1\n",
+    ),
+    Mutation(
+        "accept below the promised ballot at the witness",
+        "witness.py",
+        "    if ballot < record.promised:\n        return Verdict.REFUSED\n"
+        "    record.promised = ballot\n",
+        "    record.promised = ballot\n",
+    ),
+    Mutation(
+        "let an older configuration into force at an entry",
+        "entry.py",
+        "    if offset <= board.config_offset:\n        return\n",
+        "",
+    ),
+    Mutation(
+        "let an older configuration into force at an agent",
+        "controllers/agent_leases.py",
+        "    if reply.config_offset < previous.config_offset:\n"
+        '        board.counters["stale_heartbeat_replies"] += 1\n'
+        "        return\n",
+        "",
+    ),
+    Mutation(
+        "believe in an outage of the log without a majority",
+        "lease.py",
+        "    needed = len(entries) // 2\n",
+        "    needed = 0\n",
+    ),
+    Mutation(
+        "forget the expired keys without refusing them",
+        "witness.py",
+        "    register.horizon_s = max(register.horizon_s, horizon_s)\n",
+        "    register.horizon_s = horizon_s\n",
+    ),
+    Mutation(
+        "do not compare the content of a known key",
+        "controllers/claims.py",
+        "        if registration.digest != state.submission.digest:\n",
+        "        if False:\n",
+    ),
+    Mutation(
+        "close a job without its unsettled tasks",
+        "controllers/answers.py",
+        "    if len(state.outcomes) < len(state.submission.tasks):\n",
+        "    if not state.outcomes:\n",
+    ),
+)
+
+
+def apply(mutation: Mutation, root: pathlib.Path) -> None:
+    """Edits a copy of the sources.
+
+    Raises:
+        ValueError: The text to replace does not stand there once.
+    """
+    path = root / "egretthread" / mutation.path
+    text = path.read_text(encoding="utf-8")
+    if text.count(mutation.old) != 1:
+        raise ValueError(f"{mutation.name}: {path} does not hold the old text")
+    path.write_text(text.replace(mutation.old, mutation.new))
+
+
+def run(mutation: Mutation, seed: int, histories: int, workers: int):
+    """Plays histories over a broken copy until one catches it."""
+    with tempfile.TemporaryDirectory() as scratch:
+        root = pathlib.Path(scratch)
+        for name in ("egretthread", "tests"):
+            shutil.copytree(ROOT / name, root / name)
+        apply(mutation, root)
+        command = (
+            *(sys.executable, "-m", "tests.fuzz", "--stop"),
+            *("--seed", str(seed)),
+            *("--histories", str(histories)),
+            *("--workers", str(workers)),
+        )
+        return subprocess.run(
+            command, cwd=root, capture_output=True, text=True, check=False
+        )
+
+
+def _summary(name: str, done: subprocess.CompletedProcess) -> str:
+    lines = done.stdout.splitlines()
+    played = next((x for x in lines if x.startswith("played=")), "crashed")
+    if done.returncode == 0:
+        return f"SURVIVED  {name}: {played}"
+    found = next((x for x in lines if x.startswith("seed ")), done.stderr[-99:])
+    return f"caught    {name}: {played}\n            {found[:200]}"
+
+
+def main() -> int:
+    """Breaks the design in each way and prints what was caught."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--histories", type=int, default=HISTORIES)
+    parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument("--only", default="")
+    options = parser.parse_args()
+    survivors = 0
+    for mutation in MUTATIONS:
+        if options.only not in mutation.name:
+            continue
+        done = run(mutation, options.seed, options.histories, options.workers)
+        survivors += done.returncode == 0
+        print(_summary(mutation.name, done), flush=True)
+    print(f"survivors={survivors}")
+    return 1 if survivors else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
