Keep a closed job closed beside a first claim that lost

Cause: a takeover took the registration with the highest ballot for the newest word. Among first claims the ballot's order says nothing, so a claim that one witness alone had granted hid that the winner's job was closed, and tasks reported as not run were started. Now any closed registration among first claims closes the job, and what sealed agents have not started is not run.

--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -73,14 +73,15 @@
         state.ballot,
         state.agents,
         closed=True,
-        not_run=_not_run(state),
+        not_run=not_run(state),
     )
     state.round = rounds.begin(board, state.job, message.Accept, registration)
     if state.round is None:
         finish_unclosed(board, state)
 
 
-def _not_run(state: JobState) -> tuple[int, ...]:
+def not_run(state: JobState) -> tuple[int, ...]:
+    """Returns the indices of the tasks that did not and will not run."""
     return tuple(
         index
         for index, item in sorted(state.outcomes.items())
@@ -96,7 +97,7 @@
 
 def finish_unclosed(board: EntryBoard, state: JobState) -> None:
     """Answers without the witnesses: what was not started may yet be."""
-    for index in _not_run(state):
+    for index in not_run(state):
         state.outcomes[index] = outcome.unknown(
             "not started here, but the witnesses could not be told so"
         )
--- a/egretthread/controllers/recovery.py
+++ b/egretthread/controllers/recovery.py
@@ -2,11 +2,13 @@
 
 from egretthread import message, outcome
 from egretthread.blackboard import EntryBoard, HandOut, JobState, Phase
-from egretthread.controllers import claims, pool, rounds
-from egretthread.message import Registration, TaskState
+from egretthread.controllers import answers, claims, pool, rounds
+from egretthread.message import NO_BALLOT, Registration, TaskState
 
 # An agent that has not answered a seal is asked again after this time.
 SEAL_AGAIN_S = 0.5
+# The generation of claims, which need no promise of the witnesses.
+FIRST_GENERATION = 1
 
 
 def begin_seal(
@@ -24,18 +26,30 @@
 def _merge(found: list[Registration], state: JobState) -> Registration:
     """Joins what the witnesses hold: the newest word, all the agents."""
     agents = {agent for item in found for agent in item.agents}
-    newest = max(
-        found, key=lambda item: (item.ballot, item.closed), default=None
-    )
+    newest = _newest(found)
+    closed = [item for item in newest if item.closed]
+    rivals = {item.ballot for item in newest}
     return Registration(
         digest=state.submission.digest,
         ballot=state.ballot,
         agents=tuple(sorted(agents)),
-        closed=newest.closed if newest else False,
-        not_run=newest.not_run if newest else (),
+        closed=bool(closed),
+        not_run=closed[0].not_run if closed and len(rivals) == 1 else (),
     )
 
 
+def _newest(found: list[Registration]) -> list[Registration]:
+    """Returns the registrations that may be the one a majority accepted.
+
+    First claims are granted to whoever comes first, so their ballots do not
+    tell which of them won; later ballots do.
+    """
+    ballot = max((item.ballot for item in found), default=NO_BALLOT)
+    if ballot.generation == FIRST_GENERATION:
+        return found
+    return [item for item in found if item.ballot == ballot]
+
+
 def _send_seals(board: EntryBoard, state: JobState) -> None:
     state.sealed_s = board.now_s
     for node in _unsealed(state):
@@ -103,7 +117,7 @@
         state.ballot,
         agents,
         state.registration.closed,
-        state.registration.not_run,
+        answers.not_run(state) if state.registration.closed else (),
     )
     state.round = rounds.begin(board, state.job, message.Accept, registration)
     claims.advance(board, state)
@@ -143,9 +157,12 @@
 
 
 def _settle_closed(state: JobState) -> None:
-    """The answer was final before: nothing more of the job may start."""
+    """The answer was final before: nothing more of the job may start.
+
+    What no agent has started is not run for good once all are sealed.
+    """
     for index in _unsettled(state):
-        if index in state.registration.not_run:
+        if index in state.registration.not_run or not state.vanished:
             state.outcomes[index] = outcome.not_run("the job was closed")
         else:
             state.outcomes[index] = outcome.unknown(
--- a/egretthread/controllers/rounds.py
+++ b/egretthread/controllers/rounds.py
@@ -166,6 +166,15 @@
     return max(reply.promised for reply in current.replies.values())
 
 
+def refusing_promise(current: Round) -> message.Ballot:
+    """Returns the highest ballot for which the round was refused."""
+    return max(
+        reply.promised
+        for reply in current.replies.values()
+        if reply.verdict is Verdict.REFUSED
+    )
+
+
 def registrations(current: Round) -> list[message.Registration]:
     """Returns the registrations that the replies hold."""
     return [
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -116,7 +116,7 @@
     Mutation(
         "answer not_run though the witnesses could not be told",
         "controllers/answers.py",
-        "    for index in _not_run(state):\n"
+        "    for index in not_run(state):\n"
         "        state.outcomes[index] = outcome.unknown(\n"
         '            "not started here, but the witnesses could not be told'
         ' so"\n'
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,74 @@
+"""Focused histories of taking over a job whose coordinator is gone."""
+
+import testtools
+
+from egretthread import members
+from egretthread.outcome import OutcomeKind
+from tests import world
+
+SETTLE_S = 5.0
+SLOW_S = 0.5
+
+
+def _settled(seed: int) -> world.World:
+    region = world.World(seed, faults=False)
+    region.run(SETTLE_S)
+    return region
+
+
+def _delay_all_but(region: world.World, name: str, keep: str) -> None:
+    """Delays all that an entry sends to agents, except to one."""
+    process = region.processes[name]
+    for link in process.links:
+        other = link.other(process)
+        if other.kind == "agent" and other.name != keep:
+            link.delay_s = SLOW_S
+
+
+def _kinds(request) -> list[OutcomeKind]:
+    return [item.kind for item in request.result.outcomes]
+
+
+class RecoveryTest(testtools.TestCase):
+    def test_closed_job_stays_closed_beside_a_claim_that_lost(self):
+        # Found while seed 76 was played over a broken copy: a claim that
+        # only one witness had granted hid that the job was closed.
+        region = _settled(1)
+        job = region.new_submission("raced", 60)
+        membership = region.processes["e3"].board.membership
+        number = members.shard_of(job.job, membership.shard_count)
+        witnesses = membership.shards[number].members
+        _delay_all_but(region, "e3", witnesses[0])
+        region.submit("e3", job)
+        region.run(0.01)
+        region.kill("e3")
+        first = region.submit("e2", job)
+        region.run(0.02)
+        region.cancel("e2", job.job)
+        self.assertTrue(region.run_until(lambda: first.result, 20.0))
+        self.assertIn(OutcomeKind.NOT_RUN, _kinds(first))
+        region.kill("e2")
+        # The majority that answers e1 first holds the claim that lost.
+        region.processes["e1"].link_to(
+            region.processes[witnesses[2]].node
+        ).delay_s = SLOW_S
+        second = region.submit("e1", job)
+        self.assertTrue(region.run_until(lambda: second.result, 30.0))
+        self.assertEqual(_kinds(first), _kinds(second))
+
+    def test_refusal_after_being_superseded_admits_the_starts(self):
+        # Found by the seeded histories 1149, 2082 and 4075.
+        region = _settled(2)
+        region.rng.seed(2)
+        job = region.new_submission("long", 60, deadline_s=6.0)
+        first = region.submit("e1", job)
+        region.run(0.02)
+        pairs = {frozenset(("e1", name)) for name in ("e2", "e3")}
+        region.partition(set(), pairs)
+        region.run(4.0)
+        region.submit("e2", job)
+        region.run(0.5)
+        region.kill("e2")
+        region.run(10.0)
+        self.assertIsNotNone(first.result)
+        self.assertTrue(getattr(first.result, "started", True))
