--- a/tests/histories.py
+++ b/tests/histories.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Callable
 
-from egretthread import config, witness
+from egretthread import config, message, witness
 from tests import oracle, world
 
 Pick = Callable[[int], int]
@@ -190,6 +190,77 @@
         link.delay_s = (0.0, 0.0, 0.01, 0.3, 1.0)[pick(5)]
 
 
+def echo(history: History, pick: Pick) -> None:
+    """Has all messages of some types arrive twice for a while."""
+    region = history.world
+    kinds = (
+        message.Assign,
+        message.Report,
+        message.WitnessReply,
+        message.Accept,
+        message.SealReply,
+        message.HeartbeatReply,
+    )
+    for kind in kinds:
+        if pick(2):
+            region.echoes[kind] = region.now_s + (0.1, 3.0, 12.0)[pick(3)]
+    submit(history, pick)
+
+
+def isolate_coordinator(history: History, pick: Pick) -> None:
+    """Cuts a coordinator off alone; its job is submitted elsewhere."""
+    region = history.world
+    name = _entry(history, pick)
+    submission = region.new_submission(
+        f"j{len(history.jobs)}", 30, deadline_s=(1.0, 5.0)[pick(2)]
+    )
+    history.jobs.append(submission)
+    region.submit(name, submission)
+    region.run((0.004, 0.02, 0.2)[pick(3)])
+    region.heal()
+    region.partition({name})
+    region.run((0.5, 3.2, 4.5)[pick(3)])
+    longer = dataclasses.replace(submission, deadline_s=20.0)
+    region.submit(_entry(history, pick), longer)
+
+
+def pause_in_start(history: History, pick: Pick) -> None:
+    """Pauses a zone's agents in mid-start and withdraws or drains them."""
+    region = history.world
+    zone = "abc"[pick(3)]
+    names = [
+        name
+        for name in region.agent_names
+        if region.processes[name].zone == zone
+    ]
+    usual = region.slow_share
+    region.slow_share = 0.5
+    submit(history, pick)
+    region.run((0.003, 0.01, 0.1)[pick(3)])
+    region.slow_share = usual
+    for name in names:
+        region.pause(name)
+    change = _flip_zone(zone) if pick(2) else _flip_drain(names[0])
+    region.publish(change)
+    region.run((4.5, 6.0)[pick(2)])
+    for name in names:
+        region.resume(name)
+
+
+def swing_retention(history: History, pick: Pick) -> None:
+    """Shortens the retention, lets keys expire, and makes it long again."""
+    region = history.world
+    region.publish(_set_retention(40.0))
+    submit(history, pick)
+    region.run(45.0)
+    region.publish(_set_retention(120.0))
+    region.run(2.0)
+    restart(history, pick)
+    region.run(2.0)
+    for name in region.entry_names:
+        region.submit(name, history.jobs[-1])
+
+
 def kill(history: History, pick: Pick) -> None:
     """Kills a process."""
     history.world.kill(_any(history, pick))
@@ -382,10 +453,16 @@
     region = history.world
     region.publish(_flip_zone(zone))
     region.run((0.02, 0.1, 0.4)[pick(3)])
-    if pick(2):
+    if pick(3):
         names = {n for n, p in region.processes.items() if p.zone == zone}
         region.heal()
         region.partition(names)
+        entries = names.intersection(region.entry_names)
+        region.log_cut = entries if pick(2) else set()
+        region.run((0.5, 2.0, 4.1)[pick(3)])
+        for name in entries:
+            submit(history, pick)
+            region.submit(name, history.jobs[-1])
     elif not region.log_out:
         region.set_log_out(True)
 
@@ -418,6 +495,10 @@
         drop,
         silence,
         disturb,
+        echo,
+        isolate_coordinator,
+        pause_in_start,
+        swing_retention,
         kill,
         restart,
         revive,
@@ -455,6 +536,9 @@
     "resume": 3,
     "heal": 3,
     "disturb": 2,
+    "echo": 3,
+    "isolate_coordinator": 2,
+    "pause_in_start": 2,
     "drop": 2,
     "operate": 2,
 }
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -87,10 +87,10 @@
         "    if board.view is None:\n",
     ),
     Mutation(
-        "forget the incarnation in a seal",
-        "controllers/agent_tasks.py",
-        "message.SealReply(seal.job, entry.ballot, board.node, reports)",
-        "message.SealReply(seal.job, entry.ballot, seal.agent, reports)",
+        "forget the incarnation",
+        "message.py",
+        '    return f"{name}#{incarnation}"\n',
+        '    return f"{name}#0"\n',
     ),
     Mutation(
         "hand out again what a vanished agent may have started",
@@ -187,10 +187,11 @@
         "    needed = 0\n",
     ),
     Mutation(
-        "forget the expired keys without refusing them",
-        "witness.py",
-        "    register.horizon_s = max(register.horizon_s, horizon_s)\n",
-        "    register.horizon_s = horizon_s\n",
+        "forget the expired keys without refusing them for good",
+        "agent.py",
+        "        board.horizon_s = max(board.horizon_s, horizon_s)\n",
+        "        board.horizon_s = horizon_s\n"
+        "        board.witness.horizon_s = horizon_s\n",
     ),
     Mutation(
         "do not compare the content of a known key",
--- a/tests/world.py
+++ b/tests/world.py
@@ -144,6 +144,8 @@
         events: Heap of (time, number, function).
         oracle: Checks what must always hold.
         processes: The newest incarnation by name.
+        echoes: Until when all messages of a type arrive twice.
+        slow_share: Share of the tasks that wait long before they start.
         boards: The blackboards of all incarnations.
         links: All links that are not broken.
         cut: Names cut off from the other processes.
@@ -175,6 +177,8 @@
         self.oracle = oracle.Oracle()
         self.processes: dict[str, Process] = {}
         self.boards: list = []
+        self.echoes: dict[type, float] = {}
+        self.slow_share = 0.05 if faults else 0.0
         self.links: list[Link] = []
         self.cut: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
@@ -506,9 +510,10 @@
         delay_s = arrives_s - self.now_s
         deliver = functools.partial(self._deliver, link, sender, item)
         self.at(delay_s, deliver)
-        if link.duplicates:
-            link.duplicates -= 1
-            late_s = delay_s + self.rng.choice((0.001, 0.05, 1.0, 8.0))
+        echoed = self.echoes.get(type(item), 0.0) >= self.now_s
+        if link.duplicates or echoed:
+            link.duplicates -= 0 if echoed else 1
+            late_s = delay_s + self.rng.choice((0.001, 0.01, 0.1, 1.0, 8.0))
             again = functools.partial(self._take, receiver, sender, item)
             self.at(late_s, lambda: self.call(receiver, again))
 
@@ -642,7 +647,7 @@
     # Tasks.
 
     def _plan_start(self, process: Process, order: StartOrder) -> None:
-        slow = self.faults and self.rng.random() < 0.05
+        slow = self.rng.random() < self.slow_share
         way_s = self.rng.uniform(0.1, 2.0) if slow else 0.001
         event = functools.partial(self._start_task, process, order)
         self.at(way_s, lambda: self.call(process, event))
