Refuse at once what cannot end before its deadline

A job that had no chance before its deadline was queued and answered not_run only when it was too late for its caller. Agents now report how long a task held its slot, an entry learns run times per service from the DONE ones, and refuses as overloaded, with the time to come back, while others wait here. A bound max_queued_tasks per service counts each organisation's own part. A key that is not fresh is looked up at the witnesses before it is refused. Measured: the tests over the fake world pass.

--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -5,7 +5,15 @@
 import enum
 import random
 
-from egretthread import config, ejection, fairqueue, members, message, quota
+from egretthread import (
+    config,
+    ejection,
+    fairqueue,
+    members,
+    message,
+    quota,
+    runtimes,
+)
 from egretthread.jobkey import JobRef
 from egretthread.lease import NO_LEASE, AgentLease
 from egretthread.ledger import Ledger
@@ -72,6 +80,8 @@
     """Where a job stands at an entry."""
 
     CLAIMING = "claiming"
+    # Too much waits here to start it; another entry may be at it.
+    LOOKING = "looking"
     ASKING = "asking"
     PREPARING = "preparing"
     SEALING = "sealing"
@@ -235,6 +245,19 @@
     heard_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Capacity:
+    """Slots that serve a service, over all agents that take work.
+
+    Attributes:
+        slots: How many there are.
+        counted_s: Monotonic time of the count.
+    """
+
+    slots: int
+    counted_s: float
+
+
 @dataclasses.dataclass
 class EntryBoard:
     """All state of one entry; controllers read and write it.
@@ -269,6 +292,9 @@
         wanting: Node ids of agents asked for slots, by service.
         probations: Ejected backend servers, by service.
         quotas: Quotas by organisation.
+        run_times: Run times learned, by service.
+        capacities: Slots that serve each service.
+        slot_share: This entry's part of the slots, by demand.
         askers: Node ids of entries to be told the answer, by job.
         look_ups: Searches for jobs that this entry does not know.
         outbox: (node id, message) pairs to be sent.
@@ -315,6 +341,11 @@
     quotas: quota.QuotaTable = dataclasses.field(
         default_factory=quota.QuotaTable
     )
+    run_times: dict[str, runtimes.RunTimes] = dataclasses.field(
+        default_factory=dict
+    )
+    capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
+    slot_share: float = 1.0
     askers: dict[JobRef, set[str]] = dataclasses.field(default_factory=dict)
     outbox: list[tuple[str, Message]] = dataclasses.field(default_factory=list)
     look_ups: dict[JobRef, LookUp] = dataclasses.field(default_factory=dict)
@@ -356,6 +387,7 @@
         attempt: Which hand-out it is.
         payload: JSON text for the backend server.
         timeout_s: Longest run time.
+        accepted_s: Monotonic time since when it holds its slot.
     """
 
     job: JobRef
@@ -364,6 +396,7 @@
     attempt: int
     payload: str
     timeout_s: float
+    accepted_s: float = 0.0
 
 
 @dataclasses.dataclass
--- a/egretthread/config.py
+++ b/egretthread/config.py
@@ -57,6 +57,8 @@
         eject_share: Share of the backend servers that may be ejected for
             failing at most, 0 to 1.
         placement: Name of the placement policy.
+        max_queued_tasks: Tasks that wait at one entry before it refuses
+            jobs of the organisations that fill its queue.
     """
 
     name: str
@@ -70,6 +72,7 @@
     max_memory_bytes: int = 2**37
     eject_share: float = 0.3
     placement: str = "late"
+    max_queued_tasks: int = 20_000
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/configtext.py
+++ b/egretthread/configtext.py
@@ -170,6 +170,7 @@
     ("max_tasks_per_job", 1, 10_000),
     ("max_payload_bytes", 1, 2**24),
     ("max_memory_bytes", 1, 2**50),
+    ("max_queued_tasks", 1, 10_000_000),
 )
 
 
--- /dev/null
+++ b/egretthread/controllers/admission.py
@@ -0,0 +1,159 @@
+"""Entry: early refusal of jobs that would wait too long, or for too much.
+
+A job is refused only while others wait here: an entry without a queue takes
+any job, so that a wrong estimate never refuses all work.
+"""
+
+import dataclasses
+
+from egretthread import runtimes
+from egretthread.blackboard import (
+    Capacity,
+    EntryBoard,
+    JobState,
+    Refusal,
+    Submission,
+)
+from egretthread.config import Service
+from egretthread.controllers import dispatch, pool
+from egretthread.fairqueue import FairQueue
+
+# Fewer run times than this say nothing yet.
+MIN_LEARNED = 20
+# Slots are counted again after this time.
+COUNT_AGAIN_S = 0.5
+# Bounds of the time after which a caller is told to come back.
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 10.0
+# A key older than this may have been submitted before.
+FRESH_KEY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """What an organisation has of a queue.
+
+    Attributes:
+        waiting: Its tasks that wait.
+        part: The part of the slots that it gets while all others wait, too,
+            0 to 1.
+    """
+
+    waiting: int
+    part: float
+
+
+def learn(board: EntryBoard, service: str, run_s: float) -> None:
+    """Learns how long a task held its slot."""
+    times = board.run_times.setdefault(service, runtimes.RunTimes())
+    times.add(run_s)
+
+
+def check(board: EntryBoard, submission: Submission) -> Refusal | None:
+    """Returns why a job would wait too long or for too much, if it would."""
+    queue = dispatch.queue_for(board, submission.service)
+    if not len(queue):
+        return None
+    limits = board.configuration.service(submission.service)
+    share = _share(board, queue, submission.job.organisation)
+    return _check_bound(
+        board, submission, limits, queue, share
+    ) or _check_deadline(board, submission, queue, share)
+
+
+def is_fresh(board: EntryBoard, submission: Submission) -> bool:
+    """Whether a key is too new to have been submitted before."""
+    age_s = board.unix_s - submission.job.issued_s
+    return age_s <= FRESH_KEY_S + board.configuration.clock_error_s
+
+
+def refuse_again(board: EntryBoard, state: JobState) -> Refusal | None:
+    """Checks a job again of which the witnesses know nothing."""
+    refusal = check(board, state.submission)
+    if refusal is not None:
+        board.quotas.refund(state.job.organisation, len(state.submission.tasks))
+    return refusal
+
+
+def _share(board: EntryBoard, queue: FairQueue, organisation: str) -> Share:
+    """Returns what an organisation has of a queue once it waits there."""
+    counts = queue.counts()
+    weights = {name: dispatch.weight(board, name) for name in counts}
+    own = weights.setdefault(organisation, dispatch.weight(board, organisation))
+    waiting = counts.get(organisation, 0)
+    return Share(waiting, own / sum(weights.values()))
+
+
+def _check_bound(
+    board: EntryBoard,
+    submission: Submission,
+    limits: Service,
+    queue: FairQueue,
+    share: Share,
+) -> Refusal | None:
+    """Bounds the queue; who is within his part of it is not refused."""
+    tasks = len(submission.tasks)
+    bound = limits.max_queued_tasks
+    if len(queue) + tasks <= bound:
+        return None
+    excess = share.waiting + tasks - bound * share.part
+    if not share.waiting or excess <= 0:
+        return None
+    wait_s = _drain_s(board, submission.service, excess, share)
+    return _overloaded("too many of your tasks wait here", wait_s)
+
+
+def _check_deadline(
+    board: EntryBoard, submission: Submission, queue: FairQueue, share: Share
+) -> Refusal | None:
+    times = board.run_times.get(submission.service)
+    slots = _slots(board, submission.service)
+    if times is None or times.count < MIN_LEARNED or slots <= 0:
+        return None
+    tasks = len(submission.tasks)
+    # The others' tasks take their turns with those of the organisation.
+    turns = (share.waiting + tasks) / share.part - tasks
+    ahead = min(len(queue), round(turns))
+    backlog = runtimes.Backlog(ahead, slots)
+    deadline_s = submission.deadline_s
+    if runtimes.may_meet_deadline(tasks, deadline_s, backlog, times):
+        return None
+    wait_s = runtimes.expected_wait_s(ahead + tasks, slots, times.mean_s)
+    run_s = times.quantile_s(runtimes.DEADLINE_QUANTILE)
+    late_s = wait_s + run_s - deadline_s
+    drained_s = runtimes.expected_wait_s(ahead, slots, times.mean_s)
+    return _overloaded(
+        "it would not end before its deadline", min(late_s, drained_s)
+    )
+
+
+def _slots(board: EntryBoard, service: str) -> int:
+    """Returns the slots that this entry may count on for a service."""
+    known = board.capacities.get(service)
+    if known is None or board.now_s - known.counted_s >= COUNT_AGAIN_S:
+        slots = sum(a.heartbeat.slots for a in pool.eligible(board, service))
+        known = Capacity(slots, board.now_s)
+        board.capacities[service] = known
+    if not known.slots:
+        return 0
+    return max(1, round(known.slots * board.slot_share))
+
+
+def _drain_s(
+    board: EntryBoard, service: str, tasks: float, share: Share
+) -> float:
+    """Returns in what time so many of an organisation's tasks will leave."""
+    times = board.run_times.get(service) or runtimes.RunTimes()
+    slots = _slots(board, service)
+    return runtimes.expected_wait_s(
+        round(tasks / share.part), slots, times.mean_s
+    )
+
+
+def _overloaded(cause: str, wait_s: float) -> Refusal:
+    return Refusal(
+        "overloaded",
+        f"this entry did not take the job: {cause}",
+        "submit again with the same key after the stated time",
+        retry_after_s=min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s)),
+    )
--- a/egretthread/controllers/agent_tasks.py
+++ b/egretthread/controllers/agent_tasks.py
@@ -79,6 +79,7 @@
             task.attempt,
             task.payload,
             task.timeout_s,
+            board.now_s,
         )
     )
     return None
@@ -162,7 +163,8 @@
     all of them, and a message per job costs less than one per task.
     """
     entry = board.ledger.jobs[order.job]
-    ledger.finish(entry, order.index, outcome)
+    run_s = max(0.0, board.now_s - order.accepted_s)
+    ledger.finish(entry, order.index, outcome, run_s)
     board.running -= 1
     board.recent.append(outcome.kind is not OutcomeKind.DONE)
     board.counters[f"tasks_{outcome.kind}"] += 1
--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -145,10 +145,13 @@
     return message.AskReply(job, board.node, status)
 
 
+_NOT_COORDINATING = (Phase.CLAIMING, Phase.LOOKING, Phase.ASKING)
+
+
 def on_ask(board: EntryBoard, node: str, ask: message.Ask) -> None:
     """Tells another entry the answer, now or once it is there."""
     state = board.jobs.get(ask.job)
-    if state is None or state.phase in (Phase.CLAIMING, Phase.ASKING):
+    if state is None or state.phase in _NOT_COORDINATING:
         board.send(ask.entry, _ask_reply(board, ask.job, None))
     elif state.answer is not None:
         board.send(ask.entry, _ask_reply(board, ask.job, state.answer))
--- a/egretthread/controllers/claims.py
+++ b/egretthread/controllers/claims.py
@@ -3,12 +3,14 @@
 from egretthread import message
 from egretthread.blackboard import EntryBoard, JobState, Phase, Refusal
 from egretthread.controllers import (
+    admission,
     answers,
     dispatch,
     entry_members,
     lookups,
     recovery,
     rounds,
+    submissions,
 )
 from egretthread.controllers.rounds import Tally
 from egretthread.message import Ballot, Registration
@@ -31,12 +33,38 @@
         answers.refuse(board, state, _unavailable("no witness table yet"))
 
 
+def begin_look(board: EntryBoard, state: JobState) -> None:
+    """Asks the witnesses about a job that this entry would not start now.
+
+    It may be under way or over elsewhere, and then its caller is joined to
+    it, however much waits here.
+    """
+    state.phase = Phase.LOOKING
+    state.round = rounds.begin(board, state.job, message.Look)
+    if state.round is None:
+        answers.refuse(board, state, _unavailable("no witness table yet"))
+
+
+def _looked(board: EntryBoard, state: JobState, tally: Tally) -> None:
+    current, state.round = state.round, None
+    if tally is not Tally.GRANTED:
+        answers.refuse(board, state, _no_majority(board, state, tally))
+        return
+    if rounds.registrations(current):
+        _find_coordinator(board, state, current)
+        return
+    refusal = admission.refuse_again(board, state)
+    if refusal is None:
+        submissions.claim(board, state)
+    else:
+        answers.refuse(board, state, refusal)
+
+
 def on_witness_reply(
     board: EntryBoard, node: str, reply: message.WitnessReply
 ) -> None:
     """Counts a witness's vote and takes the step it decides."""
-    if lookups.takes(board, reply):
-        return
+    lookups.take(board, reply)
     state = board.jobs.get(reply.job)
     if state is None:
         return
@@ -183,6 +211,7 @@
 
 
 STEPS = {
+    Phase.LOOKING: _looked,
     Phase.CLAIMING: _claimed,
     Phase.PREPARING: _prepared,
     Phase.ACCEPTING: _accepted,
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -46,10 +46,11 @@
         return
     name = state.job.organisation
     queue = queue_for(board, state.submission.service)
-    queue.push(name, _weight(board, name), state.job, indices, board.now_s)
+    queue.push(name, weight(board, name), state.job, indices, board.now_s)
 
 
-def _weight(board: EntryBoard, name: str) -> float:
+def weight(board: EntryBoard, name: str) -> float:
+    """Returns an organisation's weight under contention."""
     organisation = board.configuration.organisation(name)
     return organisation.weight if organisation else 1.0
 
@@ -142,8 +143,8 @@
     left = list(rest)
     if left:
         name = state.job.organisation
-        weight = _weight(board, name)
-        queue.pushback(name, weight, state.job, left, state.created_s)
+        share = weight(board, name)
+        queue.pushback(name, share, state.job, left, state.created_s)
 
 
 def _hand_out(
--- a/egretthread/controllers/lookups.py
+++ b/egretthread/controllers/lookups.py
@@ -61,13 +61,11 @@
     board.looked_up.append((job, result))
 
 
-def takes(board: EntryBoard, reply: message.WitnessReply) -> bool:
-    """Counts a witness's reply to a search; whether it was one."""
+def take(board: EntryBoard, reply: message.WitnessReply) -> None:
+    """Counts a witness's reply to a search, if it is one."""
     search = board.look_ups.get(reply.job)
-    if search is None or not rounds.takes(search.round, reply):
-        return False
-    _advance(board, reply.job, search)
-    return True
+    if search is not None and rounds.takes(search.round, reply):
+        _advance(board, reply.job, search)
 
 
 def _advance(board: EntryBoard, job: JobRef, search: LookUp) -> None:
--- a/egretthread/controllers/reports.py
+++ b/egretthread/controllers/reports.py
@@ -2,7 +2,13 @@
 
 from egretthread import message, outcome
 from egretthread.blackboard import AgentState, EntryBoard, JobState, Phase
-from egretthread.controllers import answers, claims, dispatch, pool
+from egretthread.controllers import (
+    admission,
+    answers,
+    claims,
+    dispatch,
+    pool,
+)
 from egretthread.message import Refusal, TaskReport, TaskState
 
 # A task refused this often is given up as not run.
@@ -62,6 +68,9 @@
         return
     state.outcomes[item.index] = item.outcome
     state.hand_outs.pop(item.index, None)
+    if item.outcome.kind is outcome.OutcomeKind.DONE:
+        # What failed says nothing of how long tasks take.
+        admission.learn(board, state.submission.service, item.run_s)
     pool.probation(board, state.submission.service).finished(
         report.agent,
         item.outcome.kind is outcome.OutcomeKind.DONE,
--- a/egretthread/controllers/submissions.py
+++ b/egretthread/controllers/submissions.py
@@ -7,8 +7,13 @@
     Refusal,
     Submission,
 )
-from egretthread.config import Service
-from egretthread.controllers import answers, claims, entry_members, pool
+from egretthread.controllers import (
+    admission,
+    answers,
+    claims,
+    entry_members,
+    pool,
+)
 from egretthread.message import Ballot, Registration
 
 
@@ -33,6 +38,19 @@
     return None
 
 
+def _check_load(board: EntryBoard, submission: Submission):
+    if _may_be_under_way(board, submission):
+        return None
+    return admission.check(board, submission)
+
+
+def _may_be_under_way(board: EntryBoard, submission: Submission) -> bool:
+    """Whether the job may be known elsewhere, so that none of it waits here."""
+    if board.generations.get(submission.job):
+        return True
+    return not admission.is_fresh(board, submission)
+
+
 def _join(known: JobState, submission: Submission) -> Refusal | None:
     if known.submission.digest != submission.digest:
         return answers.CONFLICT
@@ -106,6 +124,7 @@
     _check_outage,
     _check_service,
     _check_key,
+    _check_load,
     _check_quota,
 )
 
@@ -130,17 +149,31 @@
     )
     board.jobs[submission.job] = state
     board.open_jobs[submission.job] = state
-    service = board.configuration.service(submission.service)
-    state.cancel_reason = _impossible(board, submission, service)
     if board.generations.get(submission.job):
         # This entry bid for the job before; a first ballot would be stale.
+        state.cancel_reason = _impossible(board, submission)
         claims.begin_prepare(board, state)
-        return
+    elif _needs_look(board, submission):
+        claims.begin_look(board, state)
+    else:
+        claim(board, state)
+
+
+def _needs_look(board: EntryBoard, submission: Submission) -> bool:
+    if admission.is_fresh(board, submission):
+        return False
+    return admission.check(board, submission) is not None
+
+
+def claim(board: EntryBoard, state: JobState) -> None:
+    """Registers a job of which nothing is known."""
+    submission = state.submission
+    state.cancel_reason = state.cancel_reason or _impossible(board, submission)
     closed = bool(state.cancel_reason)
     indices = range(len(submission.tasks)) if closed else ()
     registration = Registration(
         submission.digest,
-        ballot,
+        state.ballot,
         () if closed else pool.widen(board, submission.service, ()),
         closed,
         tuple(indices),
@@ -148,10 +181,9 @@
     claims.begin_claim(board, state, registration)
 
 
-def _impossible(
-    board: EntryBoard, submission: Submission, service: Service
-) -> str:
+def _impossible(board: EntryBoard, submission: Submission) -> str:
     """Returns why no worker can ever run the job, or nothing."""
+    service = board.configuration.service(submission.service)
     largest = max(task.memory_bytes for task in submission.tasks)
     if largest > service.max_memory_bytes:
         return (
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -31,6 +31,7 @@
 
 TICKERS = {
     Phase.CLAIMING: claims.on_tick,
+    Phase.LOOKING: claims.on_tick,
     Phase.ASKING: claims.on_tick,
     Phase.PREPARING: claims.on_tick,
     Phase.SEALING: recovery.on_tick,
@@ -183,6 +184,7 @@
     own = dict(board.quotas.demand(board.now_s))
     others = [dict(peer.state.demand) for peer in board.peers.values()]
     board.quotas.set_shares(own, others)
+    board.slot_share = board.quotas.slot_share(own, others)
 
 
 def _stop_waiting_organisations(board: EntryBoard) -> None:
--- a/egretthread/ledger.py
+++ b/egretthread/ledger.py
@@ -103,11 +103,11 @@
     entry.running += 1
 
 
-def finish(entry: JobEntry, index: int, outcome: Outcome) -> None:
+def finish(entry: JobEntry, index: int, outcome: Outcome, run_s: float) -> None:
     """Records the outcome of a started task."""
     attempt = entry.tasks[index].attempt
     entry.tasks[index] = TaskReport(
-        index, attempt, TaskState.FINISHED, outcome=outcome
+        index, attempt, TaskState.FINISHED, outcome=outcome, run_s=run_s
     )
     entry.running -= 1
     entry.unreported.add(index)
--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -208,6 +208,7 @@
         state: Whether it started, finished or was refused.
         outcome: The outcome, once finished.
         refusal: The cause, when refused.
+        run_s: How long it held its slot, once finished.
     """
 
     index: int
@@ -215,6 +216,7 @@
     state: TaskState
     outcome: Outcome | None = None
     refusal: Refusal = Refusal.NONE
+    run_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/quota.py
+++ b/egretthread/quota.py
@@ -141,6 +141,12 @@
         bucket.running += starts
         return Admission(True)
 
+    def refund(self, organisation: str, starts: int) -> None:
+        """Gives back the starts of a job that was refused after all."""
+        bucket = self.buckets.get(organisation)
+        if bucket is not None:
+            bucket.tokens += starts
+
     def finish(self, organisation: str, tasks: int) -> None:
         """Records that admitted tasks are over, run or not."""
         bucket = self.buckets.get(organisation)
@@ -157,6 +163,21 @@
             if bucket.demand_per_s >= MIN_RATE_PER_S
         )
 
+    def slot_share(
+        self,
+        own_demand: Mapping[str, float],
+        peer_demands: Iterable[Mapping[str, float]],
+    ) -> float:
+        """Returns this entry's part of the slots, as of its part of demand.
+
+        Args:
+            own_demand: Starts wanted per second here, by organisation.
+            peer_demands: The same of each other entry, one mapping each.
+        """
+        own = sum(own_demand.values())
+        peers = [sum(peer.values()) for peer in peer_demands]
+        return entry_share(own, own + sum(peers), 1 + len(peers))
+
     def set_shares(
         self,
         own_demand: Mapping[str, float],
--- a/egretthread/runtimes.py
+++ b/egretthread/runtimes.py
@@ -49,6 +49,7 @@
 
     def add(self, run_s: float) -> None:
         """Learns the run time of one task."""
+        run_s = min(run_s, MAX_RUN_S)
         self.count += 1
         gain = max(MEAN_GAIN, 1.0 / self.count)
         self.mean_s += gain * (run_s - self.mean_s)
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -115,7 +115,8 @@
 
 # Report.numbers holds index, attempt and code of each task report; a code is
 # state + 16 * outcome kind + 256 * refusal. An outcome's kind counts from 1;
-# 0 stands for none. Report.texts holds result and reason of each outcome.
+# 0 stands for none. Report.texts holds result and reason of each outcome,
+# Report.runs the run time of each task report.
 
 struct Report {
   organisation @0 :Text;
@@ -128,6 +129,7 @@
   # Unused in a SealReply.
   free @7 :Int64;
   received @8 :Int64;
+  runs @9 :List(Float64);
 }
 
 struct Want {
--- a/egretthread/wire.py
+++ b/egretthread/wire.py
@@ -331,18 +331,21 @@
         numbers += (task.index, task.attempt, code)
     builder.numbers = numbers
     builder.texts = texts
+    builder.runs = [task.run_s for task in tasks]
 
 
 def _read_task_reports(reader) -> tuple[TaskReport, ...]:
     numbers = list(reader.numbers)
     texts = list(reader.texts)
     results = zip(texts[0::2], texts[1::2], strict=True)
-    columns = zip(numbers[0::3], numbers[1::3], numbers[2::3], strict=True)
+    columns = zip(
+        numbers[0::3], numbers[1::3], numbers[2::3], reader.runs, strict=True
+    )
     tasks = []
-    for index, attempt, code in columns:
+    for index, attempt, code, run_s in columns:
         state, kind, refusal = REPORT_PARTS[code]
         outcome = Outcome(kind, *next(results)) if kind else None
-        tasks.append(TaskReport(index, attempt, state, outcome, refusal))
+        tasks.append(TaskReport(index, attempt, state, outcome, refusal, run_s))
     return tuple(tasks)
 
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,103 @@
+"""Tests of early refusal under load, over the engines and a fake world."""
+
+import dataclasses
+
+import testtools
+
+from egretthread.blackboard import Refusal
+from tests import world
+
+SETTLE_S = 5.0
+
+
+def settled(seed, entries=2, **limits):
+    """Returns a world whose service has some limits, ready to work."""
+    base = world.CONFIGURATION
+    services = tuple(
+        dataclasses.replace(item, **limits) for item in base.services
+    )
+    changed = dataclasses.replace(base, services=services)
+    region = world.World(
+        seed, entries=entries, configuration=changed, faults=False
+    )
+    region.run(SETTLE_S)
+    return region
+
+
+def fill(region, entry, jobs, organisation="dublin"):
+    """Submits jobs of 20 tasks through an entry and returns the requests."""
+    made = [
+        region.new_submission(f"fill-{entry}-{n}", 20, organisation, 30.0)
+        for n in range(jobs)
+    ]
+    return [region.submit(entry, job) for job in made]
+
+
+class DeadlineTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.region = settled(1)
+        fill(self.region, "e1", 10)
+        board = self.region.processes["e1"].board
+        times = board.run_times
+        learned = self.region.run_until(
+            lambda: times and times[world.SERVICE].count >= 40, 20.0
+        )
+        self.assertTrue(learned)
+
+    def submit(self, name, deadline_s, entry="e1"):
+        job = self.region.new_submission(name, 12, deadline_s=deadline_s)
+        return self.region.submit(entry, job)
+
+    def test_hopeless_job_is_refused_at_once_and_patient_one_is_taken(self):
+        hopeless = self.submit("hopeless", 0.7)
+        patient = self.submit("patient", 29.0)
+        self.assertEqual("overloaded", hopeless.result.kind)
+        self.assertFalse(hopeless.result.started)
+        self.assertTrue(0.1 <= hopeless.result.retry_after_s <= 10.0)
+        self.region.run_until(lambda: patient.result, 30.0)
+        self.assertTrue(patient.result.complete)
+
+    def test_entry_without_a_queue_takes_any_job(self):
+        request = self.submit("elsewhere", 0.7, "e2")
+        self.region.run_until(lambda: request.result, 2.0)
+        self.assertNotIsInstance(request.result, Refusal)
+
+    def test_resubmission_of_a_job_elsewhere_is_joined_in_overload(self):
+        job = self.region.new_submission("twice", 12)
+        first = self.region.submit("e2", job)
+        self.region.run(1.0)
+        again = dataclasses.replace(job, deadline_s=0.7)
+        second = self.region.submit("e1", again)
+        self.assertIsNone(second.result)
+        unknown = self.region.new_submission("late", 12, deadline_s=0.7)
+        self.region.run(0.6)
+        late = self.region.submit("e1", unknown)
+        self.region.run_until(
+            lambda: first.result and second.result and late.result, 20.0
+        )
+        self.assertEqual("overloaded", late.result.kind)
+        # It waits with the first and is told at its own deadline at last.
+        kind = getattr(second.result, "kind", "")
+        self.assertIn(kind, ("", "deadline_exceeded"))
+
+
+class BoundTest(testtools.TestCase):
+    def test_queue_is_bounded_and_others_still_get_in(self):
+        region = settled(2, max_queued_tasks=100)
+        flood = []
+        for n in range(20):
+            job = region.new_submission(f"flood-{n}", 20, deadline_s=30.0)
+            flood.append(region.submit("e1", job))
+            # A job counts once its key is registered.
+            region.run(0.02)
+        board = region.processes["e1"].board
+        self.assertTrue(len(board.queues[world.SERVICE]) <= 100)
+        refused = [r.result for r in flood if r.result]
+        self.assertEqual(
+            {"overloaded"}, {r.kind for r in refused if isinstance(r, Refusal)}
+        )
+        self.assertTrue(len(refused) >= 10)
+        (other,) = fill(region, "e1", 1, "varna")
+        region.run(0.05)
+        self.assertIsNone(other.result)
