Take single requests without a caller's key

Callers with one task had to invent a job key. POST /v1/requests takes one task under keys of the entry's own, through the same machinery.

--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -12,6 +12,7 @@
     members,
     message,
     quota,
+    retry,
     runtimes,
 )
 from egretthread.jobkey import JobRef
@@ -57,6 +58,25 @@
     deadline_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class SingleRequest:
+    """One task as a caller asks for it, without a job key.
+
+    Attributes:
+        organisation: Whose request it is.
+        service: Name of the service.
+        task: The task.
+        deadline_s: Time allowed from now on.
+        idempotent: Whether running it again does no harm.
+    """
+
+    organisation: str
+    service: str
+    task: TaskSpec
+    deadline_s: float
+    idempotent: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class Refusal:
     """Why a submission gets no answer from this entry now.
@@ -205,6 +225,27 @@
         return self.submission.job
 
 
+@dataclasses.dataclass
+class RequestState:
+    """A single request at an entry.
+
+    Attributes:
+        request: The request as its caller sent it.
+        job: The job of the first attempt, which names the request.
+        deadline_s: Monotonic time of its deadline.
+        attempts: Attempts so far.
+        result: How the last attempt ended.
+        wake_s: Monotonic time of the next attempt.
+    """
+
+    request: SingleRequest
+    job: JobRef
+    deadline_s: float
+    attempts: int = 0
+    result: Outcome | Refusal | None = None
+    wake_s: float = 0.0
+
+
 @dataclasses.dataclass
 class AgentState:
     """What an entry knows of one agent incarnation.
@@ -297,6 +338,10 @@
         slot_share: This entry's part of the slots, by demand.
         askers: Node ids of entries to be told the answer, by job.
         look_ups: Searches for jobs that this entry does not know.
+        requests: Single requests under way, by the job of their attempt.
+        waiting_requests: Single requests that wait for their next attempt.
+        retry_budget: Bounds the further attempts of all requests together.
+        answered: Results of single requests, by the job that names them.
         outbox: (node id, message) pairs to be sent.
         looked_up: What the searches found, for the callers.
         finished: Jobs with an answer, or refusals, for their callers.
@@ -348,6 +393,18 @@
     slot_share: float = 1.0
     askers: dict[JobRef, set[str]] = dataclasses.field(default_factory=dict)
     outbox: list[tuple[str, Message]] = dataclasses.field(default_factory=list)
+    requests: dict[JobRef, RequestState] = dataclasses.field(
+        default_factory=dict
+    )
+    waiting_requests: list[RequestState] = dataclasses.field(
+        default_factory=list
+    )
+    retry_budget: retry.RetryBudget = dataclasses.field(
+        default_factory=retry.RetryBudget
+    )
+    answered: list[tuple[JobRef, Outcome | Refusal]] = dataclasses.field(
+        default_factory=list
+    )
     look_ups: dict[JobRef, LookUp] = dataclasses.field(default_factory=dict)
     looked_up: list[tuple[JobRef, JobAnswer | Refusal | JobStatus]] = (
         dataclasses.field(default_factory=list)
--- a/egretthread/callerapi.py
+++ b/egretthread/callerapi.py
@@ -1,6 +1,7 @@
 """HTTP interface of an entry towards callers."""
 
 import asyncio
+from collections.abc import Callable
 
 import orjson
 import tornado.web
@@ -77,6 +78,38 @@
             self.refuse(Refusal(error.kind, error.message, error.remedy))
             return None
 
+    def parsed(self, parse: Callable, organisation: Organisation):
+        """Returns the parsed body; answers 400 for one with faults."""
+        try:
+            return parse(
+                self.request.body,
+                organisation.name,
+                self.entry.board.configuration,
+            )
+        except util.OptionError as error:
+            faults = [str(fault) for fault in error.faults]
+            refusal = Refusal("bad_request", error.message, error.remedy)
+            self.refuse(refusal, faults=faults)
+            return None
+
+    async def answer(self, waiter: asyncio.Future, body: Callable) -> None:
+        """Waits for a result and writes it, or why there is none."""
+        self.waiter = waiter
+        try:
+            result = await waiter
+        except asyncio.CancelledError:
+            return
+        if isinstance(result, Refusal):
+            self.refuse(result)
+        else:
+            self.finish(body(result))
+
+    def on_connection_close(self):
+        """Stops waiting; what was submitted goes on."""
+        waiter = getattr(self, "waiter", None)
+        if waiter is not None:
+            waiter.cancel()
+
 
 NOT_SERVING = Refusal(
     "unavailable",
@@ -99,37 +132,22 @@
         organisation = self.organisation()
         if organisation is None:
             return
-        try:
-            submission = jobform.parse(
-                self.request.body,
-                organisation.name,
-                self.entry.board.configuration,
-            )
-        except util.OptionError as error:
-            faults = [str(fault) for fault in error.faults]
-            refusal = Refusal("bad_request", error.message, error.remedy)
-            self.refuse(refusal, faults=faults)
-            return
-        waiter = self.entry.submit(submission)
-        self.waiter = waiter
-        try:
-            result = await waiter
-        except asyncio.CancelledError:
-            return
-        self.answer(result)
+        submission = self.parsed(jobform.parse, organisation)
+        if submission is not None:
+            await self.answer(self.entry.submit(submission), answer_body)
 
-    def answer(self, result: JobAnswer | Refusal) -> None:
-        """Writes the whole answer, or why there is none."""
-        if isinstance(result, Refusal):
-            self.refuse(result)
-        else:
-            self.finish(answer_body(result))
 
-    def on_connection_close(self):
-        """Stops waiting; the job goes on and its answer is kept."""
-        waiter = getattr(self, "waiter", None)
-        if waiter is not None:
-            waiter.cancel()
+class RequestsHandler(CallerHandler):
+    """Takes single requests: POST /v1/requests."""
+
+    async def post(self):
+        """Answers once the request is over."""
+        organisation = self.organisation()
+        if organisation is None:
+            return
+        single = self.parsed(jobform.parse_request, organisation)
+        if single is not None:
+            await self.answer(self.entry.request(single), outcome_body)
 
 
 class JobHandler(CallerHandler):
@@ -172,6 +190,11 @@
     )
 
 
+def outcome_body(item: Outcome) -> bytes:
+    """Returns the JSON text of a single request's outcome."""
+    return orjson.dumps(_task_body(item))
+
+
 def _task_body(item: Outcome) -> dict:
     if item.kind is OutcomeKind.DONE:
         return {"outcome": "done", "result": orjson.Fragment(item.result)}
@@ -184,6 +207,7 @@
     return tornado.web.Application(
         [
             (r"/v1/jobs", JobsHandler, context),
+            (r"/v1/requests", RequestsHandler, context),
             (r"/v1/jobs/([^/]+)", JobHandler, context),
         ],
         log_function=lambda handler: None,
--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -4,10 +4,13 @@
 
 from egretthread import message, outcome
 from egretthread.blackboard import EntryBoard, JobState, Phase, Refusal
-from egretthread.controllers import dispatch, rounds
+from egretthread.controllers import dispatch, requests, rounds
 from egretthread.jobkey import JobRef
 from egretthread.outcome import JobAnswer, OutcomeKind
 
+# Two clocks differ by twice the bound on the error of each.
+CLOCK_ERRORS = 2
+
 CONFLICT = Refusal(
     "key_conflict",
     "this job key was used before with other tasks",
@@ -17,13 +20,15 @@
 
 def outside_retention(board: EntryBoard, job: JobRef) -> Refusal:
     """Returns the refusal of a key that is too old or too new."""
-    if job.issued_s > board.unix_s:
-        wait_s = job.issued_s - board.unix_s
+    # A witness's clock may be behind this entry's by both their errors.
+    errors_s = CLOCK_ERRORS * board.configuration.clock_error_s
+    ahead_s = job.issued_s - board.unix_s + errors_s
+    if ahead_s > 0.0:
         return Refusal(
             "key_in_future",
             "the job key's time lies in the future",
             "correct the clock, or submit again a little later",
-            retry_after_s=wait_s,
+            retry_after_s=ahead_s,
         )
     return Refusal(
         "key_expired",
@@ -42,7 +47,7 @@
     del board.jobs[state.job]
     _free_quota(board, state)
     board.counters[f"refused_{refusal.kind}"] += 1
-    board.finished.append((state.job, refusal))
+    _deliver(board, state.job, refusal)
     _tell_askers(board, state.job, None)
 
 
@@ -119,10 +124,17 @@
     kind = "complete" if state.answer.complete else "failed"
     board.counters[f"jobs_{kind}"] += 1
     board.samples.append(("job_seconds", board.now_s - state.created_s))
-    board.finished.append((state.job, state.answer))
+    _deliver(board, state.job, state.answer)
     _tell_askers(board, state.job, state.answer)
 
 
+def _deliver(
+    board: EntryBoard, job: JobRef, result: JobAnswer | Refusal
+) -> None:
+    if not requests.on_result(board, job, result):
+        board.finished.append((job, result))
+
+
 def _free_quota(board: EntryBoard, state: JobState) -> None:
     tasks = len(state.submission.tasks)
     board.quotas.finish(state.job.organisation, tasks)
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -3,7 +3,13 @@
 import random
 
 from egretthread import config, members, message, settings
-from egretthread.blackboard import EntryBoard, Phase, Refusal, Submission
+from egretthread.blackboard import (
+    EntryBoard,
+    Phase,
+    Refusal,
+    SingleRequest,
+    Submission,
+)
 from egretthread.controllers import (
     answers,
     claims,
@@ -13,6 +19,7 @@
     pool,
     recovery,
     reports,
+    requests,
     submissions,
 )
 from egretthread.jobkey import JobRef
@@ -143,6 +150,11 @@
     return submissions.submit(board, submission)
 
 
+def request(board: EntryBoard, single: SingleRequest) -> JobRef | Refusal:
+    """Takes a single request; the result comes in `board.answered`."""
+    return requests.submit(board, single)
+
+
 def cancel(board: EntryBoard, job: JobRef) -> bool:
     """Starts no more tasks of a job; returns whether it is known here."""
     return answers.cancel(board, job, "cancelled by its caller")
@@ -163,6 +175,7 @@
             answers.expire(board, state)
         if state.answer is None and board.jobs.get(job) is state:
             TICKERS[state.phase](board, state)
+    requests.on_tick(board)
     lookups.on_tick(board)
     for service in list(board.queues):
         dispatch.run(board, service)
@@ -216,8 +229,8 @@
 
 
 def is_idle(board: EntryBoard) -> bool:
-    """Whether every job under way has its answer."""
-    return all(
+    """Whether every job and request under way has its answer."""
+    return not board.waiting_requests and all(
         state.answer is not None or board.jobs.get(job) is not state
         for job, state in board.open_jobs.items()
     )
--- a/egretthread/entryserver.py
+++ b/egretthread/entryserver.py
@@ -15,7 +15,12 @@
     logfeed,
     message,
 )
-from egretthread.blackboard import EntryBoard, Submission
+from egretthread.blackboard import (
+    EntryBoard,
+    Refusal,
+    SingleRequest,
+    Submission,
+)
 from egretthread.jobkey import JobRef
 from egretthread.settings import EntrySettings, join_address, split_address
 
@@ -38,6 +43,7 @@
         clients: Links to other entries by address.
         routes: Open links by node id, the newest last.
         waiters: Callers who wait for a job's answer.
+        requesters: Callers who wait for a single request's result.
         searchers: Callers who wait for what is known of a job.
     """
 
@@ -68,6 +74,7 @@
         self.clients: dict[str, link.LinkClient] = {}
         self.routes: dict[str, list[link.Peer]] = {}
         self.waiters: dict[JobRef, list[asyncio.Future]] = {}
+        self.requesters: dict[JobRef, list[asyncio.Future]] = {}
         self.searchers: dict[JobRef, list[asyncio.Future]] = {}
         self.tasks: set[asyncio.Task] = set()
 
@@ -105,7 +112,8 @@
         await self.admin.close()
 
     def _is_idle(self) -> bool:
-        return entry.is_idle(self.board) and not self.waiters
+        waiting = self.waiters or self.requesters
+        return entry.is_idle(self.board) and not waiting
 
     def submit(self, submission: Submission) -> asyncio.Future:
         """Takes a job; the future gives its answer or a refusal."""
@@ -122,6 +130,18 @@
         self._pump()
         return waiter
 
+    def request(self, single: SingleRequest) -> asyncio.Future:
+        """Takes a single request; the future gives outcome or refusal."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._turn()
+        taken = entry.request(self.board, single)
+        if isinstance(taken, Refusal):
+            waiter.set_result(taken)
+        else:
+            self.requesters[taken] = [waiter]
+        self._pump()
+        return waiter
+
     async def look_up(self, job: JobRef, cancel: bool):
         """Returns what is known of a job: answer, status or refusal."""
         waiter = asyncio.get_running_loop().create_future()
@@ -149,6 +169,8 @@
                 routes[-1].send(item)
         finished, self.board.finished = self.board.finished, []
         _resolve(self.waiters, finished)
+        answered, self.board.answered = self.board.answered, []
+        _resolve(self.requesters, answered)
         looked_up, self.board.looked_up = self.board.looked_up, []
         _resolve(self.searchers, looked_up)
 
--- a/egretthread/jobform.py
+++ b/egretthread/jobform.py
@@ -5,10 +5,11 @@
 import orjson
 
 from egretthread import config, jobkey, util
-from egretthread.blackboard import Submission, TaskSpec
+from egretthread.blackboard import SingleRequest, Submission, TaskSpec
 
 JOB_KEYS = ("key", "service", "deadline_s", "tasks")
 TASK_KEYS = ("payload", "memory_bytes", "run_s")
+REQUEST_KEYS = ("service", "deadline_s", "idempotent", *TASK_KEYS)
 DIGEST_BYTES = 16
 DEFAULT_DEADLINE_S = 30.0
 MIN_DEADLINE_S = 0.01
@@ -32,14 +33,7 @@
     checker.unknown_keys(document, "", JOB_KEYS)
     key = _key(checker, document)
     name = checker.text(document, "service", "service")
-    deadline_s = checker.number(
-        document,
-        "deadline_s",
-        "deadline_s",
-        DEFAULT_DEADLINE_S,
-        MIN_DEADLINE_S,
-        configuration.max_deadline_s,
-    )
+    deadline_s = _deadline_s(checker, document, configuration)
     limits = configuration.service(name) or config.Service(name)
     tasks = _tasks(checker, document, limits)
     checker.finish("the request body")
@@ -52,6 +46,56 @@
     )
 
 
+def parse_request(
+    body: bytes, organisation: str, configuration: config.Configuration
+) -> SingleRequest:
+    """Returns the single request that a request body holds.
+
+    Args:
+        body: JSON as a caller sent it.
+        organisation: Name of the organisation that sent it.
+        configuration: The limits in force.
+
+    Raises:
+        util.OptionError: The body holds faults; all of them are listed.
+    """
+    checker = util.OptionChecker()
+    document = _load(checker, body)
+    checker.unknown_keys(document, "", REQUEST_KEYS)
+    name = checker.text(document, "service", "service")
+    deadline_s = _deadline_s(checker, document, configuration)
+    limits = configuration.service(name) or config.Service(name)
+    task = _task_of_request(checker, document, limits)
+    idempotent = checker.boolean(document, "idempotent", "idempotent", False)
+    checker.finish("the request body")
+    return SingleRequest(organisation, name, task, deadline_s, idempotent)
+
+
+def _task_of_request(
+    checker: util.OptionChecker, document: dict, limits: config.Service
+) -> TaskSpec:
+    fields = {key: document[key] for key in TASK_KEYS if key in document}
+    if "payload" in fields:
+        return _task(checker, fields, "", limits)
+    checker.fault("payload", None, "give a payload")
+    return TaskSpec("")
+
+
+def _deadline_s(
+    checker: util.OptionChecker,
+    document: dict,
+    configuration: config.Configuration,
+) -> float:
+    return checker.number(
+        document,
+        "deadline_s",
+        "deadline_s",
+        DEFAULT_DEADLINE_S,
+        MIN_DEADLINE_S,
+        configuration.max_deadline_s,
+    )
+
+
 def digest(service: str, tasks: tuple[TaskSpec, ...]) -> str:
     """Returns the digest by which two submissions are told apart."""
     content = hashlib.blake2b(digest_size=DIGEST_BYTES)
@@ -109,15 +153,16 @@
         checker.fault(path, item, "give an object with a payload")
         return TaskSpec("")
     checker.unknown_keys(item, path, TASK_KEYS)
+    prefix = f"{path}." if path else ""
     payload = orjson.dumps(item["payload"])
     if len(payload) > limits.max_payload_bytes:
         checker.fault(
-            f"{path}.payload",
+            f"{prefix}payload",
             f"{len(payload)} bytes",
             f"give at most {limits.max_payload_bytes} bytes",
         )
     memory_bytes = checker.integer(
-        item, "memory_bytes", f"{path}.memory_bytes", 0
+        item, "memory_bytes", f"{prefix}memory_bytes", 0
     )
-    run_s = checker.number(item, "run_s", f"{path}.run_s", 0)
+    run_s = checker.number(item, "run_s", f"{prefix}run_s", 0)
     return TaskSpec(payload.decode(), memory_bytes, float(run_s))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,10 +4,11 @@
 
 import testtools
 
+from egretthread import witness
 from egretthread.blackboard import Refusal
 from tests import world
 
-SETTLE_S = 5.0
+SETTLE_S = 5.0 + witness.SETTLE_S
 
 
 def settled(seed, entries=2, **limits):
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,7 +23,13 @@
     outcome,
     settings,
 )
-from egretthread.blackboard import StartOrder, Submission, TaskSpec
+from egretthread.blackboard import (
+    Refusal,
+    SingleRequest,
+    StartOrder,
+    Submission,
+    TaskSpec,
+)
 from egretthread.controllers import agent_tasks
 from tests import oracle
 
@@ -155,6 +161,8 @@
         members: Records of the members stream.
         origins: Who handed out each task, by agent, job and index.
         faults: Whether tasks and backend servers may fail by chance.
+        attempts: Jobs that a single request became, by its first one.
+        results: Results of single requests, by the first job of each.
         entry_names: Names of all entries.
         agent_names: Names of all agents.
     """
@@ -184,6 +192,8 @@
         self.configs: list[config.Configuration] = []
         self.members: list[str] = []
         self.origins: dict[tuple, list] = collections.defaultdict(list)
+        self.attempts = collections.defaultdict(list)
+        self.results: dict = {}
         self.configs.append(configuration)
         self.oracle.on_published(self, configuration)
         self.entry_names = tuple(f"e{n + 1}" for n in range(entries))
@@ -304,11 +314,23 @@
             for order in orders:
                 self._plan_start(process, order)
             return
+        self._take_requests(process)
         finished, board.finished = board.finished, []
         for job, result in finished:
             self.oracle.on_result(self, process, job, result)
         board.looked_up.clear()
 
+    def _take_requests(self, process: Process) -> None:
+        """Tells the oracle of the jobs that single requests became."""
+        board = process.board
+        for job, state in board.requests.items():
+            if job not in self.oracle.requests:
+                submission = board.jobs[job].submission
+                self.oracle.on_request(self, process, submission)
+                self.attempts[state.job].append(job)
+        self.results.update(board.answered)
+        board.answered.clear()
+
     def kill(self, name: str) -> None:
         """Ends a process at once."""
         process = self.processes[name]
@@ -729,6 +751,22 @@
         self.call(process, take)
         return request
 
+    def request(
+        self, name: str, idempotent: bool, deadline_s: float = 20.0
+    ) -> jobkey.JobRef | Refusal:
+        """Sends a single request; its result comes in `results`."""
+        single = SingleRequest(
+            "dublin", SERVICE, TaskSpec('"single"'), deadline_s, idempotent
+        )
+        process = self.processes[name]
+        taken = []
+
+        def take() -> None:
+            taken.append(entry.request(process.board, single))
+
+        self.call(process, take)
+        return taken[0]
+
     def cancel(self, name: str, job: jobkey.JobRef) -> None:
         """Cancels a job through an entry."""
         process = self.processes[name]
