--- a/egretthread/callerjob.py
+++ b/egretthread/callerjob.py
@@ -39,6 +39,28 @@
     deadline_s: float = 30.0
 
 
+@dataclasses.dataclass(frozen=True)
+class SingleRequest:
+    """One task without a job key.
+
+    Attributes:
+        service: Name of the service that runs it.
+        payload: Anything JSON can hold; handed to the backend server.
+        deadline_s: Time from the entry's receipt until the answer.
+        idempotent: Whether running it again does no harm. Only then is it
+            repeated where it may have run already.
+        memory_bytes: Declared memory need; 0 for unknown.
+        run_s: Declared run time; 0 for unknown.
+    """
+
+    service: str
+    payload: object
+    deadline_s: float = 30.0
+    idempotent: bool = False
+    memory_bytes: int = 0
+    run_s: float = 0.0
+
+
 class JobState(enum.StrEnum):
     """What an entry says of a job."""
 
@@ -75,6 +97,11 @@
     }
 
 
+def request_body(single: SingleRequest) -> dict:
+    """Returns the JSON body of a single request."""
+    return dataclasses.asdict(single)
+
+
 def parse_outcome(body: dict) -> Outcome:
     """Returns one task's outcome; its result is kept as JSON text."""
     kind = OutcomeKind(body["outcome"])
--- a/egretthread/client.py
+++ b/egretthread/client.py
@@ -15,8 +15,14 @@
 from tornado import httpclient, ioloop
 
 from egretthread import apierror, callerjob, endpoints, jobkey, retry
-from egretthread.callerjob import Job, JobState, JobStatus, Task
-from egretthread.outcome import JobAnswer
+from egretthread.callerjob import (
+    Job,
+    JobState,
+    JobStatus,
+    SingleRequest,
+    Task,
+)
+from egretthread.outcome import JobAnswer, Outcome
 
 __all__ = [
     "AsyncClient",
@@ -26,6 +32,8 @@
     "JobAnswer",
     "JobState",
     "JobStatus",
+    "Outcome",
+    "SingleRequest",
     "Task",
     "new_key",
 ]
@@ -78,14 +86,34 @@
     Attributes:
         method: HTTP method.
         path: Path below the endpoint.
+        key: The job key that the answer must name; empty for none.
         job: The job to submit; None for other requests.
-        key: The job key that the answer must name.
+        single: The single request to send; None for others.
     """
 
     method: str
     path: str
-    key: str
+    key: str = ""
     job: Job | None = None
+    single: SingleRequest | None = None
+
+    @property
+    def starts_tasks(self) -> bool:
+        """Whether an entry may start a task on account of it."""
+        return self.job is not None or self.single is not None
+
+    @property
+    def once(self) -> bool:
+        """Whether it must not be sent again once a task may have started."""
+        return self.single is not None and not self.single.idempotent
+
+    def body(self) -> str | None:
+        """Returns the JSON text to send, if any."""
+        if self.job is not None:
+            return json.dumps(callerjob.job_body(self.job))
+        if self.single is not None:
+            return json.dumps(callerjob.request_body(self.single))
+        return None
 
 
 @dataclasses.dataclass
@@ -138,6 +166,11 @@
     return Request("POST", "/v1/jobs", job.key, job)
 
 
+def single_request(single: SingleRequest) -> Request:
+    """Returns the request for one task without a job key."""
+    return Request("POST", "/v1/requests", single=single)
+
+
 def keep_request(request: Request, error: apierror.ApiError) -> Request:
     """Returns the request unchanged, whatever the error was."""
     del error
@@ -219,6 +252,19 @@
         status = await self.call(submit_request(job), wait_s, amend)
         return status.answer
 
+    async def request(self, single: SingleRequest) -> Outcome:
+        """Sends a single request and waits for its outcome.
+
+        What is not idempotent is sent again only as long as nothing may
+        have started.
+
+        Raises:
+            apierror.ApiError: As `submit`. When `may_have_started` is set,
+                nobody can tell any more whether the task ran.
+        """
+        wait_s = single.deadline_s + self.settings.answer_grace_s
+        return await self.call(single_request(single), wait_s, keep_request)
+
     async def status(self, key: str) -> JobStatus:
         """Returns the state of a job.
 
@@ -242,18 +288,20 @@
         request: Request,
         wait_s: float,
         amend: Callable[[Request, apierror.ApiError], Request],
-    ) -> JobStatus:
+    ) -> JobStatus | Outcome:
         """Makes attempts until one is answered or retrying has to stop."""
         call = Call(time.monotonic() + wait_s)
         while True:
             try:
-                status = await self.attempt(request, call)
+                result = await self.attempt(request, call)
             except apierror.ApiError as error:
+                if request.once and error.may_have_started:
+                    raise
                 await self.pause(call, error)
                 request = amend(request, error)
             else:
                 self.budget.succeed()
-                return status
+                return result
 
     async def pause(self, call: Call, error: apierror.ApiError) -> None:
         """Waits before the next attempt; raises the error if there is none."""
@@ -281,7 +329,9 @@
             raise error
         await asyncio.sleep(delay_s)
 
-    async def attempt(self, request: Request, call: Call) -> JobStatus:
+    async def attempt(
+        self, request: Request, call: Call
+    ) -> JobStatus | Outcome:
         """Sends the request to one entry and returns its checked answer."""
         url = self.endpoints.next(time.monotonic())
         try:
@@ -291,7 +341,7 @@
             raise connection_lost(url, error, may_have_started=False) from None
         except (OSError, httpclient.HTTPError) as error:
             self.avoid(url)
-            raise connection_lost(url, error, request.job is not None) from None
+            raise connection_lost(url, error, request.starts_tasks) from None
         return read_response(url, request, response)
 
     def avoid(self, url: str) -> None:
@@ -303,22 +353,20 @@
         self, url: str, request: Request, call: Call
     ) -> httpclient.HTTPResponse:
         """Sends the request to one entry and returns its response."""
-        body = (
-            json.dumps(callerjob.job_body(request.job)) if request.job else None
-        )
         left_s = max(0.001, call.give_up_s - time.monotonic())
+        attempt_s = min(left_s, self.settings.attempt_s)
         return await self.http.fetch(
             url + request.path,
             raise_error=False,
             method=request.method,
-            body=body,
+            body=request.body(),
             headers={
                 "Authorization": f"Bearer {self.settings.token}",
                 "Content-Type": "application/json",
             },
             follow_redirects=False,
             connect_timeout=min(left_s, self.settings.connect_s),
-            request_timeout=min(left_s, self.settings.attempt_s),
+            request_timeout=left_s if request.once else attempt_s,
         )
 
 
@@ -335,13 +383,13 @@
 
 def read_response(
     url: str, request: Request, response: httpclient.HTTPResponse
-) -> JobStatus:
-    """Returns the checked job status within a response.
+) -> JobStatus | Outcome:
+    """Returns the checked job status or outcome within a response.
 
     Raises:
         apierror.ApiError: It is an error response or garbled.
     """
-    submits = request.job is not None
+    submits = request.starts_tasks
     try:
         body = json.loads(response.body)
     except ValueError:
@@ -351,6 +399,8 @@
         error.may_have_started &= submits
         raise error
     try:
+        if request.single is not None:
+            return callerjob.parse_outcome(body)
         return check_status(request, callerjob.parse_status(body))
     except (KeyError, TypeError, ValueError) as error:
         raise connection_lost(url, error, submits) from None
@@ -385,6 +435,10 @@
         """Submits a job and waits; see `AsyncClient.submit`."""
         return self.loop.run_sync(lambda: self.client.submit(job, rekey))
 
+    def request(self, single: SingleRequest) -> Outcome:
+        """Sends a single request; see `AsyncClient.request`."""
+        return self.loop.run_sync(lambda: self.client.request(single))
+
     def status(self, key: str) -> JobStatus:
         """Returns the state of a job; see `AsyncClient.status`."""
         return self.loop.run_sync(lambda: self.client.status(key))
--- a/egretthread/commands/__init__.py
+++ b/egretthread/commands/__init__.py
@@ -8,6 +8,7 @@
     "server": "egretthread.commands.server",
     "key": "egretthread.commands.key",
     "job": "egretthread.commands.job",
+    "request": "egretthread.commands.request",
     "state": "egretthread.commands.state",
     "settings": "egretthread.commands.settings",
     "bench": "egretthread_bench.cmdline",
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -134,6 +134,32 @@
         self.assertEqual(2, len(entry.requests))
 
 
+class SingleRequestTest(testtools.TestCase):
+    def request(self, entry, idempotent):
+        single = client.SingleRequest("s", 1, idempotent=idempotent)
+        return asyncio.run(with_client([entry], lambda c: c.request(single)))
+
+    def test_sent_again_only_if_idempotent_or_not_started(self):
+        done = (200, {"outcome": "done", "result": 7})
+        pause = refusal(429, "overloaded", retry_after_s=0.001)
+        for step, idempotent, sent in (
+            (pause, False, 2),
+            (CUT_OFF, True, 2),
+            (CUT_OFF, False, 1),
+            ((503, "a balancer's page"), False, 1),
+        ):
+            entry = FakeEntry(step, done)
+            if sent == 2:
+                outcome = self.request(entry, idempotent)
+                self.assertEqual("7", outcome.result)
+            else:
+                error = self.assertRaises(
+                    apierror.ApiError, self.request, entry, idempotent
+                )
+                self.assertTrue(error.may_have_started)
+            self.assertEqual(sent, len(entry.requests), step)
+
+
 class RekeyTest(testtools.TestCase):
     def test_fresh_key_only_when_allowed_and_unstarted(self):
         shard = refusal(503, "shard_unavailable")
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -246,6 +246,23 @@
         )
 
 
+class RequestTest(CommandTest):
+    def test_outcome_and_exit_code(self):
+        text = json.dumps({"service": "s", "payload": {"n": 1}})
+        done = (200, {"outcome": "done", "result": {"n": 2}})
+        entry = self.start_entry(done, (200, {"outcome": "x", "reason": "y"}))
+        options = ("--endpoint", entry.url, "--token", "dublin.secret")
+        command = ("request", "submit", self.file(text), *options)
+        outcome = self.run_json(*command, "--idempotent")
+        self.assertEqual({"outcome": "done", "result": {"n": 2}}, outcome)
+        ((_, path, body),) = entry.requests
+        self.assertEqual("/v1/requests", path)
+        self.assertTrue(body["idempotent"])
+        # A garbled answer may hide a start, so it is not sent again.
+        self.run_command(*command, code=console.EXIT_UNAVAILABLE)
+        self.assertEqual(2, len(entry.requests))
+
+
 class ProcessTest(CommandTest):
     def test_state_dump(self):
         entry = self.start_entry((200, {"node": "entry-1#5"}))
--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -6,8 +6,8 @@
 
 import testtools
 
-from egretthread import apierror, callerjob, jobkey
-from egretthread.callerjob import Job, Task
+from egretthread import apierror, callerjob, jobform, jobkey
+from egretthread.callerjob import Job, SingleRequest, Task
 
 PATH = pathlib.Path(__file__).parent.parent / "docs" / "openapi.json"
 
@@ -31,6 +31,12 @@
             set(self.schemas["Task"]["properties"]), set(body["tasks"][0])
         )
 
+    def test_single_request_body(self):
+        body = callerjob.request_body(SingleRequest("s", 1))
+        documented = self.schemas["SingleRequest"]["properties"]
+        self.assertEqual(set(documented), set(body))
+        self.assertEqual(set(jobform.REQUEST_KEYS), set(body))
+
     def test_job_key_pattern(self):
         pattern = re.compile(self.schemas["JobKey"]["pattern"])
         good = jobkey.make_key(1.0, "a.b_c-9")
