Let agents rest that refuse what they are handed

A backend server that answered its health check and refused every task drew a storm: the agent offered its slots at once, the entry filled them at once.

--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -260,6 +260,9 @@
         connected: Whether a link to it is open.
         wanted: Slots this entry last asked for.
         wanted_s: Monotonic time of that wish.
+        refusals: Times in a row that it refused what it was handed.
+        refused_s: Monotonic time when the last of them came.
+        rest_until_s: Monotonic time until which it is handed nothing.
     """
 
     node: str
@@ -271,6 +274,9 @@
     connected: bool = True
     wanted: int = 0
     wanted_s: float = 0.0
+    refusals: int = 0
+    refused_s: float = float("-inf")
+    rest_until_s: float = float("-inf")
 
 
 @dataclasses.dataclass
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -156,6 +156,7 @@
             agent.node, state.attempts[index], board.now_s
         )
     agent.free -= len(indices)
+    pool.note_hand_out(board, agent)
     pool.probation(board, agent.heartbeat.service).pushed(
         agent.node, board.now_s
     )
--- a/egretthread/controllers/pool.py
+++ b/egretthread/controllers/pool.py
@@ -7,6 +7,10 @@
 
 # Most agents that one job may be registered with.
 MAX_AGENTS = 64
+# An agent that refuses what it is handed rests for this long at first.
+FIRST_REST_S = 0.05
+# It rests for this long at most.
+MAX_REST_S = 5.0
 # A new or returning agent gets its full share of work after this time.
 RAMP_S = 5.0
 
@@ -70,6 +74,54 @@
     return tuple(sorted([*agents, *fresh[:room]]))
 
 
+def note_refusal(board: EntryBoard, agent: AgentState, sent_s: float) -> None:
+    """Lets an agent rest that cannot start tasks, the longer the more often.
+
+    Args:
+        board: The entry's blackboard.
+        agent: The agent.
+        sent_s: When the refused task was sent; what was sent before the last
+            refusal came says nothing new.
+    """
+    agent.free = 0
+    if sent_s < agent.refused_s:
+        return
+    agent.refusals += 1
+    agent.refused_s = board.now_s
+    _rest(board, agent)
+
+
+def note_hand_out(board: EntryBoard, agent: AgentState) -> None:
+    """Lets an agent that refused before rest until its trial is settled."""
+    if agent.refusals:
+        _rest(board, agent)
+
+
+def note_finished(agent: AgentState) -> None:
+    """Trusts an agent again that has run a task."""
+    agent.refusals = 0
+    agent.rest_until_s = float("-inf")
+
+
+def _rest(board: EntryBoard, agent: AgentState) -> None:
+    doublings = min(agent.refusals - 1, 30)
+    limit_s = min(MAX_REST_S, FIRST_REST_S * 2.0**doublings)
+    rest_s = board.rng.uniform(0.5, 1.0) * limit_s
+    agent.rest_until_s = board.now_s + rest_s
+
+
+def _trust(board: EntryBoard, agent: AgentState) -> float:
+    """Returns the share of its slots that an agent may use, 0 to 1.
+
+    After a refusal it gets one task at a time until one has run.
+    """
+    if not agent.refusals:
+        return 1.0
+    if board.now_s < agent.rest_until_s:
+        return 0.0
+    return 1.0 / max(1, agent.heartbeat.slots)
+
+
 def views(board: EntryBoard, service: str) -> dict[str, placement.AgentView]:
     """Returns what the placement policy sees of each agent, by node id."""
     return {
@@ -89,7 +141,7 @@
         slots=slots,
         free=max(0, agent.free),
         load_share=1.0 - agent.free / max(1, slots),
-        weight=min(ramp, trial),
+        weight=min(ramp, trial, _trust(board, agent)),
     )
 
 
--- a/egretthread/controllers/reports.py
+++ b/egretthread/controllers/reports.py
@@ -8,11 +8,18 @@
     claims,
     dispatch,
     pool,
+    wants,
 )
 from egretthread.message import Refusal, TaskReport, TaskState
 
-# A task refused this often is given up as not run.
-MAX_ATTEMPTS = 50
+# Refusals that tell of the agent, not of the task.
+AGENT_REFUSALS = (
+    Refusal.DRAINING,
+    Refusal.WITHDRAWN,
+    Refusal.NO_LEASE,
+    Refusal.BACKEND_UNREACHABLE,
+    Refusal.WRONG_SERVICE,
+)
 
 
 def on_credit(board: EntryBoard, node: str, credit: message.Credit) -> None:
@@ -68,6 +75,9 @@
         return
     state.outcomes[item.index] = item.outcome
     state.hand_outs.pop(item.index, None)
+    agent = board.agents.get(report.agent)
+    if agent is not None:
+        pool.note_finished(agent)
     if item.outcome.kind is outcome.OutcomeKind.DONE:
         # What failed says nothing of how long tasks take.
         admission.learn(board, state.submission.service, item.run_s)
@@ -96,21 +106,25 @@
         return
     del state.hand_outs[item.index]
     board.counters[f"handed_back_{item.refusal}"] += 1
-    _note_refusal(board, report.agent, item.refusal)
+    if item.refusal in AGENT_REFUSALS:
+        _note_refusal(board, report.agent, held.sent_s)
     if state.phase is not Phase.RUNNING:
         return
-    if state.cancel_reason or held.attempt >= MAX_ATTEMPTS:
-        reason = state.cancel_reason or "every backend server refused it"
+    reason = state.cancel_reason
+    if item.refusal is Refusal.OUTSIDE_RETENTION:
+        reason = reason or "its key is no longer remembered"
+    if reason:
         state.outcomes[item.index] = outcome.not_run(reason)
     else:
         dispatch.enqueue(board, state, [item.index])
 
 
-def _note_refusal(board: EntryBoard, node: str, refusal: Refusal) -> None:
-    """Sends an agent nothing more until it speaks of free slots again."""
+def _note_refusal(board: EntryBoard, node: str, sent_s: float) -> None:
+    """Sends an agent nothing more for a while."""
     agent = board.agents.get(node)
-    if agent is not None and refusal is not Refusal.BUSY:
-        agent.free = 0
+    if agent is not None:
+        pool.note_refusal(board, agent, sent_s)
+        wants.withdraw_from(board, agent)
 
 
 def _take_started(
--- a/egretthread/controllers/wants.py
+++ b/egretthread/controllers/wants.py
@@ -15,6 +15,10 @@
         withdraw(board, service)
         return
     for agent in pool.eligible(board, service):
+        if pool.view(board, agent).weight <= 0.0:
+            # Slots that are not used must not be held for this entry.
+            withdraw_from(board, agent)
+            continue
         fresh = board.now_s - agent.wanted_s < WANT_AGAIN_S
         if not (agent.wanted and fresh):
             count = min(len(queue), agent.heartbeat.slots)
@@ -23,11 +27,18 @@
 
 def withdraw(board: EntryBoard, service: str) -> None:
     """Tells the agents that were asked that nothing waits any more."""
-    queue = dispatch.queue_for(board, service)
     for node in board.wanting.pop(service, ()):
         agent = board.agents.get(node)
-        if agent is not None and agent.wanted:
-            _send(board, agent, service, 0, queue)
+        if agent is not None:
+            withdraw_from(board, agent)
+
+
+def withdraw_from(board: EntryBoard, agent: AgentState) -> None:
+    """Tells one agent, if it was asked, that nothing waits for it."""
+    if agent.wanted:
+        service = agent.heartbeat.service
+        queue = dispatch.queue_for(board, service)
+        _send(board, agent, service, 0, queue)
 
 
 def _send(
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,71 @@
+"""Tests that refused hand-outs and cancellations cost few messages."""
+
+import collections
+
+import testtools
+
+from egretthread import witness
+from egretthread.outcome import OutcomeKind
+from tests import world
+
+SETTLE_S = 5.0 + witness.SETTLE_S
+TASK_MESSAGES = ("Assign", "Report", "Want", "Credit")
+
+
+def settled(seed, agents=6):
+    """Returns a world that is ready to work."""
+    region = world.World(seed, entries=2, agents=agents, faults=False)
+    region.run(SETTLE_S)
+    return region
+
+
+def sent_since(region, before):
+    """Returns how many messages about tasks were sent since a count."""
+    sent = region.sent - before
+    return sum(sent[name] for name in TASK_MESSAGES)
+
+
+def kinds(answer):
+    """Counts the outcomes of an answer by kind."""
+    return collections.Counter(item.kind for item in answer.outcomes)
+
+
+class RefusalTest(testtools.TestCase):
+    def run_job(self, region, tasks, deadline_s):
+        before = region.sent.copy()
+        job = region.new_submission("storm", tasks, deadline_s=deadline_s)
+        request = region.submit("e1", job)
+        region.run_until(lambda: request.result, deadline_s + 5.0)
+        return request.result, sent_since(region, before)
+
+    def test_half_the_servers_refuse_everything(self):
+        plain = settled(11, agents=3)
+        _, plain_sent = self.run_job(plain, 60, 29.0)
+        region = settled(11)
+        for name in ("a1", "a2", "a3"):
+            region.processes[name].refuses_tasks = True
+        answer, sent = self.run_job(region, 60, 29.0)
+        self.assertTrue(answer.complete)
+        self.assertTrue(sent <= plain_sent + 120)
+
+    def test_all_servers_refuse_everything(self):
+        region = settled(12)
+        for name in region.agent_names:
+            region.processes[name].refuses_tasks = True
+        begun_s = region.now_s
+        answer, sent = self.run_job(region, 60, 20.0)
+        self.assertEqual({OutcomeKind.NOT_RUN: 60}, kinds(answer))
+        self.assertTrue(20.0 <= region.now_s - begun_s <= 20.2)
+        self.assertTrue(sent <= 60 * 6)
+
+    def test_servers_that_recover_get_work_again(self):
+        region = settled(13)
+        for name in region.agent_names:
+            region.processes[name].refuses_tasks = True
+        job = region.new_submission("later", 60, deadline_s=29.0)
+        request = region.submit("e1", job)
+        region.run(8.0)
+        for name in region.agent_names:
+            region.processes[name].refuses_tasks = False
+        region.run_until(lambda: request.result, 25.0)
+        self.assertTrue(request.result.complete)
--- a/tests/world.py
+++ b/tests/world.py
@@ -83,6 +83,8 @@
         members_next: Offset of the next members record to read.
         caught_up: Whether all members records were read.
         backend_up: Whether its backend server is reachable.
+        refuses_tasks: Whether its backend server answers its health check
+            and refuses every task.
         leaving: Whether it shuts down gracefully.
     """
 
@@ -101,6 +103,7 @@
     members_next: int = 0
     caught_up: bool = False
     backend_up: bool = True
+    refuses_tasks: bool = False
     leaving: bool = False
 
     def link_to(self, node: str) -> "Link | None":
@@ -163,6 +166,7 @@
         faults: Whether tasks and backend servers may fail by chance.
         attempts: Jobs that a single request became, by its first one.
         results: Results of single requests, by the first job of each.
+        sent: Messages sent, by name of their class.
         entry_names: Names of all entries.
         agent_names: Names of all agents.
     """
@@ -194,6 +198,7 @@
         self.origins: dict[tuple, list] = collections.defaultdict(list)
         self.attempts = collections.defaultdict(list)
         self.results: dict = {}
+        self.sent = collections.Counter()
         self.configs.append(configuration)
         self.oracle.on_published(self, configuration)
         self.entry_names = tuple(f"e{n + 1}" for n in range(entries))
@@ -306,6 +311,7 @@
         board = process.board
         outbox, board.outbox = board.outbox, []
         for node, item in outbox:
+            self.sent[type(item).__name__] += 1
             link = process.link_to(node)
             if link is not None:
                 self._send(link, process, item)
@@ -670,7 +676,7 @@
         self.at(way_s, lambda: self.call(process, event))
 
     def _start_task(self, process: Process, order: StartOrder) -> None:
-        if not process.backend_up:
+        if not process.backend_up or process.refuses_tasks:
             agent_tasks.cancel_start(
                 process.board, order, message.Refusal.BACKEND_UNREACHABLE
             )
@@ -782,6 +788,7 @@
             self.set_log_out(False)
         for name, process in list(self.processes.items()):
             process.backend_up = True
+            process.refuses_tasks = False
             self.resume(name)
             if not process.alive:
                 self.start(name)
