Test that a wave of cancellations stays cheap

200 queued jobs of 5 tasks are cancelled at once through their entry and through another one: the queue is empty at once, every caller is told, and each unfinished job costs one round of 3 + 3 messages at its witnesses; through the other entry also a look-up of 3 + 3, a CancelJob, an Ask and two replies. Only refusals of agents that go on offering their slots lead to a rest now; the others say by themselves when they take work again.

--- a/egretthread/controllers/pool.py
+++ b/egretthread/controllers/pool.py
@@ -83,7 +83,6 @@
         sent_s: When the refused task was sent; what was sent before the last
             refusal came says nothing new.
     """
-    agent.free = 0
     if sent_s < agent.refused_s:
         return
     agent.refusals += 1
--- a/egretthread/controllers/reports.py
+++ b/egretthread/controllers/reports.py
@@ -12,14 +12,8 @@
 )
 from egretthread.message import Refusal, TaskReport, TaskState
 
-# Refusals that tell of the agent, not of the task.
-AGENT_REFUSALS = (
-    Refusal.DRAINING,
-    Refusal.WITHDRAWN,
-    Refusal.NO_LEASE,
-    Refusal.BACKEND_UNREACHABLE,
-    Refusal.WRONG_SERVICE,
-)
+# Refusals of agents that go on offering their slots.
+RESTING_REFUSALS = (Refusal.BACKEND_UNREACHABLE, Refusal.WRONG_SERVICE)
 
 
 def on_credit(board: EntryBoard, node: str, credit: message.Credit) -> None:
@@ -106,8 +100,7 @@
         return
     del state.hand_outs[item.index]
     board.counters[f"handed_back_{item.refusal}"] += 1
-    if item.refusal in AGENT_REFUSALS:
-        _note_refusal(board, report.agent, held.sent_s)
+    _note_refusal(board, report.agent, item.refusal, held.sent_s)
     if state.phase is not Phase.RUNNING:
         return
     reason = state.cancel_reason
@@ -119,10 +112,15 @@
         dispatch.enqueue(board, state, [item.index])
 
 
-def _note_refusal(board: EntryBoard, node: str, sent_s: float) -> None:
-    """Sends an agent nothing more for a while."""
+def _note_refusal(
+    board: EntryBoard, node: str, refusal: Refusal, sent_s: float
+) -> None:
+    """Sends an agent nothing more until it speaks of free slots again."""
     agent = board.agents.get(node)
-    if agent is not None:
+    if agent is None or refusal is Refusal.BUSY:
+        return
+    agent.free = 0
+    if refusal in RESTING_REFUSALS:
         pool.note_refusal(board, agent, sent_s)
         wants.withdraw_from(board, agent)
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -69,3 +69,50 @@
             region.processes[name].refuses_tasks = False
         region.run_until(lambda: request.result, 25.0)
         self.assertTrue(request.result.complete)
+
+
+class CancellationTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.region = settled(14)
+        self.board = self.region.processes["e1"].board
+        jobs = [
+            self.region.new_submission(f"j{n}", 5, deadline_s=29.0)
+            for n in range(200)
+        ]
+        self.jobs = [job.job for job in jobs]
+        self.requests = [self.region.submit("e1", job) for job in jobs]
+        self.region.run(0.1)
+        queue = self.board.queues[world.SERVICE]
+        self.assertTrue(len(queue) > 900)
+
+    def cancel(self, entry):
+        before = self.region.sent.copy()
+        for job in self.jobs:
+            self.region.cancel(entry, job)
+        # Tasks that run already may take 2 s.
+        self.region.run(3.0)
+        self.assertEqual(0, len(self.board.queues[world.SERVICE]))
+        self.assertEqual({}, self.board.open_jobs)
+        for request in self.requests:
+            counts = kinds(request.result)
+            self.assertEqual(5, counts["done"] + counts["not_run"])
+        starts = self.region.oracle.counts["starts"]
+        self.assertTrue(starts < 100)
+        sent = self.region.sent - before
+        return sent
+
+    def test_cancelling_all_queued_jobs_empties_the_queue(self):
+        sent = self.cancel("e1")
+        # Each unfinished job is closed at its three witnesses, once.
+        self.assertTrue(sent["Accept"] <= 3 * 200)
+        self.assertTrue(sent["WitnessReply"] <= 3 * 200)
+        self.assertTrue(sum(sent[name] for name in TASK_MESSAGES) <= 200)
+
+    def test_cancelling_through_another_entry(self):
+        sent = self.cancel("e2")
+        self.assertTrue(sent["Look"] <= 3 * 200)
+        self.assertTrue(sent["CancelJob"] <= 200)
+        # Each is answered twice: that it runs, and how it ended.
+        self.assertTrue(sent["Ask"] <= 200)
+        self.assertTrue(sent["AskReply"] <= 2 * 200)
