--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -99,8 +99,7 @@
             self.assertEqual(5, counts["done"] + counts["not_run"])
         starts = self.region.oracle.counts["starts"]
         self.assertTrue(starts < 100)
-        sent = self.region.sent - before
-        return sent
+        return self.region.sent - before
 
     def test_cancelling_all_queued_jobs_empties_the_queue(self):
         sent = self.cancel("e1")
