Pass on a cancellation that came before the coordinator was known

A job cancelled through an entry that was still registering it went on, since the entry told its coordinator only when it knew it already; seen in a new test, which fails without the change.

--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -8,6 +8,8 @@
 from egretthread.jobkey import JobRef
 from egretthread.outcome import JobAnswer, OutcomeKind
 
+# Why a cancelled job's tasks are not run.
+CANCELLED = "cancelled by its caller"
 # Two clocks differ by twice the bound on the error of each.
 CLOCK_ERRORS = 2
 
@@ -189,7 +191,7 @@
 
 def on_cancel(board: EntryBoard, node: str, item: message.CancelJob) -> None:
     """Cancels a job on behalf of another entry."""
-    cancel(board, item.job, "cancelled by its caller")
+    cancel(board, item.job, CANCELLED)
 
 
 def expire(board: EntryBoard, state: JobState) -> None:
--- a/egretthread/controllers/claims.py
+++ b/egretthread/controllers/claims.py
@@ -129,6 +129,9 @@
     state.phase = Phase.ASKING
     state.coordinator = coordinator
     state.wake_s = board.now_s + ASK_AGAIN_S
+    if state.cancel_reason == answers.CANCELLED:
+        # The caller cancelled it before its coordinator was known.
+        board.send(coordinator, message.CancelJob(state.job, board.node))
     board.send(coordinator, message.Ask(state.job, board.node))
 
 
--- a/egretthread/controllers/lookups.py
+++ b/egretthread/controllers/lookups.py
@@ -33,7 +33,7 @@
     state = board.jobs.get(job)
     if state is not None:
         if cancel:
-            answers.cancel(board, job, "cancelled by its caller")
+            answers.cancel(board, job, answers.CANCELLED)
         _found(board, job, state.answer or _status(cancel))
         return
     if job.issued_s < board.horizon_s:
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -157,7 +157,7 @@
 
 def cancel(board: EntryBoard, job: JobRef) -> bool:
     """Starts no more tasks of a job; returns whether it is known here."""
-    return answers.cancel(board, job, "cancelled by its caller")
+    return answers.cancel(board, job, answers.CANCELLED)
 
 
 def look_up(board: EntryBoard, job: JobRef, to_cancel: bool) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -83,6 +83,22 @@
         self.assertIn(kind, ("", "deadline_exceeded"))
 
 
+class CancelTest(testtools.TestCase):
+    def test_cancelling_before_the_coordinator_is_found_reaches_it(self):
+        region = settled(3)
+        fill(region, "e1", 10)
+        region.run(0.1)
+        job = region.new_submission("cancelled", 40, deadline_s=29.0)
+        first = region.submit("e1", job)
+        region.run(0.1)
+        second = region.submit("e2", job)
+        region.cancel("e2", job.job)
+        region.run(5.0)
+        self.assertIsNotNone(first.result)
+        self.assertEqual(first.result, second.result)
+        self.assertFalse(first.result.complete)
+
+
 class BoundTest(testtools.TestCase):
     def test_queue_is_bounded_and_others_still_get_in(self):
         region = settled(2, max_queued_tasks=100)
