--- a/egretthread/controllers/admission.py
+++ b/egretthread/controllers/admission.py
@@ -77,11 +77,12 @@
 
 def _share(board: EntryBoard, queue: FairQueue, organisation: str) -> Share:
     """Returns what an organisation has of a queue once it waits there."""
-    counts = queue.counts()
-    weights = {name: dispatch.weight(board, name) for name in counts}
-    own = weights.setdefault(organisation, dispatch.weight(board, organisation))
-    waiting = counts.get(organisation, 0)
-    return Share(waiting, own / sum(weights.values()))
+    waiting = queue.waiting_of(organisation)
+    own = dispatch.weight(board, organisation)
+    total = queue.waiting_weight()
+    if not waiting:
+        total += own
+    return Share(waiting, min(1.0, own / total))
 
 
 def _check_bound(
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -51,7 +51,7 @@
 
 def weight(board: EntryBoard, name: str) -> float:
     """Returns an organisation's weight under contention."""
-    organisation = board.configuration.organisation(name)
+    organisation = board.quotas.organisations.get(name)
     return organisation.weight if organisation else 1.0
 
 
--- a/egretthread/fairqueue.py
+++ b/egretthread/fairqueue.py
@@ -163,6 +163,15 @@
             if lane.waiting
         }
 
+    def waiting_weight(self) -> float:
+        """Returns the weights of all organisations with waiting tasks."""
+        return sum(lane.weight for lane in self.lanes.values() if lane.waiting)
+
+    def waiting_of(self, organisation: str) -> int:
+        """Returns how many tasks of an organisation wait."""
+        lane = self.lanes.get(organisation)
+        return lane.waiting if lane else 0
+
     def oldest_wait_s(self, now_s: float) -> float:
         """Returns how long the oldest waiting job has waited; 0 for none."""
         oldest_s = now_s
