--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -5,7 +5,16 @@
 import enum
 import random
 
-from egretthread import config, ejection, fairqueue, members, message, quota
+from egretthread import (
+    config,
+    ejection,
+    fairqueue,
+    members,
+    message,
+    quota,
+    retry,
+    runtimes,
+)
 from egretthread.jobkey import JobRef
 from egretthread.lease import NO_LEASE, AgentLease
 from egretthread.ledger import Ledger
@@ -49,6 +58,25 @@
     deadline_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class SingleRequest:
+    """One task as a caller asks for it, without a job key.
+
+    Attributes:
+        organisation: Whose request it is.
+        service: Name of the service.
+        task: The task.
+        deadline_s: Time allowed from now on.
+        idempotent: Whether running it again does no harm.
+    """
+
+    organisation: str
+    service: str
+    task: TaskSpec
+    deadline_s: float
+    idempotent: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class Refusal:
     """Why a submission gets no answer from this entry now.
@@ -72,6 +100,8 @@
     """Where a job stands at an entry."""
 
     CLAIMING = "claiming"
+    # Too much waits here to start it; another entry may be at it.
+    LOOKING = "looking"
     ASKING = "asking"
     PREPARING = "preparing"
     SEALING = "sealing"
@@ -195,6 +225,27 @@
         return self.submission.job
 
 
+@dataclasses.dataclass
+class RequestState:
+    """A single request at an entry.
+
+    Attributes:
+        request: The request as its caller sent it.
+        job: The job of the first attempt, which names the request.
+        deadline_s: Monotonic time of its deadline.
+        attempts: Attempts so far.
+        result: How the last attempt ended.
+        wake_s: Monotonic time of the next attempt.
+    """
+
+    request: SingleRequest
+    job: JobRef
+    deadline_s: float
+    attempts: int = 0
+    result: Outcome | Refusal | None = None
+    wake_s: float = 0.0
+
+
 @dataclasses.dataclass
 class AgentState:
     """What an entry knows of one agent incarnation.
@@ -209,6 +260,9 @@
         connected: Whether a link to it is open.
         wanted: Slots this entry last asked for.
         wanted_s: Monotonic time of that wish.
+        refusals: Times in a row that it refused what it was handed.
+        refused_s: Monotonic time when the last of them came.
+        rest_until_s: Monotonic time until which it is handed nothing.
     """
 
     node: str
@@ -220,6 +274,9 @@
     connected: bool = True
     wanted: int = 0
     wanted_s: float = 0.0
+    refusals: int = 0
+    refused_s: float = float("-inf")
+    rest_until_s: float = float("-inf")
 
 
 @dataclasses.dataclass
@@ -235,6 +292,19 @@
     heard_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Capacity:
+    """Slots that serve a service, over all agents that take work.
+
+    Attributes:
+        slots: How many there are.
+        counted_s: Monotonic time of the count.
+    """
+
+    slots: int
+    counted_s: float
+
+
 @dataclasses.dataclass
 class EntryBoard:
     """All state of one entry; controllers read and write it.
@@ -269,8 +339,15 @@
         wanting: Node ids of agents asked for slots, by service.
         probations: Ejected backend servers, by service.
         quotas: Quotas by organisation.
+        run_times: Run times learned, by service.
+        capacities: Slots that serve each service.
+        slot_share: This entry's part of the slots, by demand.
         askers: Node ids of entries to be told the answer, by job.
         look_ups: Searches for jobs that this entry does not know.
+        requests: Single requests under way, by the job of their attempt.
+        waiting_requests: Single requests that wait for their next attempt.
+        retry_budget: Bounds the further attempts of all requests together.
+        answered: Results of single requests, by the job that names them.
         outbox: (node id, message) pairs to be sent.
         looked_up: What the searches found, for the callers.
         finished: Jobs with an answer, or refusals, for their callers.
@@ -315,8 +392,25 @@
     quotas: quota.QuotaTable = dataclasses.field(
         default_factory=quota.QuotaTable
     )
+    run_times: dict[str, runtimes.RunTimes] = dataclasses.field(
+        default_factory=dict
+    )
+    capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
+    slot_share: float = 1.0
     askers: dict[JobRef, set[str]] = dataclasses.field(default_factory=dict)
     outbox: list[tuple[str, Message]] = dataclasses.field(default_factory=list)
+    requests: dict[JobRef, RequestState] = dataclasses.field(
+        default_factory=dict
+    )
+    waiting_requests: list[RequestState] = dataclasses.field(
+        default_factory=list
+    )
+    retry_budget: retry.RetryBudget = dataclasses.field(
+        default_factory=retry.RetryBudget
+    )
+    answered: list[tuple[JobRef, Outcome | Refusal]] = dataclasses.field(
+        default_factory=list
+    )
     look_ups: dict[JobRef, LookUp] = dataclasses.field(default_factory=dict)
     looked_up: list[tuple[JobRef, JobAnswer | Refusal | JobStatus]] = (
         dataclasses.field(default_factory=list)
@@ -356,6 +450,7 @@
         attempt: Which hand-out it is.
         payload: JSON text for the backend server.
         timeout_s: Longest run time.
+        accepted_s: Monotonic time since when it holds its slot.
     """
 
     job: JobRef
@@ -364,6 +459,7 @@
     attempt: int
     payload: str
     timeout_s: float
+    accepted_s: float = 0.0
 
 
 @dataclasses.dataclass
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,7 +23,13 @@
     outcome,
     settings,
 )
-from egretthread.blackboard import StartOrder, Submission, TaskSpec
+from egretthread.blackboard import (
+    Refusal,
+    SingleRequest,
+    StartOrder,
+    Submission,
+    TaskSpec,
+)
 from egretthread.controllers import agent_tasks
 from tests import oracle
 
@@ -77,6 +83,8 @@
         members_next: Offset of the next members record to read.
         caught_up: Whether all members records were read.
         backend_up: Whether its backend server is reachable.
+        refuses_tasks: Whether its backend server answers its health check
+            and refuses every task.
         leaving: Whether it shuts down gracefully.
     """
 
@@ -95,6 +103,7 @@
     members_next: int = 0
     caught_up: bool = False
     backend_up: bool = True
+    refuses_tasks: bool = False
     leaving: bool = False
 
     def link_to(self, node: str) -> "Link | None":
@@ -157,6 +166,9 @@
         members: Records of the members stream.
         origins: Who handed out each task, by agent, job and index.
         faults: Whether tasks and backend servers may fail by chance.
+        attempts: Jobs that a single request became, by its first one.
+        results: Results of single requests, by the first job of each.
+        sent: Messages sent, by name of their class.
         entry_names: Names of all entries.
         agent_names: Names of all agents.
     """
@@ -188,6 +200,9 @@
         self.configs: list[config.Configuration] = []
         self.members: list[str] = []
         self.origins: dict[tuple, list] = collections.defaultdict(list)
+        self.attempts = collections.defaultdict(list)
+        self.results: dict = {}
+        self.sent = collections.Counter()
         self.configs.append(configuration)
         self.oracle.on_published(self, configuration)
         self.entry_names = tuple(f"e{n + 1}" for n in range(entries))
@@ -300,6 +315,7 @@
         board = process.board
         outbox, board.outbox = board.outbox, []
         for node, item in outbox:
+            self.sent[type(item).__name__] += 1
             link = process.link_to(node)
             if link is not None:
                 self._send(link, process, item)
@@ -308,11 +324,23 @@
             for order in orders:
                 self._plan_start(process, order)
             return
+        self._take_requests(process)
         finished, board.finished = board.finished, []
         for job, result in finished:
             self.oracle.on_result(self, process, job, result)
         board.looked_up.clear()
 
+    def _take_requests(self, process: Process) -> None:
+        """Tells the oracle of the jobs that single requests became."""
+        board = process.board
+        for job, state in board.requests.items():
+            if job not in self.oracle.requests:
+                submission = board.jobs[job].submission
+                self.oracle.on_request(self, process, submission)
+                self.attempts[state.job].append(job)
+        self.results.update(board.answered)
+        board.answered.clear()
+
     def kill(self, name: str) -> None:
         """Ends a process at once."""
         process = self.processes[name]
@@ -653,7 +681,7 @@
         self.at(way_s, lambda: self.call(process, event))
 
     def _start_task(self, process: Process, order: StartOrder) -> None:
-        if not process.backend_up:
+        if not process.backend_up or process.refuses_tasks:
             agent_tasks.cancel_start(
                 process.board, order, message.Refusal.BACKEND_UNREACHABLE
             )
@@ -734,6 +762,22 @@
         self.call(process, take)
         return request
 
+    def request(
+        self, name: str, idempotent: bool, deadline_s: float = 20.0
+    ) -> jobkey.JobRef | Refusal:
+        """Sends a single request; its result comes in `results`."""
+        single = SingleRequest(
+            "dublin", SERVICE, TaskSpec('"single"'), deadline_s, idempotent
+        )
+        process = self.processes[name]
+        taken = []
+
+        def take() -> None:
+            taken.append(entry.request(process.board, single))
+
+        self.call(process, take)
+        return taken[0]
+
     def cancel(self, name: str, job: jobkey.JobRef) -> None:
         """Cancels a job through an entry."""
         process = self.processes[name]
@@ -749,6 +793,7 @@
             self.set_log_out(False)
         for name, process in list(self.processes.items()):
             process.backend_up = True
+            process.refuses_tasks = False
             self.resume(name)
             if not process.alive:
                 self.start(name)
