Count links' frames and bytes; measure an entry's and an agent's cost

The costs of one entry and one agent were not known. A sink process now plays many real agents whose tasks only sleep, so that one entry can be loaded to its limit, and links count frames and bytes in the metrics.

--- a/egretthread/agentserver.py
+++ b/egretthread/agentserver.py
@@ -12,6 +12,7 @@
     link,
     logs,
     message,
+    metrics,
 )
 from egretthread.blackboard import AgentBoard, StartOrder
 from egretthread.controllers import agent_tasks
@@ -37,6 +38,7 @@
         admin: HTTP server for metrics and the state dump.
         clients: Links to the entries by address.
         peers: Open links by the entry's node id.
+        traffic: What all links carry.
     """
 
     def __init__(self, settings: AgentSettings):
@@ -48,10 +50,15 @@
         self.admin = adminapi.AdminServer(
             self.board, settings.admin_address, adminapi.AGENT_GAUGES
         )
+        self.admin.metrics.refreshers.append(self._count_traffic)
+        self.traffic = link.Traffic()
         self.clients: dict[str, link.LinkClient] = {}
         self.peers: dict[str, link.Peer] = {}
         self.tasks: set[asyncio.Task] = set()
 
+    def _count_traffic(self, table: metrics.Metrics) -> None:
+        metrics.set_traffic(table, self.traffic)
+
     async def start(self) -> None:
         """Starts to serve: binds, dials the entries, starts the timers."""
         # The fixed port also keeps a second agent of this name from starting.
@@ -170,6 +177,7 @@
             self._on_open,
             self._on_close,
         )
+        client.traffic = self.traffic
         self.clients[address] = client
         client.start()
 
--- a/egretthread/entryserver.py
+++ b/egretthread/entryserver.py
@@ -14,6 +14,7 @@
     link,
     logfeed,
     message,
+    metrics,
 )
 from egretthread.blackboard import EntryBoard, Submission
 from egretthread.jobkey import JobRef
@@ -60,6 +61,7 @@
         self.admin = adminapi.AdminServer(
             self.board, settings.admin_address, adminapi.ENTRY_GAUGES
         )
+        self.admin.metrics.refreshers.append(self._count_traffic)
         self.http = tornado.httpserver.HTTPServer(
             callerapi.application(self), max_body_size=MAX_BODY_BYTES
         )
@@ -71,6 +73,9 @@
         self.searchers: dict[JobRef, list[asyncio.Future]] = {}
         self.tasks: set[asyncio.Task] = set()
 
+    def _count_traffic(self, table: metrics.Metrics) -> None:
+        metrics.set_traffic(table, self.links.traffic)
+
     async def start(self) -> None:
         """Starts to serve."""
         self.links.start()
@@ -175,6 +180,7 @@
                 self._on_open,
                 self._on_close,
             )
+            client.traffic = self.links.traffic
             self.clients[address] = client
             client.start()
         for address in set(self.clients) - wanted:
--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import dataclasses
 import logging
 import random
 import socket
@@ -36,6 +37,21 @@
 OnPeer = Callable[["Peer"], None]
 
 
+@dataclasses.dataclass
+class Traffic:
+    """What the links of one process have carried, handshakes left out.
+
+    Attributes:
+        frames_sent: Batches written, keepalives included.
+        bytes_sent: Bytes of these batches.
+        bytes_received: Bytes read.
+    """
+
+    frames_sent: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+
 class Peer:
     """The other end of an open link.
 
@@ -47,6 +63,7 @@
         received_at: Loop time at which bytes last arrived, in seconds.
         sent_at: Loop time at which a batch was last sent, in seconds.
         stalled_at: Loop time since which written bytes wait, or None.
+        traffic: Counts what this and the process's other links carry.
     """
 
     def __init__(
@@ -55,6 +72,7 @@
         hello: wire.Hello,
         address: str,
         options: Settings,
+        traffic: Traffic,
     ):
         stream.max_write_buffer_size = WRITE_BUFFER_BYTES
         self.stream = stream
@@ -62,6 +80,7 @@
         self.role = hello.role
         self.address = address
         self.options = options
+        self.traffic = traffic
         self.loop = asyncio.get_running_loop()
         self.queue: list[Message] = []
         self.close_reason = ""
@@ -113,8 +132,11 @@
             self.write_halves(messages, error)
             return
         self.sent_at = self.loop.time()
+        frame = framing.add_length(data)
+        self.traffic.frames_sent += 1
+        self.traffic.bytes_sent += len(frame)
         try:
-            self.watch(self.stream.write(framing.add_length(data)))
+            self.watch(self.stream.write(frame))
         except iostream.StreamBufferFullError:
             self.abort(REASON_SLOW)
         except iostream.StreamClosedError:
@@ -178,9 +200,9 @@
         buffer = bytearray()
         try:
             while True:
-                buffer += await self.stream.read_bytes(
-                    CHUNK_BYTES, partial=True
-                )
+                chunk = await self.stream.read_bytes(CHUNK_BYTES, partial=True)
+                buffer += chunk
+                self.traffic.bytes_received += len(chunk)
                 self.received_at = self.loop.time()
                 for frame in framing.take_frames(buffer):
                     self.deliver(frame, on_messages)
@@ -237,6 +259,7 @@
     Attributes:
         address: The `host:port` it listens on, once started.
         peers: The open links by node id.
+        traffic: What the links carry; may be shared with other links.
     """
 
     def __init__(
@@ -255,6 +278,7 @@
         self.on_messages = on_messages
         self.on_open = on_open
         self.on_close = on_close
+        self.traffic = Traffic()
         self.address = ""
         self.peers: dict[str, Peer] = {}
         self.streams: dict[iostream.IOStream, asyncio.Task] = {}
@@ -293,7 +317,9 @@
         except (util.EgretthreadError, OSError, TimeoutError) as error:
             _log_failure(logging.WARNING, "link_refused", where, error)
         else:
-            await self.serve(Peer(stream, hello, where, self.options))
+            await self.serve(
+                Peer(stream, hello, where, self.options, self.traffic)
+            )
         finally:
             stream.close()
             del self.streams[stream]
@@ -328,6 +354,7 @@
         address: The `host:port` it connects to.
         peer: The other end, or None while there is no link.
         last_error: The error of the last attempt; None after a success.
+        traffic: What the link carries; may be shared with other links.
     """
 
     def __init__(
@@ -349,6 +376,7 @@
         self.on_open = on_open
         self.on_close = on_close
         self.rng = rng or random.Random()
+        self.traffic = Traffic()
         self.peer: Peer | None = None
         self.last_error: Exception | None = None
         self.failures = 0
@@ -396,7 +424,9 @@
             _log_failure(level, "link_failed", self.address, error)
             return
         self.last_error = None
-        await self.serve(Peer(stream, hello, self.address, self.options))
+        await self.serve(
+            Peer(stream, hello, self.address, self.options, self.traffic)
+        )
 
     async def dial(self) -> tuple[iostream.IOStream, wire.Hello]:
         """Connects and proves the key.
--- a/egretthread/metrics.py
+++ b/egretthread/metrics.py
@@ -81,6 +81,9 @@
     Metric("lease_open", GAUGE, "1 while work may start, else 0."),
     Metric("config_offset", GAUGE, "Log offset of the configuration."),
     Metric("log_age_seconds", GAUGE, "Time since the log's end was read."),
+    Metric("link_frames_sent_total", COUNTER, "Batches written to links."),
+    Metric("link_bytes_sent_total", COUNTER, "Bytes written to links."),
+    Metric("link_bytes_received_total", COUNTER, "Bytes read from links."),
     Metric("cpu_seconds_total", COUNTER, "Processor time of the process."),
     Metric("resident_bytes", GAUGE, "Resident memory of the process."),
 )
@@ -206,6 +209,13 @@
     metrics.set("resident_bytes", pages * resource.getpagesize())
 
 
+def set_traffic(metrics: Metrics, traffic) -> None:
+    """Sets the metrics of a process's links from its `link.Traffic`."""
+    metrics.set("link_frames_sent_total", traffic.frames_sent)
+    metrics.set("link_bytes_sent_total", traffic.bytes_sent)
+    metrics.set("link_bytes_received_total", traffic.bytes_received)
+
+
 def _label_values(metric: Metric, labels: Labels) -> dict[str, str]:
     # aioprometheus writes label values as they are.
     return {
--- /dev/null
+++ b/egretthread_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches of the placement policies and of the running programs."""
--- /dev/null
+++ b/egretthread_standins/sink.py
@@ -0,0 +1,91 @@
+"""Many agents in one process, whose tasks end without a backend server.
+
+Each agent is the real one, engine, links and timers; only the calls of the
+backend server are replaced: a task sleeps for the `run_s` of its payload.
+It serves benches, which would otherwise need two processes per agent.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import signal
+import tomllib
+from collections.abc import Callable
+
+import orjson
+
+from egretthread import agentserver, backendclient, logs, outcome
+from egretthread.blackboard import StartOrder
+from egretthread.outcome import Outcome
+from egretthread.settings import AgentSettings
+
+RESULT = outcome.done('{"slept":true}')
+
+
+class SleepBackend:
+    """Takes the place of an agent's client of its backend server."""
+
+    def close(self) -> None:
+        """Does nothing."""
+
+    async def run(
+        self, order: StartOrder, may_start: Callable[[], bool]
+    ) -> Outcome:
+        """Runs one task; as `backendclient.BackendClient.run`."""
+        if not may_start():
+            raise backendclient.NotStartedError(
+                "the lease does not allow the start", "hand it out again"
+            )
+        run_s = float(orjson.loads(order.payload).get("run_s", 0.0))
+        if run_s > 0.0:
+            await asyncio.sleep(run_s)
+        return RESULT
+
+    async def is_healthy(self) -> bool:
+        """Returns True."""
+        return True
+
+
+def load(path: str | pathlib.Path) -> list[AgentSettings]:
+    """Returns the settings of the agents listed in a TOML file."""
+    text = pathlib.Path(path).read_text(encoding="utf-8")
+    rows = tomllib.loads(text)["agents"]
+    return [
+        AgentSettings(**{**row, "entries": tuple(row["entries"])})
+        for row in rows
+    ]
+
+
+def make_agent(settings: AgentSettings) -> agentserver.AgentServer:
+    """Returns an agent whose tasks only sleep."""
+    server = agentserver.AgentServer(settings)
+    server.backend.close()
+    server.backend = SleepBackend()
+    return server
+
+
+async def serve(agents: list[AgentSettings]) -> None:
+    """Runs the agents until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    servers = [make_agent(settings) for settings in agents]
+    for server in servers:
+        await server.start()
+    print(f"event=listening admin={servers[0].admin.address}", flush=True)
+    await stop.wait()
+    await asyncio.gather(*(server.close() for server in servers))
+
+
+def main() -> None:
+    """Runs the agents of a settings file."""
+    parser = argparse.ArgumentParser(description="Many agents for benches.")
+    parser.add_argument("--settings", required=True)
+    options = parser.parse_args()
+    logs.setup("warning", "sink")
+    asyncio.run(serve(load(options.settings)))
+
+
+if __name__ == "__main__":
+    main()
