--- a/egretthread/controllers/agent_leases.py
+++ b/egretthread/controllers/agent_leases.py
@@ -26,11 +26,19 @@
 
 def free_slots(board: AgentBoard) -> int:
     """Returns the slots neither running a task nor held for an entry."""
-    board.held = [hold for hold in board.held if hold[0] > board.now_s]
+    _drop_lapsed_holds(board)
     held = sum(count for _, _, count in board.held)
     return max(0, board.slots - board.running - held)
 
 
+def _drop_lapsed_holds(board: AgentBoard) -> None:
+    kept = [hold for hold in board.held if hold[0] > board.now_s]
+    if len(kept) < len(board.held):
+        lapsed = sum(hold[2] for hold in board.held if hold not in kept)
+        board.counters["credits_lapsed"] += lapsed
+        board.held = kept
+
+
 def free_for(board: AgentBoard, node: str) -> int:
     """Returns the slots that an entry may fill now."""
     if not is_open(board):
--- a/egretthread/controllers/wants.py
+++ b/egretthread/controllers/wants.py
@@ -27,6 +27,7 @@
     for node in board.wanting.pop(service, ()):
         agent = board.agents.get(node)
         if agent is not None and agent.wanted:
+            board.counters["wants_withdrawn"] += 1
             _send(board, agent, service, 0, queue)
 
 
--- /dev/null
+++ b/egretthread_bench/driver.py
@@ -0,0 +1,170 @@
+"""Submits a scenario's jobs as they arrive, in an open loop."""
+
+import asyncio
+import dataclasses
+import random
+import time
+
+from egretthread import apierror, client
+from egretthread.outcome import JobAnswer
+from egretthread_bench.deployment import Deployment
+from egretthread_bench.scenario import Scenario, Tenant
+
+# Shortest and longest of the usual tasks, in seconds.
+SHORT_RUN_S = (0.05, 1.0)
+# Shortest and longest of the few long tasks, in seconds.
+LONG_RUN_S = (3.0, 5.0)
+# Part of the tasks that are long.
+LONG_SHARE = 0.02
+# The usual tasks follow a beta distribution with mean 1/3 of the range.
+BETA = (1.0, 2.0)
+# Mean run time of a task, in seconds.
+MEAN_RUN_S = (1 - LONG_SHARE) * (0.05 + 0.95 / 3) + LONG_SHARE * 4.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A job as it arrives.
+
+    Attributes:
+        at_s: When it arrives, after the load began.
+        organisation: Who submits it.
+        run_s: Run time of each task.
+    """
+
+    at_s: float
+    organisation: str
+    run_s: tuple[float, ...]
+
+
+@dataclasses.dataclass
+class Submitted:
+    """A job that was submitted and what became of it.
+
+    Attributes:
+        arrival: The job as it arrived.
+        key: Its key; the last one when it was given a fresh one.
+        response_s: Time from submission to answer; 0 while there is none.
+        answer: The answer, if any came.
+        error: Kind of the error that was raised instead.
+        cancelled: Whether its caller cancelled it.
+    """
+
+    arrival: Arrival
+    key: str
+    response_s: float = 0.0
+    answer: JobAnswer | None = None
+    error: str = ""
+    cancelled: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether there is neither an answer nor an error yet."""
+        return self.answer is None and not self.error
+
+
+def draw_run_s(rng: random.Random) -> float:
+    """Returns the run time of one task, in seconds."""
+    if rng.random() < LONG_SHARE:
+        return rng.uniform(*LONG_RUN_S)
+    low_s, high_s = SHORT_RUN_S
+    return low_s + (high_s - low_s) * rng.betavariate(*BETA)
+
+
+def arrivals(scenario: Scenario) -> list[Arrival]:
+    """Returns a scenario's jobs in the order they arrive.
+
+    Each organisation draws from a generator of its own, so that one's
+    arrivals stay the same when another's load is changed.
+    """
+    jobs: list[Arrival] = []
+    for tenant in scenario.tenants:
+        jobs.extend(_tenant_arrivals(scenario, tenant))
+    return sorted(jobs, key=lambda arrival: arrival.at_s)
+
+
+def _tenant_arrivals(scenario: Scenario, tenant: Tenant) -> list[Arrival]:
+    rng = random.Random(f"{scenario.seed}/{tenant.name}")
+    slots = scenario.site.total_slots
+    mean_tasks = (1 + tenant.max_tasks) / 2
+    rate_per_s = tenant.load * slots / (mean_tasks * MEAN_RUN_S)
+    end_s = tenant.until_s or scenario.duration_s
+    at_s = tenant.from_s + rng.expovariate(rate_per_s)
+    jobs = []
+    while at_s < end_s:
+        tasks = rng.randint(1, tenant.max_tasks)
+        run_s = tuple(round(draw_run_s(rng), 4) for _ in range(tasks))
+        jobs.append(Arrival(at_s, tenant.name, run_s))
+        at_s += rng.expovariate(rate_per_s)
+    return jobs
+
+
+class Driver:
+    """Submits arrivals and keeps what became of them.
+
+    Attributes:
+        scenario: The scenario.
+        deployment: The processes.
+        submitted: All jobs submitted so far.
+        began_s: Monotonic time when the load began.
+        began_unix_s: The same moment in Unix seconds.
+    """
+
+    def __init__(self, scenario: Scenario, deployment: Deployment):
+        self.scenario = scenario
+        self.deployment = deployment
+        self.submitted: list[Submitted] = []
+        self.began_s = 0.0
+        self.began_unix_s = 0.0
+        self.callers: dict[str, client.AsyncClient] = {}
+
+    async def run(self) -> None:
+        """Submits every arrival at its time and waits for all answers."""
+        for name in self.scenario.site.organisations:
+            self.callers[name] = self.deployment.client(name)
+        self.began_s = time.monotonic()
+        self.began_unix_s = time.time()
+        pending = []
+        for arrival in arrivals(self.scenario):
+            due_s = self.began_s + arrival.at_s
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            pending.append(asyncio.create_task(self.submit(arrival)))
+        await asyncio.gather(*pending)
+        for caller in self.callers.values():
+            caller.close()
+
+    async def submit(self, arrival: Arrival) -> None:
+        """Submits one job and notes what became of it."""
+        tasks = tuple(client.Task({"run_s": run_s}) for run_s in arrival.run_s)
+        job = client.Job(
+            client.new_key(),
+            self.scenario.site.service,
+            tasks,
+            self.scenario.deadline_s,
+        )
+        record = Submitted(arrival, job.key)
+        self.submitted.append(record)
+        begun_s = time.monotonic()
+        caller = self.callers[arrival.organisation]
+        try:
+            answer = await caller.submit(job, rekey=True)
+        except apierror.ApiError as error:
+            record.error = error.kind
+        else:
+            record.answer = answer
+            record.key = answer.key
+        record.response_s = time.monotonic() - begun_s
+
+    async def cancel(self, share: float) -> int:
+        """Cancels a share of the open jobs; returns how many."""
+        open_jobs = [job for job in self.submitted if job.is_open]
+        chosen = open_jobs[: round(share * len(open_jobs))]
+        await asyncio.gather(*(self._cancel(job) for job in chosen))
+        return len(chosen)
+
+    async def _cancel(self, job: Submitted) -> None:
+        job.cancelled = True
+        try:
+            await self.callers[job.arrival.organisation].cancel(job.key)
+        except apierror.ApiError as error:
+            job.error = job.error or f"cancel_{error.kind}"
--- /dev/null
+++ b/egretthread_bench/programs.py
@@ -0,0 +1,70 @@
+"""Commands of the benches that run the real programs."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import subprocess
+from typing import Annotated
+
+import typer
+
+from egretthread import console
+from egretthread_bench import cost as costs
+from egretthread_bench import processes as runs
+from egretthread_bench import processreport, scenario
+
+app = typer.Typer(no_args_is_help=True, help="Benches of the real programs.")
+
+Directory = Annotated[
+    pathlib.Path, typer.Option(help="Where the report is written.")
+]
+
+
+def commit() -> str:
+    """Returns the commit of the working directory, `+` when changed."""
+    described = subprocess.run(
+        ("git", "describe", "--always", "--dirty=+"),
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return described.stdout.strip() or "unknown"
+
+
+@app.command()
+@console.reports_errors
+def processes(
+    experiments: Annotated[
+        list[pathlib.Path], typer.Argument(help="Scenarios as TOML files.")
+    ],
+    directory: Directory = pathlib.Path("bench-report"),
+) -> None:
+    """Runs scenarios on the real programs and reports on them."""
+    outcomes = []
+    for path in experiments:
+        chosen = scenario.load(path)
+        console.progress(f"{chosen.name}: {chosen.duration_s:.0f} s of load")
+        outcomes.append(asyncio.run(runs.run(chosen)))
+    processreport.write(outcomes, directory, commit())
+    print(processreport.markdown(outcomes, commit()))
+
+
+@app.command()
+@console.reports_errors
+def cost(directory: Directory = pathlib.Path("bench-report")) -> None:
+    """Measures what one entry and one agent cost."""
+    entries, agents = asyncio.run(costs.measure())
+    costs.print_costs(entries, agents)
+    directory.mkdir(parents=True, exist_ok=True)
+    document = {
+        "commit": commit(),
+        "entries": [dataclasses.asdict(row) for row in entries],
+        "agents": [dataclasses.asdict(row) for row in agents],
+    }
+    path = directory / "cost.json"
+    path.write_text(json.dumps(document, indent=1) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    app()
