Withdraw the wishes that agents remember from busy refusals

An agent that refuses a task as busy remembers that its entry has work, but the entry did not know of that wish and never withdrew it, so the agent went on giving credits every 20 ms. The entry now notes the wish with the refusal.

--- a/egretthread/controllers/reports.py
+++ b/egretthread/controllers/reports.py
@@ -2,7 +2,7 @@
 
 from egretthread import message, outcome
 from egretthread.blackboard import AgentState, EntryBoard, JobState, Phase
-from egretthread.controllers import answers, claims, dispatch, pool
+from egretthread.controllers import answers, claims, dispatch, pool, wants
 from egretthread.message import Refusal, TaskReport, TaskState
 
 # A task refused this often is given up as not run.
@@ -87,7 +87,7 @@
         return
     del state.hand_outs[item.index]
     board.counters[f"handed_back_{item.refusal}"] += 1
-    _note_refusal(board, report.agent, item.refusal)
+    _note_refusal(board, state, report.agent, item.refusal)
     if state.phase is not Phase.RUNNING:
         return
     if state.cancel_reason or held.attempt >= MAX_ATTEMPTS:
@@ -97,10 +97,21 @@
         dispatch.enqueue(board, state, [item.index])
 
 
-def _note_refusal(board: EntryBoard, node: str, refusal: Refusal) -> None:
-    """Sends an agent nothing more until it speaks of free slots again."""
+def _note_refusal(
+    board: EntryBoard, state: JobState, node: str, refusal: Refusal
+) -> None:
+    """Takes in what a refusal tells of the agent itself.
+
+    A busy agent remembers by itself that tasks wait here, until it is told
+    otherwise. Any other one gets nothing more until it speaks of free slots
+    again.
+    """
     agent = board.agents.get(node)
-    if agent is not None and refusal is not Refusal.BUSY:
+    if agent is None:
+        return
+    if refusal is Refusal.BUSY:
+        wants.note_wish(board, agent, state.submission.service)
+    else:
         agent.free = 0
 
 
--- a/egretthread/controllers/wants.py
+++ b/egretthread/controllers/wants.py
@@ -31,6 +31,13 @@
             _send(board, agent, service, 0, queue)
 
 
+def note_wish(board: EntryBoard, agent: AgentState, service: str) -> None:
+    """Notes a wish that an agent holds without a Want from here."""
+    agent.wanted = max(1, agent.wanted)
+    agent.wanted_s = board.now_s
+    board.wanting.setdefault(service, set()).add(agent.node)
+
+
 def _send(
     board: EntryBoard,
     agent: AgentState,
--- /dev/null
+++ b/tests/test_wants.py
@@ -0,0 +1,35 @@
+"""Tests of the entry's wishes for slots."""
+
+import testtools
+
+from egretthread import entry, message, settings
+from egretthread.blackboard import AgentState
+from egretthread.controllers import wants
+
+SETTINGS = settings.EntrySettings(
+    name="entry-1",
+    region="eire-east",
+    zone="a",
+    http_address="127.0.0.1:0",
+    admin_address="127.0.0.1:0",
+    peer_address="127.0.0.1:0",
+    log_url="http://127.0.0.1:1",
+    shared_key="0123456789abcdef",
+)
+BEAT = message.Heartbeat(
+    "agent-1#1", "a", "match", 1, 1, 8, 0, True, False, 0.0, 0.0, 0
+)
+
+
+class WantsTest(testtools.TestCase):
+    def test_a_wish_left_by_a_refusal_is_withdrawn(self):
+        board = entry.new_board(SETTINGS, 1, 0.0, 1)
+        agent = AgentState(BEAT.agent, BEAT, 0.0, 0.0, 0)
+        board.agents[agent.node] = agent
+
+        wants.note_wish(board, agent, "match")
+        wants.withdraw(board, "match")
+
+        withdrawal = message.Want(board.node, "match", 0, 0.0)
+        self.assertEqual([(agent.node, withdrawal)], board.outbox)
+        self.assertEqual(0, agent.wanted)
