Keep the agent's connections to its backend server

Each task opened a connection, sent headers, chunk and end apart and closed it again, which was most of the agent's cost.

--- a/egretthread/backendclient.py
+++ b/egretthread/backendclient.py
@@ -1,23 +1,24 @@
 """Calls the backend server for one task at a time."""
 
-import socket
+import asyncio
 from collections.abc import Callable
 
 import orjson
 import tornado.httpclient
+from tornado import iostream
 
-from egretthread import outcome, util
+from egretthread import backendpool, outcome, util
 from egretthread.blackboard import StartOrder
 from egretthread.outcome import Outcome
 from egretthread.settings import AgentSettings
 
 MAX_RESULT_BYTES = 16_384
 MAX_REASON_CHARS = 300
-CONNECT_TIMEOUT_S = 2.0
 HEALTH_TIMEOUT_S = 1.0
 HTTP_OK = 200
-
-CONNECT_ERRORS = (ConnectionRefusedError, socket.gaierror)
+HTTP_REDIRECTION = 300
+# What is raised when the backend server is not reached or falls silent.
+LOST_ERRORS = (OSError, TimeoutError, iostream.StreamClosedError)
 
 
 class NotStartedError(util.EgretthreadError):
@@ -31,19 +32,20 @@
 
     Attributes:
         settings: The agent's settings.
-        http: The HTTP client, limited to the settings' connections.
+        pool: Connections for tasks, limited by the settings.
+        http: The HTTP client for health checks, each on a new connection.
     """
 
     def __init__(self, settings: AgentSettings):
         self.settings = settings
-        self.http = tornado.httpclient.AsyncHTTPClient(
-            force_instance=True,
-            max_clients=settings.connections,
-            max_body_size=MAX_RESULT_BYTES * 4,
+        self.pool = backendpool.ConnectionPool(
+            settings.backend_url, settings.connections, MAX_RESULT_BYTES * 4
         )
+        self.http = tornado.httpclient.AsyncHTTPClient(force_instance=True)
 
     def close(self) -> None:
-        """Closes the HTTP client."""
+        """Closes the connections."""
+        self.pool.close()
         self.http.close()
 
     async def run(
@@ -63,32 +65,38 @@
             NotStartedError: The payload was not written: the task did not
                 start.
         """
-        attempt = _Attempt(order.payload.encode(), may_start)
-        try:
-            response = await self.http.fetch(self._request(order, attempt))
-        except Exception as error:
-            if not attempt.written:
+        async with self.pool.room:
+            try:
+                stream = await self.pool.connect()
+            except LOST_ERRORS as error:
                 raise NotStartedError(
                     f"the backend server was not reached: {error!r}",
                     "start the backend server or correct backend_url",
                 ) from error
-            return _outcome_of_error(error)
-        return _outcome_of_response(response)
+            if not may_start():
+                self.pool.keep(stream)
+                raise NotStartedError(
+                    "the lease does not allow the start", "hand it out again"
+                )
+            return await self._exchange(order, stream)
 
-    def _request(
-        self, order: StartOrder, attempt: "_Attempt"
-    ) -> tornado.httpclient.HTTPRequest:
+    async def _exchange(
+        self, order: StartOrder, stream: iostream.IOStream
+    ) -> Outcome:
+        """Writes a task's payload at once and waits for its result."""
         job = order.job
         path = f"/tasks/{job.organisation}/{job.key}/{order.index}"
-        return tornado.httpclient.HTTPRequest(
-            self.settings.backend_url + path,
-            method="POST",
-            body_producer=attempt.produce,
-            headers={"Content-Type": "application/json"},
-            connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=order.timeout_s,
-            follow_redirects=False,
-        )
+        connection = self.pool.write(stream, path, order.payload.encode())
+        try:
+            async with asyncio.timeout(order.timeout_s):
+                response = await self.pool.read(connection)
+        except LOST_ERRORS as error:
+            return outcome.unknown(
+                f"the backend server gave no answer: {error!r}"[
+                    :MAX_REASON_CHARS
+                ]
+            )
+        return _outcome_of_response(response)
 
     async def is_healthy(self) -> bool:
         """Whether the backend server answers its health path."""
@@ -105,43 +113,11 @@
         return response.code == HTTP_OK
 
 
-class _Attempt:
-    """One payload and whether any of it was written."""
-
-    def __init__(self, payload: bytes, may_start: Callable[[], bool]):
-        self.payload = payload
-        self.may_start = may_start
-        self.written = False
-
-    def produce(self, write):
-        """Writes the payload, unless the task may not start any more.
-
-        This is a plain function: the HTTP client calls it once connected
-        and in the same turn of the event loop as it writes.
-        """
-        if not self.may_start():
-            raise NotStartedError(
-                "the lease does not allow the start", "hand it out again"
-            )
-        self.written = True
-        return write(self.payload)
-
-
-def _outcome_of_error(error: Exception) -> Outcome:
-    response = getattr(error, "response", None)
-    if response is not None:
-        body = response.body or b""
+def _outcome_of_response(response: backendpool.Response) -> Outcome:
+    body = response.body
+    if not HTTP_OK <= response.code < HTTP_REDIRECTION:
         text = body.decode(errors="replace")[:MAX_REASON_CHARS]
         return outcome.failed(text or f"status {response.code}")
-    return outcome.unknown(
-        f"the backend server gave no answer: {error!r}"[:MAX_REASON_CHARS]
-    )
-
-
-def _outcome_of_response(
-    response: tornado.httpclient.HTTPResponse,
-) -> Outcome:
-    body = response.body
     if len(body) > MAX_RESULT_BYTES:
         return outcome.failed(
             f"the result has {len(body)} bytes, over {MAX_RESULT_BYTES}"
