Wake the agent for credits only while an entry wishes for slots

The agent woke 50 times a second although no entry wished for slots. The loop now waits until there is a wish.

--- a/egretthread/agentserver.py
+++ b/egretthread/agentserver.py
@@ -39,6 +39,7 @@
         clients: Links to the entries by address.
         peers: Open links by the entry's node id.
         traffic: What all links carry.
+        wished: Set while an entry wishes for slots.
     """
 
     def __init__(self, settings: AgentSettings):
@@ -52,6 +53,7 @@
         )
         self.admin.metrics.refreshers.append(self._count_traffic)
         self.traffic = link.Traffic()
+        self.wished = asyncio.Event()
         self.clients: dict[str, link.LinkClient] = {}
         self.peers: dict[str, link.Peer] = {}
         self.tasks: set[asyncio.Task] = set()
@@ -107,6 +109,8 @@
             if peer is not None:
                 self.board.counters[f"sent_{type(item).__name__}"] += 1
                 peer.send(item)
+        if self.board.wishes:
+            self.wished.set()
         orders, self.board.to_start = self.board.to_start, []
         for order in orders:
             self._spawn(self._run_task(order))
@@ -209,11 +213,13 @@
     async def _credit_loop(self) -> None:
         """Gives lapsed credits to others while entries wish for slots."""
         while True:
+            await self.wished.wait()
             await asyncio.sleep(CREDIT_TICK_S)
-            if self.board.wishes:
-                self._turn()
-                agent_tasks.give_credits(self.board)
-                self._pump()
+            self._turn()
+            agent_tasks.give_credits(self.board)
+            self._pump()
+            if not self.board.wishes:
+                self.wished.clear()
 
     async def _health_loop(self) -> None:
         failures = 0
