--- a/egretthread_bench/programs.py
+++ b/egretthread_bench/programs.py
@@ -20,6 +20,10 @@
     pathlib.Path, typer.Option(help="Where the report is written.")
 ]
 
+Measured = Annotated[
+    str, typer.Option(help="Commit that is measured, when it can't be seen.")
+]
+
 
 def commit() -> str:
     """Returns the commit of the working directory, `+` when changed."""
@@ -39,6 +43,7 @@
         list[pathlib.Path], typer.Argument(help="Scenarios as TOML files.")
     ],
     directory: Directory = pathlib.Path("bench-report"),
+    measured: Measured = "",
 ) -> None:
     """Runs scenarios on the real programs and reports on them."""
     outcomes = []
@@ -46,8 +51,8 @@
         chosen = scenario.load(path)
         console.progress(f"{chosen.name}: {chosen.duration_s:.0f} s of load")
         outcomes.append(asyncio.run(runs.run(chosen)))
-    processreport.write(outcomes, directory, commit())
-    print(processreport.markdown(outcomes, commit()))
+    processreport.write(outcomes, directory, measured or commit())
+    print(processreport.markdown(outcomes, measured or commit()))
 
 
 @app.command()
