--- a/egretthread/controllers/reports.py
+++ b/egretthread/controllers/reports.py
@@ -100,7 +100,7 @@
         return
     del state.hand_outs[item.index]
     board.counters[f"handed_back_{item.refusal}"] += 1
-    _note_refusal(board, report.agent, item.refusal, held.sent_s)
+    _note_refusal(board, state, report.agent, item.refusal, held.sent_s)
     if state.phase is not Phase.RUNNING:
         return
     reason = state.cancel_reason
@@ -113,11 +113,23 @@
 
 
 def _note_refusal(
-    board: EntryBoard, node: str, refusal: Refusal, sent_s: float
+    board: EntryBoard,
+    state: JobState,
+    node: str,
+    refusal: Refusal,
+    sent_s: float,
 ) -> None:
-    """Sends an agent nothing more until it speaks of free slots again."""
+    """Takes in what a refusal tells of the agent itself.
+
+    A busy agent remembers by itself that tasks wait here, until it is told
+    otherwise. Any other one gets nothing more until it speaks of free slots
+    again.
+    """
     agent = board.agents.get(node)
-    if agent is None or refusal is Refusal.BUSY:
+    if agent is None:
+        return
+    if refusal is Refusal.BUSY:
+        wants.note_wish(board, agent, state.submission.service)
         return
     agent.free = 0
     if refusal in RESTING_REFUSALS:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -77,8 +77,7 @@
         "controllers/agent_tasks.py",
         "    refusal = agent_leases.refusal(board)\n"
         "    if refusal is Refusal.DRAINING and",
-        "    refusal = Refusal.NONE\n"
-        "    if refusal is Refusal.DRAINING and",
+        "    refusal = Refusal.NONE\n    if refusal is Refusal.DRAINING and",
     ),
     Mutation(
         "ignore that a lease has lapsed",
