--- /dev/null
+++ b/tests/histories.py
@@ -0,0 +1,393 @@
+"""The steps of a random history over the fake world.
+
+A step is a function of the world and of `pick`, which returns a number
+below its argument. The choices come from a seeded generator or from
+hypothesis.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from egretthread import config
+from tests import oracle, world
+
+Pick = Callable[[int], int]
+
+WAITS_S = (0.0, 0.002, 0.01, 0.05, 0.2, 0.5, 1.0, 3.0)
+LONG_WAITS_S = (5.0, 11.0, 25.0, 70.0)
+DEADLINES_S = (20.0, 20.0, 5.0, 1.0)
+SIZES = (1, 3, 8, 30)
+START_S = 4.0
+# By then every caller is told, after all faults have ended.
+SETTLE_S = 45.0
+
+
+class History:
+    """One world and what the steps so far have done to it.
+
+    Attributes:
+        world: The world.
+        jobs: The submissions so far.
+        steps: Names of the steps taken.
+    """
+
+    def __init__(self, seed: int):
+        self.world = world.World(seed)
+        self.jobs: list = []
+        self.steps: list[str] = []
+        self.world.run(START_S)
+
+    def take(self, name: str, pick: Pick) -> None:
+        """Takes one step and lets some time pass."""
+        self.steps.append(name)
+        STEPS[name](self, pick)
+        self.world.run(WAITS_S[pick(len(WAITS_S))])
+
+    def settle(self) -> None:
+        """Ends all faults; in the end everybody must have been told."""
+        region = self.world
+        for item in region.processes.values():
+            item.leaving = item.leaving and item.alive
+        region.heal_all()
+        for job in self.jobs[-5:]:
+            region.submit(region.entry_names[0], job)
+        region.run(SETTLE_S)
+        region.oracle.check_settled(region)
+
+
+def _entry(history: History, pick: Pick) -> str:
+    names = history.world.entry_names
+    return names[pick(len(names))]
+
+
+def _agent(history: History, pick: Pick) -> str:
+    names = history.world.agent_names
+    return names[pick(len(names))]
+
+
+def _any(history: History, pick: Pick) -> str:
+    return _entry(history, pick) if pick(2) else _agent(history, pick)
+
+
+def _link(history: History, pick: Pick):
+    links = history.world.links
+    return links[pick(len(links))] if links else None
+
+
+def submit(history: History, pick: Pick) -> None:
+    """Submits a new job."""
+    submission = history.world.new_submission(
+        f"j{len(history.jobs)}",
+        SIZES[pick(len(SIZES))],
+        ("dublin", "dublin", "varna")[pick(3)],
+        DEADLINES_S[pick(len(DEADLINES_S))],
+        age_s=(0.0, 0.0, 0.03, -0.03, 5.0, 119.9)[pick(6)],
+    )
+    history.jobs.append(submission)
+    history.world.submit(_entry(history, pick), submission)
+
+
+def submit_impossible(history: History, pick: Pick) -> None:
+    """Submits a job that no worker can ever run."""
+    submission = history.world.new_submission(
+        f"j{len(history.jobs)}", 2, memory_bytes=2**38
+    )
+    history.jobs.append(submission)
+    history.world.submit(_entry(history, pick), submission)
+
+
+def resubmit(history: History, pick: Pick) -> None:
+    """Submits a known job once more, often one of the newest."""
+    if not history.jobs:
+        return
+    among = history.jobs[-3:] if pick(3) else history.jobs
+    submission = among[pick(len(among))]
+    if pick(4) == 0:
+        submission = dataclasses.replace(submission, deadline_s=3.0)
+    history.world.submit(_entry(history, pick), submission)
+
+
+def race(history: History, pick: Pick) -> None:
+    """Submits one job through two entries at once."""
+    submit(history, pick)
+    history.world.run((0.0, 0.001, 0.002, 0.004)[pick(4)])
+    history.world.submit(_entry(history, pick), history.jobs[-1])
+
+
+def conflict(history: History, pick: Pick) -> None:
+    """Uses a known key for other tasks."""
+    if not history.jobs:
+        return
+    known = history.jobs[pick(len(history.jobs))]
+    other = history.world.new_submission("x", 2, tag=f"other{pick(2)}")
+    other = dataclasses.replace(other, job=known.job)
+    history.world.submit(_entry(history, pick), other)
+
+
+def cancel(history: History, pick: Pick) -> None:
+    """Cancels a job through some entry."""
+    if history.jobs:
+        job = history.jobs[-1 - pick(min(3, len(history.jobs)))].job
+        history.world.cancel(_entry(history, pick), job)
+
+
+def drop(history: History, pick: Pick) -> None:
+    """Breaks a link and loses what is under way on it."""
+    link = _link(history, pick)
+    if link is not None:
+        history.world.break_link(link)
+
+
+def silence(history: History, pick: Pick) -> None:
+    """Lets a link go silent for good."""
+    link = _link(history, pick)
+    if link is not None:
+        history.world.silence(link)
+
+
+def disturb(history: History, pick: Pick) -> None:
+    """Has messages delayed, duplicated and reordered on some links."""
+    for _ in range(4):
+        link = _link(history, pick)
+        if link is None:
+            return
+        link.disorder = pick(6)
+        link.duplicates = pick(6)
+        link.delay_s = (0.0, 0.0, 0.01, 0.3, 1.0)[pick(5)]
+
+
+def kill(history: History, pick: Pick) -> None:
+    """Kills a process."""
+    history.world.kill(_any(history, pick))
+
+
+def restart(history: History, pick: Pick) -> None:
+    """Starts a new incarnation of a process."""
+    history.world.run(0.2)
+    history.world.restart(_any(history, pick))
+
+
+def revive(history: History, pick: Pick) -> None:
+    """Starts all processes that are dead."""
+    history.world.run(0.2)
+    for name, process in list(history.world.processes.items()):
+        if not process.alive:
+            history.world.start(name)
+
+
+def kill_coordinator(history: History, pick: Pick) -> None:
+    """Kills the entry that got the newest job; submits it elsewhere."""
+    if not history.jobs:
+        return
+    job = history.jobs[-1]
+    requests = history.world.oracle.requests[job.job]
+    if requests:
+        history.world.kill(requests[-1].process.name)
+        history.world.run(WAITS_S[pick(5)])
+    history.world.submit(_entry(history, pick), job)
+
+
+def kill_zone(history: History, pick: Pick) -> None:
+    """Kills all processes of a zone."""
+    zone = "abc"[pick(3)]
+    for name, process in history.world.processes.items():
+        if process.zone == zone:
+            history.world.kill(name)
+
+
+def pause(history: History, pick: Pick) -> None:
+    """Pauses a process."""
+    history.world.pause(_any(history, pick))
+
+
+def resume(history: History, pick: Pick) -> None:
+    """Resumes the processes that are paused."""
+    for name in list(history.world.processes):
+        if pick(3):
+            history.world.resume(name)
+
+
+def partition(history: History, pick: Pick) -> None:
+    """Cuts a zone, or any few processes, off from the rest."""
+    region = history.world
+    if pick(2):
+        zone = "abc"[pick(3)]
+        names = {n for n, p in region.processes.items() if p.zone == zone}
+    else:
+        names = {_any(history, pick) for _ in range(1 + pick(4))}
+    region.heal()
+    region.partition(names)
+    if pick(2) and len(names.intersection(region.entry_names)) == 1:
+        region.log_cut = names.intersection(region.entry_names)
+
+
+def heal(history: History, pick: Pick) -> None:
+    """Ends the partition."""
+    history.world.heal()
+    history.world.log_cut = set()
+
+
+def cut_log(history: History, pick: Pick) -> None:
+    """Cuts one entry off from the log alone."""
+    history.world.log_cut = {_entry(history, pick)}
+
+
+def log_outage(history: History, pick: Pick) -> None:
+    """Takes the log out or brings it back."""
+    region = history.world
+    region.set_log_out(not region.log_out)
+
+
+def log_slow(history: History, pick: Pick) -> None:
+    """Changes how slow the log is."""
+    history.world.log_slow_s = (0.0, 0.1, 0.4, 0.7)[pick(4)]
+
+
+def _flip_zone(name: str) -> Callable:
+    def change(old: config.Configuration) -> config.Configuration:
+        zones = tuple(
+            dataclasses.replace(zone, withdrawn=not zone.withdrawn)
+            if zone.name == name
+            else zone
+            for zone in old.zones
+        )
+        return dataclasses.replace(old, zones=zones)
+
+    return change
+
+
+def _flip_drain(name: str) -> Callable:
+    def change(old: config.Configuration) -> config.Configuration:
+        names = set(old.draining_servers) ^ {name}
+        return dataclasses.replace(old, draining_servers=tuple(sorted(names)))
+
+    return change
+
+
+def _set_retention(retention_s: float) -> Callable:
+    def change(old: config.Configuration) -> config.Configuration:
+        return dataclasses.replace(old, retention_s=retention_s)
+
+    return change
+
+
+def _change(history: History, pick: Pick) -> Callable:
+    kind = pick(5)
+    if kind < 2:
+        return _flip_zone("abc"[pick(3)])
+    if kind < 4:
+        return _flip_drain(_agent(history, pick))
+    return _set_retention((120.0, 60.0, 40.0)[pick(3)])
+
+
+def operate(history: History, pick: Pick) -> None:
+    """Withdraws or restores a zone, drains, or sets the retention."""
+    history.world.publish(_change(history, pick), lost=bool(pick(2)))
+
+
+def race_operators(history: History, pick: Pick) -> None:
+    """Has two operators publish conflicting changes at once."""
+    for _ in range(2):
+        history.world.publish(_change(history, pick), lost=bool(pick(2)))
+
+
+def withdraw_and_cut(history: History, pick: Pick) -> None:
+    """Withdraws a zone and cuts it off, or takes the log out, at once."""
+    zone = "abc"[pick(3)]
+    region = history.world
+    region.publish(_flip_zone(zone))
+    region.run((0.02, 0.1, 0.4)[pick(3)])
+    if pick(2):
+        names = {n for n, p in region.processes.items() if p.zone == zone}
+        region.heal()
+        region.partition(names)
+    elif not region.log_out:
+        region.set_log_out(True)
+
+
+def shut_down(history: History, pick: Pick) -> None:
+    """Shuts a process down gracefully."""
+    history.world.shut_down(_any(history, pick))
+
+
+def backend(history: History, pick: Pick) -> None:
+    """Takes a backend server down or brings it up."""
+    process = history.world.processes[_agent(history, pick)]
+    process.backend_up = not process.backend_up
+
+
+def wait(history: History, pick: Pick) -> None:
+    """Lets a longer time pass."""
+    history.world.run(LONG_WAITS_S[pick(len(LONG_WAITS_S))])
+
+
+STEPS = {
+    function.__name__: function
+    for function in (
+        submit,
+        submit_impossible,
+        resubmit,
+        race,
+        conflict,
+        cancel,
+        drop,
+        silence,
+        disturb,
+        kill,
+        restart,
+        revive,
+        kill_coordinator,
+        kill_zone,
+        pause,
+        resume,
+        partition,
+        heal,
+        cut_log,
+        log_outage,
+        log_slow,
+        operate,
+        race_operators,
+        withdraw_and_cut,
+        shut_down,
+        backend,
+        wait,
+    )
+}
+
+# How often each step comes, relative to 1 for those not named.
+FREQUENCIES = {
+    "submit": 6,
+    "resubmit": 5,
+    "race": 3,
+    "kill_coordinator": 2,
+    "revive": 3,
+    "resume": 3,
+    "heal": 3,
+    "disturb": 2,
+    "drop": 2,
+    "operate": 2,
+}
+WEIGHTED = tuple(
+    name for name in STEPS for _ in range(FREQUENCIES.get(name, 1))
+)
+
+
+def play(seed: int, steps: int = 50) -> History:
+    """Plays one seeded history and settles it.
+
+    Raises:
+        oracle.Violation: Something that must always hold does not; the
+            message names the seed and the last steps.
+    """
+    rng = random.Random(seed)
+    history = History(seed)
+    try:
+        for _ in range(steps):
+            history.take(rng.choice(WEIGHTED), rng.randrange)
+        history.settle()
+    except Exception as error:
+        recent = ", ".join(history.steps[-8:])
+        place = f"seed {seed}, step {len(history.steps)} ({recent})"
+        raise oracle.Violation(f"{place}: {error!r}") from error
+    return history
