Say in a refusal whether this entry started tasks before

Cause: an entry that was superseded after it had handed out tasks, and then met its deadline, refused the job with started_by_this_request false; the callers' library takes that as leave to use a new key. Ruled out: a final answer of unknown outcomes, since the key's real outcomes can still be had by asking again.

--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -58,12 +58,14 @@
         message: What happened.
         remedy: What the caller can do.
         retry_after_s: When to come back; 0 when that would not help.
+        started: Whether this entry may have started some of the job's tasks.
     """
 
     kind: str
     message: str
     remedy: str
     retry_after_s: float = 0.0
+    started: bool = False
 
 
 class Phase(enum.StrEnum):
--- a/egretthread/callerapi.py
+++ b/egretthread/callerapi.py
@@ -62,7 +62,7 @@
             "kind": refusal.kind,
             "message": refusal.message,
             "remedy": refusal.remedy,
-            "started_by_this_request": False,
+            "started_by_this_request": refusal.started,
             **more,
         }
         if refusal.retry_after_s:
--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -33,7 +33,12 @@
 
 
 def refuse(board: EntryBoard, state: JobState, refusal: Refusal) -> None:
-    """Ends this entry's part in a job of which it started nothing."""
+    """Ends this entry's part in a job without an answer.
+
+    An entry that was superseded may have handed out tasks before.
+    """
+    started = any(state.attempts.values())
+    refusal = dataclasses.replace(refusal, started=started)
     del board.jobs[state.job]
     _free_quota(board, state)
     board.counters[f"refused_{refusal.kind}"] += 1
