--- a/egretthread/lease.py
+++ b/egretthread/lease.py
@@ -65,9 +65,13 @@
 
     The age is that of the oldest statement in the freshest majority of the
     entries that are cut off from the log, and infinite without a majority.
+    An entry that has no configuration does not count: it was restarted, and
+    what its former self had read is lost.
     """
     ages = sorted(
-        peer.heard_age_s for peer in known if peer.log_age_s >= OUTAGE_AFTER_S
+        peer.heard_age_s
+        for peer in known
+        if peer.log_age_s >= OUTAGE_AFTER_S and peer.config_offset >= 0
     )
     needed = len(entries) // 2
     if needed == 0:
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -5,6 +5,7 @@
 hypothesis.
 """
 
+import collections
 import dataclasses
 import random
 from collections.abc import Callable
@@ -23,6 +24,25 @@
 SETTLE_S = 45.0
 
 
+# Counters of the engines that tell how deep the histories go.
+INTERESTING = (
+    "takeovers",
+    "jobs_superseded",
+    "tasks_lost",
+    "jobs_complete",
+    "jobs_failed",
+    "hand_outs_resent",
+    "agents_joined",
+    "refused_no_lease",
+    "refused_withdrawn",
+    "refused_draining",
+    "refused_sealed",
+    "refused_busy",
+    "refused_outside_retention",
+    "credits",
+)
+
+
 class History:
     """One world and what the steps so far have done to it.
 
@@ -44,6 +64,14 @@
         STEPS[name](self, pick)
         self.world.run(WAITS_S[pick(len(WAITS_S))])
 
+    def counts(self) -> collections.Counter:
+        """Returns what happened, to see how deep the history went."""
+        counts = collections.Counter(self.world.oracle.counts)
+        for board in self.world.boards:
+            for key in INTERESTING:
+                counts[key] += board.counters[key]
+        return counts
+
     def settle(self) -> None:
         """Ends all faults; in the end everybody must have been told."""
         region = self.world
--- a/tests/world.py
+++ b/tests/world.py
@@ -144,6 +144,7 @@
         events: Heap of (time, number, function).
         oracle: Checks what must always hold.
         processes: The newest incarnation by name.
+        boards: The blackboards of all incarnations.
         links: All links that are not broken.
         cut: Names cut off from the other processes.
         log_cut: Names cut off from the log.
@@ -172,6 +173,7 @@
         self.numbers = itertools.count()
         self.oracle = oracle.Oracle()
         self.processes: dict[str, Process] = {}
+        self.boards: list = []
         self.links: list[Link] = []
         self.cut: set[str] = set()
         self.log_cut: set[str] = set()
@@ -238,6 +240,7 @@
             )
         process.node = process.board.node
         self.processes[name] = process
+        self.boards.append(process.board)
         self.oracle.on_process(process)
         jitter_s = self.rng.random()
         if kind == "entry":
@@ -535,7 +538,11 @@
             self.at(LOG_POLL_S, lambda: self._poll_log(process))
             return
         sent_s = process.clock_s + self.now_s
-        configs = self.configs[process.config_next :]
+        first = process.config_next
+        if self.faults and self.rng.random() < 0.1:
+            # The log may be read again from an earlier offset.
+            first = max(0, first - 2)
+        configs = self.configs[first:]
         records = self.members[process.members_next :]
 
         def answer() -> None:
@@ -544,10 +551,9 @@
 
         def take(configs: list, records: list) -> None:
             board = process.board
-            for configuration in configs:
-                offset = process.config_next
+            for offset, configuration in enumerate(configs, first):
                 entry.on_configuration(board, offset, configuration)
-                process.config_next += 1
+                process.config_next = max(process.config_next, offset + 1)
             entry.on_log_read(board, sent_s)
             for text in records:
                 entry.on_members_record(board, process.members_next, text)
