--- a/tests/histories.py
+++ b/tests/histories.py
@@ -85,7 +85,12 @@
 
 
 def _entry(history: History, pick: Pick) -> str:
+    """Returns the name of an entry, mostly of one that callers reach."""
     names = history.world.entry_names
+    name = names[pick(len(names))]
+    process = history.world.processes[name]
+    if process.alive and not process.paused:
+        return name
     return names[pick(len(names))]
 
 
@@ -216,6 +221,57 @@
     history.world.submit(_entry(history, pick), job)
 
 
+def pause_coordinator(history: History, pick: Pick) -> None:
+    """Pauses the entry of the newest job until others take the job over."""
+    if not history.jobs:
+        return
+    job = history.jobs[-1]
+    requests = history.world.oracle.requests[job.job]
+    if not requests:
+        return
+    name = requests[-1].process.name
+    history.world.pause(name)
+    history.world.run((0.1, 3.2, 6.0)[pick(3)])
+    history.world.submit(_entry(history, pick), job)
+    history.world.run(WAITS_S[pick(5)])
+    if pick(3):
+        history.world.resume(name)
+
+
+def part_entries(history: History, pick: Pick) -> None:
+    """Parts an entry from the others, while agents reach all of them."""
+    region = history.world
+    alone = region.entry_names[pick(len(region.entry_names))]
+    others = set(region.entry_names) - {alone}
+    region.heal()
+    region.partition(set(), {frozenset((alone, name)) for name in others})
+    if not history.jobs:
+        return
+    region.run((0.5, 3.2, 6.0)[pick(3)])
+    job = history.jobs[-1]
+    region.submit(alone, job)
+    region.run(WAITS_S[pick(5)])
+    region.submit(sorted(others)[pick(len(others))], job)
+
+
+def takeover_race(history: History, pick: Pick) -> None:
+    """Kills the coordinator of a job under way; two others take over."""
+    region = history.world
+    live = [n for n in region.entry_names if region.processes[n].alive]
+    if not live:
+        return
+    submit(history, pick)
+    job = history.jobs[-1]
+    region.run((0.002, 0.01, 0.05, 0.3)[pick(4)])
+    first = region.oracle.requests[job.job][-1].process.name
+    region.kill(first)
+    region.run((0.0, 0.5, 4.0)[pick(3)])
+    for name in live:
+        if name != first:
+            region.submit(name, job)
+            region.run(WAITS_S[pick(4)])
+
+
 def kill_zone(history: History, pick: Pick) -> None:
     """Kills all processes of a zone."""
     zone = "abc"[pick(3)]
@@ -366,6 +422,9 @@
         restart,
         revive,
         kill_coordinator,
+        pause_coordinator,
+        part_entries,
+        takeover_race,
         kill_zone,
         pause,
         resume,
@@ -389,6 +448,9 @@
     "resubmit": 5,
     "race": 3,
     "kill_coordinator": 2,
+    "pause_coordinator": 2,
+    "part_entries": 2,
+    "takeover_race": 2,
     "revive": 3,
     "resume": 3,
     "heal": 3,
--- a/tests/world.py
+++ b/tests/world.py
@@ -147,6 +147,7 @@
         boards: The blackboards of all incarnations.
         links: All links that are not broken.
         cut: Names cut off from the other processes.
+        cut_pairs: Pairs of names cut off from each other.
         log_cut: Names cut off from the log.
         log_out: Whether the log answers nobody.
         log_slow_s: Added to the time of each read of the log.
@@ -176,6 +177,7 @@
         self.boards: list = []
         self.links: list[Link] = []
         self.cut: set[str] = set()
+        self.cut_pairs: set[frozenset[str]] = set()
         self.log_cut: set[str] = set()
         self.log_out = False
         self.log_slow_s = 0.0
@@ -405,6 +407,8 @@
 
     def is_cut(self, one: Process, other: Process) -> bool:
         """Whether a partition lies between two processes."""
+        if frozenset((one.name, other.name)) in self.cut_pairs:
+            return True
         return (one.name in self.cut) != (other.name in self.cut)
 
     def _connect(self, dialler: Process, target: Process) -> None:
@@ -451,9 +455,17 @@
         link.silent = True
         self.at(LIVENESS_S, lambda: self.break_link(link))
 
-    def partition(self, names: set[str]) -> None:
-        """Cuts some processes off from the others."""
+    def partition(
+        self, names: set[str], pairs: set[frozenset[str]] = frozenset()
+    ) -> None:
+        """Cuts some processes off from the others.
+
+        Args:
+            names: Processes that reach one another only.
+            pairs: Pairs that do not reach each other either.
+        """
         self.cut = set(names)
+        self.cut_pairs = set(pairs)
         for link in list(self.links):
             if self.is_cut(*link.ends):
                 self._stall(link)
@@ -471,6 +483,7 @@
     def heal(self) -> None:
         """Ends the partition; what it held up goes on."""
         self.cut = set()
+        self.cut_pairs = set()
         for link in list(self.links):
             stalled, link.stalled = link.stalled, []
             for sender, item in stalled:
