Play kills and pauses of processes on a small cluster

The cluster of stand-ins takes a layout: entries, zones, settings and relays before the entries and the log. Entries may advertise another address than they listen on, so that a relay can stand between. Scenes kill and pause entries and agents in the middle of a job; an audit compares all answers with the starts that the backend servers recorded.

--- a/egretthread/entryserver.py
+++ b/egretthread/entryserver.py
@@ -74,7 +74,9 @@
     async def start(self) -> None:
         """Starts to serve."""
         self.links.start()
-        self.board.address = self.links.address
+        self.board.address = (
+            self.settings.advertised_address or self.links.address
+        )
         self.admin.start()
         self._listen_for_callers()
         self.feed.start()
--- a/egretthread/settings.py
+++ b/egretthread/settings.py
@@ -36,6 +36,8 @@
         shared_key: Key that the system's processes prove to one another.
         config_stream: Log stream of the operators' configuration.
         members_stream: Log stream of the members.
+        advertised_address: `host:port` at which agents and other entries
+            reach the peer address; empty when they reach it as it is.
         tls_cert: Certificate file; empty for plain TCP.
         tls_key: Private key file of the certificate.
         tls_ca: Certificate authority file that peers are verified by.
@@ -59,6 +61,7 @@
     shared_key: str = dataclasses.field(repr=False)
     config_stream: str = "config"
     members_stream: str = "members"
+    advertised_address: str = ""
     tls_cert: str = ""
     tls_key: str = ""
     tls_ca: str = ""
@@ -236,6 +239,13 @@
     return value
 
 
+def _optional_address(checker, table, key, default):
+    value = table.get(key, default)
+    if value != "":
+        _check_address(checker, key, value)
+    return value
+
+
 def _check_address(checker, key, value):
     try:
         split_address(value)
@@ -350,6 +360,7 @@
     **COMMON_CHECKS,
     "http_address": _address,
     "peer_address": _address,
+    "advertised_address": _optional_address,
     "log_url": _url,
     "config_stream": _name,
     "members_stream": _name,
--- a/egretthread_standins/cluster.py
+++ b/egretthread_standins/cluster.py
@@ -1,21 +1,24 @@
-"""A small cluster of child processes on loopback, for the demo.
+"""A small cluster of child processes on loopback, for the demo and tests.
 
-It has the log stand-in, two entries, and two agents with their backend
-server stand-ins in each of three availability zones.
+It has the log stand-in, entries, and agents with their backend server
+stand-ins in some availability zones, as its layout says.
 """
 
 import asyncio
 import dataclasses
+import json
 import pathlib
 import secrets
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import tomli_w
+from tornado import httpclient
 
 from egretthread import adminclient, client, operators
 from egretthread_standins import children
 from egretthread_standins.children import Child
+from egretthread_standins.relay import Relay
 
 REGION = "eire-east"
 ZONES = ("eire-east-a", "eire-east-b", "eire-east-c")
@@ -26,21 +29,56 @@
 SLOTS = 8
 PROCESSORS = 32
 MEMORY_BYTES = 128 * 2**30
-ANY_PORT = "127.0.0.1:0"
+HOST = "127.0.0.1"
+ANY_PORT = f"{HOST}:0"
 READY_LIMIT_S = 30.0
 POLL_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
+class Layout:
+    """What a cluster consists of, and how it differs from the defaults.
+
+    Attributes:
+        entries: Names of the entries.
+        zones: The availability zones.
+        agents_per_zone: Agents, and backend servers, in each of them.
+        slots: Tasks that a backend server runs at once.
+        entry_settings: Settings of the entries, by name.
+        agent_settings: Settings of the agents, by name.
+        service: Fields of the service, by name.
+        organisation: Fields of the organisation, by name.
+        relayed: Whether relays stand before every entry's peer address and
+            between every entry and the log.
+    """
+
+    entries: tuple[str, ...] = ("entry-1", "entry-2")
+    zones: tuple[str, ...] = ZONES
+    agents_per_zone: int = AGENTS_PER_ZONE
+    slots: int = SLOTS
+    entry_settings: Mapping[str, object] = dataclasses.field(
+        default_factory=dict
+    )
+    agent_settings: Mapping[str, object] = dataclasses.field(
+        default_factory=dict
+    )
+    service: Mapping[str, object] = dataclasses.field(default_factory=dict)
+    organisation: Mapping[str, object] = dataclasses.field(default_factory=dict)
+    relayed: bool = False
+
+
+@dataclasses.dataclass
 class Worker:
     """An agent and its backend server.
 
     Attributes:
+        name: Names both.
         zone: Their availability zone.
         agent: The agent's process.
         backend: The backend server's process.
     """
 
+    name: str
     zone: str
     agent: Child
     backend: Child
@@ -53,12 +91,14 @@
     Attributes:
         at_s: Unix time of the start.
         zone: Availability zone of the backend server.
+        worker: Name of the worker.
         key: Key of the job.
         index: The task's index within the job.
     """
 
     at_s: float
     zone: str
+    worker: str
     key: str
     index: int
 
@@ -68,6 +108,7 @@
 
     Attributes:
         directory: Holds settings and log files.
+        layout: What the cluster consists of.
         shared_key: Key that the processes prove to one another.
         token: Access key of the one organisation.
         children: Every child ever started, in order.
@@ -75,10 +116,17 @@
         entries: The entries by name.
         workers: The workers.
         log_client: Client of the log.
+        peer_relays: Relays before the entries' peer addresses, by entry.
+        log_relays: Relays between the entries and the log, by entry.
     """
 
-    def __init__(self, directory: pathlib.Path):
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        layout: Layout = Layout(),  # noqa: B008
+    ):
         self.directory = directory
+        self.layout = layout
         self.shared_key = secrets.token_hex(16)
         self.token = ""
         self.children: list[Child] = []
@@ -86,6 +134,8 @@
         self.entries: dict[str, Child] = {}
         self.workers: list[Worker] = []
         self.log_client: operators.LogClient | None = None
+        self.peer_relays: dict[str, Relay] = {}
+        self.log_relays: dict[str, Relay] = {}
 
     async def start(self) -> None:
         """Starts every process and publishes the first configuration."""
@@ -94,27 +144,34 @@
         )
         self.log_client = operators.LogClient(url(self.log))
         await self.publish_first()
-        for name in ("entry-1", "entry-2"):
+        for name in self.layout.entries:
             await self.start_entry(name)
         async with asyncio.TaskGroup() as starting:
-            for zone in ZONES:
-                for number in range(AGENTS_PER_ZONE):
+            for zone in self.layout.zones:
+                for number in range(self.layout.agents_per_zone):
                     starting.create_task(self.start_worker(zone, number))
-        self.workers.sort(key=lambda worker: worker.agent.name)
+        self.workers.sort(key=lambda worker: worker.name)
         await self.wait_ready()
 
     async def publish_first(self) -> None:
         """Publishes zones, the service and an organisation with a key."""
         self.token, key = operators.make_access_key(ORGANISATION, "demo")
-        organisation = operators.Organisation(ORGANISATION, (key,))
+        organisation = operators.Organisation(
+            ORGANISATION, (key,), **self.layout.organisation
+        )
         service = operators.Service(
-            SERVICE, (ORGANISATION,), region=REGION, slots=SLOTS
+            SERVICE,
+            (ORGANISATION,),
+            region=REGION,
+            slots=self.layout.slots,
+            **self.layout.service,
         )
         configuration = operators.Configuration(
             organisations=(organisation,),
             services=(service,),
             zones=tuple(
-                operators.AvailabilityZone(name, REGION) for name in ZONES
+                operators.AvailabilityZone(name, REGION)
+                for name in self.layout.zones
             ),
         )
         with (self.directory / "configuration.toml").open("w") as file:
@@ -129,27 +186,64 @@
 
     async def start_entry(self, name: str) -> Child:
         """Starts an entry, or one that takes the place of a dead one."""
-        zone = ZONES[len(self.entries) % len(ZONES)]
+        number = self.layout.entries.index(name)
         settings = {
             "name": name,
             "region": REGION,
-            "zone": zone,
+            "zone": self.layout.zones[number % len(self.layout.zones)],
             "http_address": ANY_PORT,
             "admin_address": ANY_PORT,
             "peer_address": ANY_PORT,
             "log_url": url(self.log),
             "shared_key": self.shared_key,
         }
-        entry = await self.spawn_daemon(name, "egretthread.entryd", settings)
+        if self.layout.relayed:
+            settings |= await self.start_relays(name)
+        entry = await self.spawn_daemon(
+            name,
+            "egretthread.entryd",
+            {**settings, **self.layout.entry_settings},
+        )
+        if self.layout.relayed:
+            self.peer_relays[name].target = entry.addresses["peer"]
         self.entries[name] = entry
         return entry
 
+    async def start_relays(self, name: str) -> dict[str, str]:
+        """Starts an entry's relays, if need be, and returns its settings."""
+        if name not in self.peer_relays:
+            self.peer_relays[name] = await start_relay(ANY_PORT)
+            self.log_relays[name] = await start_relay(
+                self.log.addresses["http"]
+            )
+        return {
+            "advertised_address": f"{HOST}:{self.peer_relays[name].port}",
+            "log_url": f"http://{HOST}:{self.log_relays[name].port}",
+        }
+
+    def peer_address(self, name: str) -> str:
+        """Returns the address at which agents reach an entry."""
+        if name in self.peer_relays:
+            return f"{HOST}:{self.peer_relays[name].port}"
+        return self.entries[name].addresses["peer"]
+
     async def start_worker(self, zone: str, number: int) -> None:
         """Starts a backend server and the agent beside it."""
         name = f"{zone}-{number}"
         backend = await self.spawn(
             f"backend-{name}", "egretthread_standins.backend", "--port", "0"
         )
+        agent = await self.start_agent(name, zone, backend)
+        self.workers.append(Worker(name, zone, agent, backend))
+
+    async def replace_agent(self, worker: Worker) -> None:
+        """Starts an agent in the place of one that has ended."""
+        worker.agent = await self.start_agent(
+            worker.name, worker.zone, worker.backend
+        )
+
+    async def start_agent(self, name: str, zone: str, backend: Child) -> Child:
+        """Starts an agent beside a backend server."""
         settings = {
             "name": f"agent-{name}",
             "region": REGION,
@@ -157,18 +251,17 @@
             "service": SERVICE,
             "admin_address": ANY_PORT,
             "backend_url": url(backend),
-            "entries": [
-                entry.addresses["peer"] for entry in self.entries.values()
-            ],
+            "entries": [self.peer_address(entry) for entry in self.entries],
             "shared_key": self.shared_key,
             "processors": PROCESSORS,
             "memory_bytes": MEMORY_BYTES,
-            "slots": SLOTS,
+            "slots": self.layout.slots,
         }
-        agent = await self.spawn_daemon(
-            f"agent-{name}", "egretthread.agentd", settings
+        return await self.spawn_daemon(
+            f"agent-{name}",
+            "egretthread.agentd",
+            {**settings, **self.layout.agent_settings},
         )
-        self.workers.append(Worker(zone, agent, backend))
 
     async def spawn_daemon(
         self, name: str, module: str, settings: dict
@@ -242,9 +335,11 @@
         return codes
 
     async def close(self) -> None:
-        """Kills what is still running and closes the client."""
+        """Kills what is still running and closes the client and relays."""
         for child in self.children:
             await children.kill(child.process)
+        for relay in (*self.peer_relays.values(), *self.log_relays.values()):
+            await relay.close()
         if self.log_client:
             self.log_client.close()
 
@@ -259,13 +354,26 @@
     return f"http://{child.addresses['http']}"
 
 
+async def start_relay(target: str) -> Relay:
+    """Returns a started relay to a target."""
+    relay = Relay(target)
+    await relay.start()
+    return relay
+
+
+async def post_json(child: Child, path: str, body: dict) -> None:
+    """Posts a JSON object to a stand-in, such as a change of its faults."""
+    http = httpclient.AsyncHTTPClient()
+    await http.fetch(url(child) + path, method="POST", body=json.dumps(body))
+
+
 async def starts_of(worker: Worker) -> list[Start]:
     """Returns the starts that a backend server recorded."""
     body = await adminclient.fetch_json(
         worker.backend.addresses["http"], "/starts"
     )
     return [
-        Start(at_s, worker.zone, row["key"], row["index"])
+        Start(at_s, worker.zone, worker.name, row["key"], row["index"])
         for row in body["times"]
         for at_s in row["times_s"]
     ]
--- a/egretthread_standins/demo.py
+++ b/egretthread_standins/demo.py
@@ -18,6 +18,7 @@
 from egretthread import apierror, client, console, operators
 from egretthread.outcome import JobAnswer
 from egretthread_standins import children, cluster, ledger
+from egretthread_standins.checks import Check, print_checks
 from egretthread_standins.cluster import Cluster, Start
 
 SEED = 1
@@ -36,21 +37,6 @@
 DEMO_LIMIT_S = 240.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Check:
-    """One thing that must hold.
-
-    Attributes:
-        name: What is checked.
-        ok: Whether it holds.
-        seen: What was measured.
-    """
-
-    name: str
-    ok: bool
-    seen: str
-
-
 @dataclasses.dataclass
 class Trickle:
     """Small jobs that a few callers submit in the background.
@@ -315,12 +301,6 @@
     return checks
 
 
-def print_checks(checks: list[Check]) -> None:
-    """Prints the table of checks."""
-    rows = [("ok" if c.ok else "FAILED", c.name, c.seen) for c in checks]
-    print(console.table(("", "CHECK", "SEEN"), rows))
-
-
 async def run(directory: pathlib.Path) -> bool:
     """Runs the demo within its time limit; whether every check holds."""
     own_task = asyncio.current_task()
--- /dev/null
+++ b/egretthread_standins/faults/stage.py
@@ -0,0 +1,179 @@
+"""A cluster with load and an audit, on which scenes are played."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+import time
+from collections.abc import AsyncIterator, Callable
+
+from egretthread import client
+from egretthread_standins import children, cluster
+from egretthread_standins.cluster import Cluster, Layout, Start, Worker
+from egretthread_standins.faults.audit import Audit, Told
+
+SEED = 1
+LIMIT_S = 40.0
+BOTH = ("entry-1", "entry-2")
+# A job that keeps every slot of a small cluster busy for a second or two.
+TASKS = 60
+RUN_S = (0.2, 0.6)
+DEADLINE_S = 30.0
+LOAD_TASKS = 6
+LOAD_RUN_S = (0.02, 0.06)
+LOAD_PAUSE_S = 0.02
+LOAD_CALLERS = 3
+
+SMALL = Layout(
+    agents_per_zone=1,
+    entry_settings={"suspect_after_s": 2.0, "dead_after_s": 5.0},
+)
+RELAYED = dataclasses.replace(SMALL, relayed=True)
+
+
+@dataclasses.dataclass
+class Stage:
+    """What a scene is played on.
+
+    Attributes:
+        cluster: The processes.
+        audit: What callers were told.
+        rng: Source of the jobs' run times.
+    """
+
+    cluster: Cluster
+    audit: Audit
+    rng: random.Random
+
+    @contextlib.asynccontextmanager
+    async def caller(self, *entries: str) -> AsyncIterator[client.AsyncClient]:
+        """Gives a client of the named entries."""
+        caller = self.cluster.client(*entries)
+        try:
+            yield caller
+        finally:
+            caller.close()
+
+    def make_job(
+        self,
+        tasks: int = TASKS,
+        run_s: tuple[float, float] = RUN_S,
+        kind: str = "sleep",
+        deadline_s: float = DEADLINE_S,
+    ) -> client.Job:
+        """Returns a job with random run times."""
+        payloads = [
+            {"kind": kind, "run_s": round(self.rng.uniform(*run_s), 3)}
+            for _ in range(tasks)
+        ]
+        return client.Job(
+            client.new_key(),
+            cluster.SERVICE,
+            tuple(client.Task(payload) for payload in payloads),
+            deadline_s,
+        )
+
+    async def starts_of(self, key: str) -> list[Start]:
+        """Returns the starts of one job's tasks."""
+        return [s for s in await self.cluster.starts() if s.key == key]
+
+    async def wait_starts(self, key: str, count: int) -> None:
+        """Waits until so many tasks of a job have started."""
+
+        async def has_started() -> bool:
+            return len(await self.starts_of(key)) >= count
+
+        await wait_for(has_started, f"{count} starts")
+
+    async def wait_start(
+        self, wanted: Callable[[Start], bool], what: str
+    ) -> Start:
+        """Waits for a start that meets a condition and returns the first."""
+        found = []
+
+        async def has_started() -> bool:
+            found[:] = [s for s in await self.cluster.starts() if wanted(s)]
+            return bool(found)
+
+        await wait_for(has_started, what)
+        return found[0]
+
+    async def submit_through(self, entry: str, job: client.Job) -> Told:
+        """Submits a job through one entry."""
+        async with self.caller(entry) as caller:
+            return await self.audit.submit(caller, job)
+
+    async def settle(self) -> None:
+        """Waits until the cluster is whole and its witnesses take jobs."""
+        await self.cluster.wait_ready()
+        async with self.caller(*BOTH) as caller:
+            job = self.make_job(cluster.SLOTS, LOAD_RUN_S)
+            await self.audit.submit(caller, job, rekey=True)
+
+    async def pause(self, child: children.Child) -> None:
+        """Stops a process until it is resumed."""
+        child.send(signal.SIGSTOP)
+
+    async def kill(self, child: children.Child) -> None:
+        """Kills a process without warning and waits for its end."""
+        await children.kill(child.process)
+
+    async def restart_entry(self, name: str) -> None:
+        """Starts an entry in the place of one that has ended."""
+        await self.cluster.start_entry(name)
+
+    def worker_of(self, starts: list[Start]) -> Worker:
+        """Returns the worker that started the most of some tasks."""
+        names = [start.worker for start in starts]
+        busiest = max(set(names), key=names.count)
+        return next(w for w in self.cluster.workers if w.name == busiest)
+
+    @contextlib.asynccontextmanager
+    async def load(
+        self, *entries: str, callers: int = LOAD_CALLERS
+    ) -> AsyncIterator[list[Told]]:
+        """Keeps small jobs coming; gives the list of what they are told."""
+        told: list[Told] = []
+        stop = asyncio.Event()
+        async with asyncio.TaskGroup() as group:
+            for _ in range(callers):
+                group.create_task(self.submit_load(entries, stop, told))
+            try:
+                yield told
+            finally:
+                stop.set()
+
+    async def submit_load(
+        self, entries: tuple[str, ...], stop: asyncio.Event, told: list[Told]
+    ) -> None:
+        """Submits small jobs one after the other until told to stop."""
+        async with self.caller(*entries) as caller:
+            while not stop.is_set():
+                job = self.make_job(LOAD_TASKS, LOAD_RUN_S)
+                told.append(await self.audit.submit(caller, job, rekey=True))
+                await asyncio.sleep(LOAD_PAUSE_S)
+
+
+async def wait_for(condition, what: str) -> None:
+    """Waits until a condition holds, for a bounded time."""
+    await cluster.wait_for(condition, LIMIT_S, what)
+
+
+async def wait_until(at_s: float) -> None:
+    """Waits until a Unix time."""
+    await asyncio.sleep(max(0.0, at_s - time.time()))
+
+
+async def start(directory: pathlib.Path, layout: Layout) -> Stage:
+    """Starts a cluster of a layout and returns the stage around it."""
+    running = Cluster(directory, layout)
+    try:
+        await running.start()
+        stage = Stage(running, Audit(), random.Random(SEED))
+        await stage.settle()
+    except BaseException:
+        await running.close()
+        raise
+    return stage
--- a/tests/world.py
+++ b/tests/world.py
@@ -673,9 +673,7 @@
         """Returns the process that handed out the task about to start."""
         key = (process.node, order.job, order.index)
         hand_outs = [
-            item
-            for item in self.origins[key]
-            if item[1] == order.attempt
+            item for item in self.origins[key] if item[1] == order.attempt
         ]
         return max(hand_outs, key=lambda item: item[0])[2]
 
