Play silent links, outages, withdrawals, races and graceful ends

Each scene brings one fault about on a cluster of child processes and returns checks; the command egretthread_standins.faults prints them.

--- a/egretthread_standins/cluster.py
+++ b/egretthread_standins/cluster.py
@@ -48,8 +48,8 @@
         agent_settings: Settings of the agents, by name.
         service: Fields of the service, by name.
         organisation: Fields of the organisation, by name.
-        relayed: Whether relays stand before every entry's peer address and
-            between every entry and the log.
+        relayed: Whether relays stand before every entry's peer address,
+            between every entry and the log, and before every backend server.
     """
 
     entries: tuple[str, ...] = ("entry-1", "entry-2")
@@ -118,6 +118,7 @@
         log_client: Client of the log.
         peer_relays: Relays before the entries' peer addresses, by entry.
         log_relays: Relays between the entries and the log, by entry.
+        backend_relays: Relays before the backend servers, by worker.
     """
 
     def __init__(
@@ -136,6 +137,7 @@
         self.log_client: operators.LogClient | None = None
         self.peer_relays: dict[str, Relay] = {}
         self.log_relays: dict[str, Relay] = {}
+        self.backend_relays: dict[str, Relay] = {}
 
     async def start(self) -> None:
         """Starts every process and publishes the first configuration."""
@@ -233,9 +235,18 @@
         backend = await self.spawn(
             f"backend-{name}", "egretthread_standins.backend", "--port", "0"
         )
+        if self.layout.relayed:
+            target = backend.addresses["http"]
+            self.backend_relays[name] = await start_relay(target)
         agent = await self.start_agent(name, zone, backend)
         self.workers.append(Worker(name, zone, agent, backend))
 
+    def backend_url(self, name: str, backend: Child) -> str:
+        """Returns the URL at which an agent reaches its backend server."""
+        if name in self.backend_relays:
+            return f"http://{HOST}:{self.backend_relays[name].port}"
+        return url(backend)
+
     async def replace_agent(self, worker: Worker) -> None:
         """Starts an agent in the place of one that has ended."""
         worker.agent = await self.start_agent(
@@ -250,7 +261,7 @@
             "zone": zone,
             "service": SERVICE,
             "admin_address": ANY_PORT,
-            "backend_url": url(backend),
+            "backend_url": self.backend_url(name, backend),
             "entries": [self.peer_address(entry) for entry in self.entries],
             "shared_key": self.shared_key,
             "processors": PROCESSORS,
@@ -338,8 +349,9 @@
         """Kills what is still running and closes the client and relays."""
         for child in self.children:
             await children.kill(child.process)
-        for relay in (*self.peer_relays.values(), *self.log_relays.values()):
-            await relay.close()
+        for relays in (self.peer_relays, self.log_relays, self.backend_relays):
+            for relay in relays.values():
+                await relay.close()
         if self.log_client:
             self.log_client.close()
 
--- a/egretthread_standins/faults/__main__.py
+++ b/egretthread_standins/faults/__main__.py
@@ -10,7 +10,8 @@
 from egretthread import console
 from egretthread_standins import checks, children
 from egretthread_standins.checks import Check
-from egretthread_standins.faults import scenes, stage as stages
+from egretthread_standins.faults import scenes
+from egretthread_standins.faults import stage as stages
 
 SCENE_LIMIT_S = 300.0
 
--- a/egretthread_standins/faults/scenes.py
+++ b/egretthread_standins/faults/scenes.py
@@ -5,8 +5,17 @@
 
 from egretthread_standins.checks import Check
 from egretthread_standins.cluster import Layout
-from egretthread_standins.faults import kills, pauses
-from egretthread_standins.faults.stage import SMALL, Stage
+from egretthread_standins.faults import (
+    kills,
+    links,
+    outages,
+    pauses,
+    races,
+    servers,
+    shutdown,
+    withdrawal,
+)
+from egretthread_standins.faults.stage import RELAYED, SMALL, Stage
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,6 +37,24 @@
     "kill-both": Scene(kills.kill_both),
     "pause-coordinator": Scene(pauses.pause_coordinator),
     "pause-agent": Scene(pauses.pause_agent, pauses.ONE_CONNECTION),
+    "silent-links": Scene(links.silent_links, RELAYED),
+    "silent-backend": Scene(links.silent_backend, servers.LAYOUT),
+    "cut-off-entry": Scene(links.cut_off_entry, RELAYED),
+    "outage": Scene(outages.outage),
+    "outage-60s": Scene(outages.outage_60s),
+    "one-cut-off": Scene(outages.one_cut_off, RELAYED),
+    "all-cut-off": Scene(outages.all_cut_off, RELAYED),
+    "stop-in-outage": Scene(outages.stop_in_outage, RELAYED),
+    "withdraw-zone": Scene(withdrawal.withdraw_zone),
+    "drain-server": Scene(withdrawal.drain_server),
+    "fail-all": Scene(servers.fail_all, servers.LAYOUT),
+    "hang": Scene(servers.hang, servers.LAYOUT),
+    "refuse": Scene(servers.refuse, servers.LAYOUT),
+    "race": Scene(races.race),
+    "conflict": Scene(races.conflict),
+    "end-entry": Scene(shutdown.end_entry),
+    "end-agent": Scene(shutdown.end_agent),
+    "restart-entries": Scene(shutdown.restart_entries),
 }
 
 
--- a/egretthread_standins/faults/stage.py
+++ b/egretthread_standins/faults/stage.py
@@ -5,11 +5,10 @@
 import dataclasses
 import pathlib
 import random
-import signal
 import time
 from collections.abc import AsyncIterator, Callable
 
-from egretthread import client
+from egretthread import apierror, client
 from egretthread_standins import children, cluster
 from egretthread_standins.cluster import Cluster, Layout, Start, Worker
 from egretthread_standins.faults.audit import Audit, Told
@@ -30,7 +29,7 @@
     agents_per_zone=1,
     entry_settings={"suspect_after_s": 2.0, "dead_after_s": 5.0},
 )
-RELAYED = dataclasses.replace(SMALL, relayed=True)
+RELAYED = Layout(agents_per_zone=1, relayed=True)
 
 
 @dataclasses.dataclass
@@ -105,6 +104,35 @@
         async with self.caller(entry) as caller:
             return await self.audit.submit(caller, job)
 
+    async def refusal(self, entry: str) -> str:
+        """Returns the kind of an entry's refusal of one small job.
+
+        The job is submitted once, without retries; the kind is empty when
+        the job was answered.
+        """
+        job = self.make_job(1, LOAD_RUN_S)
+        call = client.Call(time.monotonic() + LIMIT_S)
+        async with self.caller(entry) as caller:
+            try:
+                await caller.attempt(client.submit_request(job), call)
+            except apierror.ApiError as error:
+                return error.kind
+        return ""
+
+    async def wait_refusal(self, entry: str) -> float:
+        """Waits until an entry refuses jobs; returns the Unix time."""
+
+        async def refuses() -> bool:
+            return await self.refusal(entry) == "unavailable"
+
+        await wait_for(refuses, f"a refusal by {entry}")
+        return time.time()
+
+    async def last_start(self, wanted: Callable[[Start], bool]) -> float:
+        """Returns the Unix time of the last start that meets a condition."""
+        starts = await self.cluster.starts()
+        return max((s.at_s for s in starts if wanted(s)), default=0.0)
+
     async def settle(self) -> None:
         """Waits until the cluster is whole and its witnesses take jobs."""
         await self.cluster.wait_ready()
@@ -112,10 +140,6 @@
             job = self.make_job(cluster.SLOTS, LOAD_RUN_S)
             await self.audit.submit(caller, job, rekey=True)
 
-    async def pause(self, child: children.Child) -> None:
-        """Stops a process until it is resumed."""
-        child.send(signal.SIGSTOP)
-
     async def kill(self, child: children.Child) -> None:
         """Kills a process without warning and waits for its end."""
         await children.kill(child.process)
