--- a/egretthread_standins/cluster.py
+++ b/egretthread_standins/cluster.py
@@ -187,13 +187,17 @@
         return await operators.change(self.log_client, STREAM, edit, "demo")
 
     async def start_entry(self, name: str) -> Child:
-        """Starts an entry, or one that takes the place of a dead one."""
+        """Starts an entry, or one that takes the place of a dead one.
+
+        Callers keep the address, as behind a balancer.
+        """
+        known = self.entries.get(name)
         number = self.layout.entries.index(name)
         settings = {
             "name": name,
             "region": REGION,
             "zone": self.layout.zones[number % len(self.layout.zones)],
-            "http_address": ANY_PORT,
+            "http_address": known.addresses["http"] if known else ANY_PORT,
             "admin_address": ANY_PORT,
             "peer_address": ANY_PORT,
             "log_url": url(self.log),
--- a/egretthread_standins/faults/servers.py
+++ b/egretthread_standins/faults/servers.py
@@ -1,25 +1,18 @@
 """Scenes in which a backend server fails what it starts, or is gone."""
 
 import asyncio
-import dataclasses
 import time
 
 from egretthread_standins import checks, cluster
 from egretthread_standins.checks import Check
 from egretthread_standins.cluster import Worker
 from egretthread_standins.faults import audit
-from egretthread_standins.faults import stage as stages
 from egretthread_standins.faults.stage import BOTH, TASKS, Stage, wait_for
 
-MAX_TASK_S = 3.0
 # A third of the starts is the share of each of three backend servers.
 FAILING_SHARE = 0.1
 WINDOW_S = 2.0
 MIN_STARTS = 50
-LAYOUT = dataclasses.replace(
-    stages.RELAYED,
-    service={"max_task_s": MAX_TASK_S, "eject_share": 0.4},
-)
 
 
 async def set_fault(worker: Worker, **faults: bool) -> None:
--- a/egretthread_standins/faults/stage.py
+++ b/egretthread_standins/faults/stage.py
@@ -20,6 +20,7 @@
 TASKS = 60
 RUN_S = (0.2, 0.6)
 DEADLINE_S = 30.0
+PROBE_DEADLINE_S = 0.5
 LOAD_TASKS = 6
 LOAD_RUN_S = (0.02, 0.06)
 LOAD_PAUSE_S = 0.02
@@ -29,7 +30,11 @@
     agents_per_zone=1,
     entry_settings={"suspect_after_s": 2.0, "dead_after_s": 5.0},
 )
-RELAYED = Layout(agents_per_zone=1, relayed=True)
+RELAYED = Layout(
+    agents_per_zone=1,
+    relayed=True,
+    service={"max_task_s": 3.0, "eject_share": 0.4},
+)
 
 
 @dataclasses.dataclass
@@ -108,9 +113,10 @@
         """Returns the kind of an entry's refusal of one small job.
 
         The job is submitted once, without retries; the kind is empty when
-        the job was answered.
+        the job was answered. Its deadline is short, lest it waits for long
+        in the queue of an entry that may not hand out tasks any more.
         """
-        job = self.make_job(1, LOAD_RUN_S)
+        job = self.make_job(1, LOAD_RUN_S, deadline_s=PROBE_DEADLINE_S)
         call = client.Call(time.monotonic() + LIMIT_S)
         async with self.caller(entry) as caller:
             try:
