--- a/egretthread/controllers/claims.py
+++ b/egretthread/controllers/claims.py
@@ -107,7 +107,7 @@
     """Asks whoever holds the job, or takes it over."""
     if _conflicts(board, state, current):
         return
-    holder = rounds.refusing_promise(current)
+    holder = rounds.holding_promise(current)
     board.generations[state.job] = max(
         board.generations.get(state.job, 0), holder.generation
     )
--- a/egretthread/controllers/rounds.py
+++ b/egretthread/controllers/rounds.py
@@ -166,13 +166,15 @@
     return max(reply.promised for reply in current.replies.values())
 
 
-def refusing_promise(current: Round) -> message.Ballot:
-    """Returns the highest ballot for which the round was refused."""
-    return max(
-        reply.promised
-        for reply in current.replies.values()
-        if reply.verdict is Verdict.REFUSED
-    )
+def holding_promise(current: Round) -> message.Ballot:
+    """Returns the highest ballot that stands in this round's way.
+
+    A witness that granted a claim promised this entry's own ballot, which
+    tells nothing of who holds the job; a look is never in anyone's way.
+    """
+    replies = list(current.replies.values())
+    refused = [r for r in replies if r.verdict is Verdict.REFUSED]
+    return max(reply.promised for reply in refused or replies)
 
 
 def registrations(current: Round) -> list[message.Registration]:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -22,9 +22,9 @@
 
     def test_doubled_starts_are_seen_across_zones(self):
         starts = [
-            Start(1.0, cluster.ZONES[0], "k", 0),
-            Start(1.1, cluster.ZONES[1], "k", 0),
-            Start(1.2, cluster.ZONES[1], "k", 1),
+            Start(1.0, cluster.ZONES[0], "w1", "k", 0),
+            Start(1.1, cluster.ZONES[1], "w2", "k", 0),
+            Start(1.2, cluster.ZONES[1], "w2", "k", 1),
         ]
         self.assertEqual(1, demo.doubled(starts))
 
