Admit only what will most likely end in time

Under twice the load that 12 slots carry, jobs of ten tasks with deadlines of 5 s kept the queue so long that most failed half done. The estimate takes the spread of the wait and the longest of a job's tasks into account.

--- a/egretthread/controllers/admission.py
+++ b/egretthread/controllers/admission.py
@@ -24,7 +24,7 @@
 COUNT_AGAIN_S = 0.5
 # Bounds of the time after which a caller is told to come back.
 MIN_RETRY_S = 0.1
-MAX_RETRY_S = 10.0
+MAX_RETRY_S = 30.0
 # A key older than this may have been submitted before.
 FRESH_KEY_S = 0.5
 
@@ -119,9 +119,7 @@
     deadline_s = submission.deadline_s
     if runtimes.may_meet_deadline(tasks, deadline_s, backlog, times):
         return None
-    wait_s = runtimes.expected_wait_s(ahead + tasks, slots, times.mean_s)
-    run_s = times.quantile_s(runtimes.DEADLINE_QUANTILE)
-    late_s = wait_s + run_s - deadline_s
+    late_s = runtimes.expected_end_s(tasks, backlog, times) - deadline_s
     drained_s = runtimes.expected_wait_s(ahead, slots, times.mean_s)
     return _overloaded(
         "it would not end before its deadline", min(late_s, drained_s)
--- a/egretthread/controllers/submissions.py
+++ b/egretthread/controllers/submissions.py
@@ -41,7 +41,12 @@
 def _check_load(board: EntryBoard, submission: Submission):
     if _may_be_under_way(board, submission):
         return None
-    return admission.check(board, submission)
+    refusal = admission.check(board, submission)
+    if refusal is not None:
+        # An entry that refuses must not lose its part of the slots for it.
+        organisation = submission.job.organisation
+        board.quotas.want(organisation, len(submission.tasks), board.now_s)
+    return refusal
 
 
 def _may_be_under_way(board: EntryBoard, submission: Submission) -> bool:
--- a/egretthread/quota.py
+++ b/egretthread/quota.py
@@ -128,8 +128,7 @@
         bucket = self.buckets.get(organisation)
         if bucket is None:
             return Admission(False, UNKNOWN_RETRY_S)
-        bucket.decay_demand(now_s)
-        bucket.demand_per_s += starts / DEMAND_TIME_S
+        self.want(organisation, starts, now_s)
         bucket.fill(now_s)
         if bucket.running and bucket.running + starts > bucket.max_running:
             return Admission(False, RUNNING_RETRY_S)
@@ -141,6 +140,13 @@
         bucket.running += starts
         return Admission(True)
 
+    def want(self, organisation: str, starts: int, now_s: float) -> None:
+        """Counts starts as wanted, whether they are admitted or not."""
+        bucket = self.buckets.get(organisation)
+        if bucket is not None:
+            bucket.decay_demand(now_s)
+            bucket.demand_per_s += starts / DEMAND_TIME_S
+
     def refund(self, organisation: str, starts: int) -> None:
         """Gives back the starts of a job that was refused after all."""
         bucket = self.buckets.get(organisation)
--- a/egretthread/runtimes.py
+++ b/egretthread/runtimes.py
@@ -6,6 +6,7 @@
 
 import bisect
 import dataclasses
+import math
 
 # Smallest and largest run time told apart, in seconds.
 MIN_RUN_S = 0.001
@@ -18,8 +19,10 @@
 FIRST_RUN_S = 0.5
 # Count at which the histogram is halved, so that old run times fade.
 HALVE_AT = 4096
-# Quantile that a job's own longest task is estimated with.
-DEADLINE_QUANTILE = 0.5
+# Chance that a job must have to end in time.
+DEADLINE_CHANCE = 0.9
+# Standard deviations that a wait stays within with that chance.
+WAIT_DEVIATIONS = 1.3
 
 
 def histogram_bounds() -> tuple[float, ...]:
@@ -38,12 +41,14 @@
 
     Attributes:
         mean_s: Exponentially weighted mean run time.
+        variance_s2: Exponentially weighted variance of the run times.
         count: Run times seen.
         cells: Counts by cell of the histogram; the last is open-ended.
     """
 
     def __init__(self):
         self.mean_s = FIRST_RUN_S
+        self.variance_s2 = 0.0
         self.count = 0
         self.cells = [0] * (len(BOUNDS_S) + 1)
 
@@ -52,7 +57,9 @@
         run_s = min(run_s, MAX_RUN_S)
         self.count += 1
         gain = max(MEAN_GAIN, 1.0 / self.count)
-        self.mean_s += gain * (run_s - self.mean_s)
+        excess_s = run_s - self.mean_s
+        self.mean_s += gain * excess_s
+        self.variance_s2 += gain * (excess_s**2 - self.variance_s2)
         self.cells[bisect.bisect_left(BOUNDS_S, run_s)] += 1
         if self.count % HALVE_AT == 0:
             self.cells = [cell // 2 for cell in self.cells]
@@ -104,6 +111,21 @@
     return max(0, queued) * mean_run_s / slots
 
 
+def likely_wait_s(queued: int, slots: int, run_times: RunTimes) -> float:
+    """Returns what a task's wait behind others will hardly exceed.
+
+    Args:
+        queued: Tasks ahead of it.
+        slots: Slots that serve them.
+        run_times: The service's learned run times.
+    """
+    if queued <= 0 or slots <= 0:
+        return expected_wait_s(queued, slots, run_times.mean_s)
+    deviation_s = math.sqrt(queued * run_times.variance_s2) / slots
+    wait_s = expected_wait_s(queued, slots, run_times.mean_s)
+    return wait_s + WAIT_DEVIATIONS * deviation_s
+
+
 def may_meet_deadline(
     tasks: int,
     deadline_in_s: float,
@@ -121,7 +143,24 @@
         backlog: What it would queue behind.
         run_times: The service's learned run times.
     """
-    ahead = backlog.queued + tasks - backlog.idle
-    wait_s = expected_wait_s(ahead, backlog.slots, run_times.mean_s)
-    run_s = run_times.quantile_s(DEADLINE_QUANTILE)
-    return wait_s + run_s <= deadline_in_s
+    return expected_end_s(tasks, backlog, run_times) <= deadline_in_s
+
+
+def expected_end_s(tasks: int, backlog: Backlog, run_times: RunTimes) -> float:
+    """Returns in what time a job will most likely have ended.
+
+    Its last task starts behind all the others; its longest one starts, on
+    average, in the middle of them.
+
+    Args:
+        tasks: Tasks of the job.
+        backlog: What it would queue behind.
+        run_times: The service's learned run times.
+    """
+    ahead = backlog.queued - backlog.idle
+    slots = backlog.slots
+    last_s = likely_wait_s(ahead + tasks, slots, run_times) + run_times.mean_s
+    # Of n tasks all end within this quantile with the stated chance.
+    longest_s = run_times.quantile_s(DEADLINE_CHANCE ** (1.0 / tasks))
+    middle_s = likely_wait_s(ahead + tasks // 2, slots, run_times)
+    return max(last_s, middle_s + longest_s)
