Compare the content when an entry asks a coordinator for the answer

Ruled out: comparing at the witnesses alone, since a witness that has only promised holds no content. Ask now carries the digest and the coordinator says when it is another.

--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -269,7 +269,8 @@
         wanting: Node ids of agents asked for slots, by service.
         probations: Ejected backend servers, by service.
         quotas: Quotas by organisation.
-        askers: Node ids of entries to be told the answer, by job.
+        askers: Entries to be told the answer, by job: the digest that each
+            asked for, by node id.
         look_ups: Searches for jobs that this entry does not know.
         outbox: (node id, message) pairs to be sent.
         looked_up: What the searches found, for the callers.
@@ -315,7 +316,7 @@
     quotas: quota.QuotaTable = dataclasses.field(
         default_factory=quota.QuotaTable
     )
-    askers: dict[JobRef, set[str]] = dataclasses.field(default_factory=dict)
+    askers: dict[JobRef, dict[str, str]] = dataclasses.field(default_factory=dict)
     outbox: list[tuple[str, Message]] = dataclasses.field(default_factory=list)
     look_ups: dict[JobRef, LookUp] = dataclasses.field(default_factory=dict)
     looked_up: list[tuple[JobRef, JobAnswer | Refusal | JobStatus]] = (
--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -8,6 +8,9 @@
 from egretthread.jobkey import JobRef
 from egretthread.outcome import JobAnswer, OutcomeKind
 
+# Phases in which the content of a job is settled at its witnesses.
+REGISTERED = (Phase.RUNNING, Phase.CLOSING, Phase.OVER)
+
 CONFLICT = Refusal(
     "key_conflict",
     "this job key was used before with other tasks",
@@ -132,8 +135,21 @@
 def _tell_askers(
     board: EntryBoard, job: JobRef, answer: JobAnswer | None
 ) -> None:
-    for node in board.askers.pop(job, ()):
-        board.send(node, _ask_reply(board, job, answer))
+    for node, digest in board.askers.pop(job, {}).items():
+        if answer is not None and _is_other(board.jobs[job], digest):
+            _send_conflict(board, job, node)
+        else:
+            board.send(node, _ask_reply(board, job, answer))
+
+
+def _is_other(state: JobState, digest: str) -> bool:
+    """Whether an asker's caller sent other tasks under the same key."""
+    return bool(digest) and digest != state.submission.digest
+
+
+def _send_conflict(board: EntryBoard, job: JobRef, node: str) -> None:
+    status = message.AskStatus.CONFLICT
+    board.send(node, message.AskReply(job, board.node, status))
 
 
 def _ask_reply(
@@ -151,10 +167,13 @@
     state = board.jobs.get(ask.job)
     if state is None or state.phase in (Phase.CLAIMING, Phase.ASKING):
         board.send(ask.entry, _ask_reply(board, ask.job, None))
+    elif state.phase in REGISTERED and _is_other(state, ask.digest):
+        _send_conflict(board, ask.job, ask.entry)
     elif state.answer is not None:
         board.send(ask.entry, _ask_reply(board, ask.job, state.answer))
     else:
-        board.askers.setdefault(ask.job, set()).add(ask.entry)
+        askers = board.askers.setdefault(ask.job, {})
+        askers[ask.entry] = ask.digest
         status = message.AskStatus.RUNNING
         board.send(ask.entry, message.AskReply(ask.job, board.node, status))
 
--- a/egretthread/controllers/claims.py
+++ b/egretthread/controllers/claims.py
@@ -101,7 +101,8 @@
     state.phase = Phase.ASKING
     state.coordinator = coordinator
     state.wake_s = board.now_s + ASK_AGAIN_S
-    board.send(coordinator, message.Ask(state.job, board.node))
+    digest = state.submission.digest
+    board.send(coordinator, message.Ask(state.job, board.node, digest))
 
 
 def find_new_coordinator(
@@ -201,6 +202,8 @@
     if reply.status is message.AskStatus.ANSWERED:
         state.outcomes = dict(enumerate(reply.outcomes))
         answers.finish(board, state)
+    elif reply.status is message.AskStatus.CONFLICT:
+        answers.refuse(board, state, answers.CONFLICT)
     elif reply.status is message.AskStatus.NOT_COORDINATOR:
         begin_prepare(board, state)
 
--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -409,10 +409,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Ask:
-    """Entry to entry: what is the answer of this job of yours?"""
+    """Entry to entry: what is the answer of this job of yours?
+
+    Attributes:
+        job: The job.
+        entry: Node id of the entry that asks.
+        digest: Digest of the content that its caller sent; empty when the
+            caller only looks the job up.
+    """
 
     job: JobRef
     entry: str
+    digest: str = ""
 
 
 class AskStatus(enum.StrEnum):
@@ -421,6 +429,8 @@
     ANSWERED = "answered"
     RUNNING = "running"
     NOT_COORDINATOR = "not_coordinator"
+    # The job's content is another than the asker's.
+    CONFLICT = "conflict"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -24,9 +24,9 @@
     heartbeat @10 :Heartbeat;
     heartbeatReply @11 :HeartbeatReply;
     entryState @12 :EntryState;
-    ask @13 :JobRequest;
+    ask @13 :Ask;
     askReply @14 :AskReply;
-    cancelJob @15 :JobRequest;
+    cancelJob @15 :CancelJob;
     look @16 :Look;
   }
 }
@@ -206,8 +206,13 @@
   demand @6 :List(Demand);
 }
 
-# Ask and CancelJob.
-struct JobRequest {
+struct Ask {
+  job @0 :JobRef;
+  entry @1 :Text;
+  digest @2 :Text;
+}
+
+struct CancelJob {
   job @0 :JobRef;
   entry @1 :Text;
 }
