--- a/tests/world.py
+++ b/tests/world.py
@@ -145,7 +145,9 @@
         oracle: Checks what must always hold.
         processes: The newest incarnation by name.
         echoes: Until when all messages of a type arrive twice.
+        run_times_s: What tasks take, of which chance picks one.
         slow_share: Share of the tasks that wait long before they start.
+        behaviour: What backend servers make of a payload; chance if None.
         boards: The blackboards of all incarnations.
         links: All links that are not broken.
         cut: Names cut off from the other processes.
@@ -179,7 +181,9 @@
         self.oracle = oracle.Oracle()
         self.processes: dict[str, Process] = {}
         self.boards: list = []
+        self.behaviour: Callable[[str], outcome.Outcome] | None = None
         self.echoes: dict[type, float] = {}
+        self.run_times_s = (0.005, 0.05, 0.3, 2.0)
         self.slow_share = 0.05 if faults else 0.0
         self.links: list[Link] = []
         self.cut: set[str] = set()
@@ -688,7 +692,7 @@
         )
         result = self._result(order, start)
         start.outcome = result
-        run_s = self.rng.choice((0.005, 0.05, 0.3, 2.0))
+        run_s = self.rng.choice(self.run_times_s)
         if self.faults and self.rng.random() < 0.02:
             run_s = 15.0
 
@@ -706,6 +710,8 @@
         return max(hand_outs, key=lambda item: item[0])[2]
 
     def _result(self, order: StartOrder, start: object) -> outcome.Outcome:
+        if self.behaviour is not None:
+            return self.behaviour(order.payload)
         draw = self.rng.random() if self.faults else 1.0
         if draw < 0.03:
             return outcome.unknown("the backend server gave no answer")
