--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -342,7 +342,8 @@
         run_times: Run times learned, by service.
         capacities: Slots that serve each service.
         slot_share: This entry's part of the slots, by demand.
-        askers: Node ids of entries to be told the answer, by job.
+        askers: Entries to be told the answer, by job: the digest that each
+            asked for, by node id.
         look_ups: Searches for jobs that this entry does not know.
         requests: Single requests under way, by the job of their attempt.
         waiting_requests: Single requests that wait for their next attempt.
@@ -397,7 +398,9 @@
     )
     capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
     slot_share: float = 1.0
-    askers: dict[JobRef, set[str]] = dataclasses.field(default_factory=dict)
+    askers: dict[JobRef, dict[str, str]] = dataclasses.field(
+        default_factory=dict
+    )
     outbox: list[tuple[str, Message]] = dataclasses.field(default_factory=list)
     requests: dict[JobRef, RequestState] = dataclasses.field(
         default_factory=dict
--- a/egretthread/controllers/claims.py
+++ b/egretthread/controllers/claims.py
@@ -132,7 +132,8 @@
     if state.cancel_reason == answers.CANCELLED:
         # The caller cancelled it before its coordinator was known.
         board.send(coordinator, message.CancelJob(state.job, board.node))
-    board.send(coordinator, message.Ask(state.job, board.node))
+    digest = state.submission.digest
+    board.send(coordinator, message.Ask(state.job, board.node, digest))
 
 
 def find_new_coordinator(
@@ -233,6 +234,8 @@
     if reply.status is message.AskStatus.ANSWERED:
         state.outcomes = dict(enumerate(reply.outcomes))
         answers.finish(board, state)
+    elif reply.status is message.AskStatus.CONFLICT:
+        answers.refuse(board, state, answers.CONFLICT)
     elif reply.status is message.AskStatus.NOT_COORDINATOR:
         begin_prepare(board, state)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -154,13 +154,17 @@
         oracle: Checks what must always hold.
         processes: The newest incarnation by name.
         echoes: Until when all messages of a type arrive twice.
+        run_times_s: What tasks take, of which chance picks one.
         slow_share: Share of the tasks that wait long before they start.
+        behaviour: What backend servers make of a payload; chance if None.
         boards: The blackboards of all incarnations.
         links: All links that are not broken.
         cut: Names cut off from the other processes.
         cut_pairs: Pairs of names cut off from each other.
         log_cut: Names cut off from the log.
         log_out: Whether the log answers nobody.
+        outage: The oracle's note of that, if any.
+        log_outage: Its note that most entries are cut off from the log.
         log_slow_s: Added to the time of each read of the log.
         configs: Records of the configuration stream.
         members: Records of the members stream.
@@ -189,13 +193,17 @@
         self.oracle = oracle.Oracle()
         self.processes: dict[str, Process] = {}
         self.boards: list = []
+        self.behaviour: Callable[[str], outcome.Outcome] | None = None
         self.echoes: dict[type, float] = {}
+        self.run_times_s = (0.005, 0.05, 0.3, 2.0)
         self.slow_share = 0.05 if faults else 0.0
         self.links: list[Link] = []
         self.cut: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
         self.log_cut: set[str] = set()
         self.log_out = False
+        self.outage: list | None = None
+        self.log_outage: list | None = None
         self.log_slow_s = 0.0
         self.configs: list[config.Configuration] = []
         self.members: list[str] = []
@@ -670,7 +678,26 @@
     def set_log_out(self, out: bool) -> None:
         """Takes the log out of service, or brings it back."""
         self.log_out = out
-        self.oracle.on_outage(self, out)
+        if out:
+            self.outage = self.oracle.begin_outage(self)
+        elif self.outage is not None:
+            self.oracle.end_outage(self, self.outage)
+
+    def cut_off_log(self, names: set[str]) -> None:
+        """Cuts entries off from the log while others reach it.
+
+        Entries that are a majority of those they know of can't tell this
+        from an outage: the promise that gives way.
+        """
+        self.log_cut = set(names)
+        if self.log_outage is not None:
+            self.oracle.end_outage(self, self.log_outage)
+            self.log_outage = None
+        for name in names:
+            known = self.processes[name].board.membership.entries
+            if 2 * len(names.intersection(known)) > len(known):
+                self.log_outage = self.oracle.begin_outage(self)
+                return
 
     # Tasks.
 
@@ -693,7 +720,7 @@
         )
         result = self._result(order, start)
         start.outcome = result
-        run_s = self.rng.choice((0.005, 0.05, 0.3, 2.0))
+        run_s = self.rng.choice(self.run_times_s)
         if self.faults and self.rng.random() < 0.02:
             run_s = 15.0
 
@@ -711,6 +738,8 @@
         return max(hand_outs, key=lambda item: item[0])[2]
 
     def _result(self, order: StartOrder, start: object) -> outcome.Outcome:
+        if self.behaviour is not None:
+            return self.behaviour(order.payload)
         draw = self.rng.random() if self.faults else 1.0
         if draw < 0.03:
             return outcome.unknown("the backend server gave no answer")
@@ -787,7 +816,7 @@
     def heal_all(self) -> None:
         """Ends every fault and restarts what is dead."""
         self.heal()
-        self.log_cut.clear()
+        self.cut_off_log(set())
         self.log_slow_s = 0.0
         if self.log_out:
             self.set_log_out(False)
