Measure the slopes of the capacity page

The capacity page needs growth figures measured at three or more sizes: memory of records and answers, bytes of heartbeats and records, time of decisions by agents and shards, and an entry's cost by connected agents.

--- a/egretthread_bench/programs.py
+++ b/egretthread_bench/programs.py
@@ -13,6 +13,7 @@
 from egretthread_bench import cost as costs
 from egretthread_bench import processes as runs
 from egretthread_bench import processreport, scenario
+from egretthread_bench import scale as scales
 
 app = typer.Typer(no_args_is_help=True, help="Benches of the real programs.")
 
@@ -71,5 +72,21 @@
     path.write_text(json.dumps(document, indent=1) + "\n", encoding="utf-8")
 
 
+@app.command()
+@console.reports_errors
+def scale(directory: Directory = pathlib.Path("bench-report")) -> None:
+    """Measures the slopes of the capacity page."""
+    slopes = scales.measure()
+    directory.mkdir(parents=True, exist_ok=True)
+    text = f"Commit measured: {commit()}\n\n{scales.markdown(slopes)}"
+    (directory / "scale.md").write_text(text, encoding="utf-8")
+    document = [
+        {**dataclasses.asdict(row), "slope": row.slope} for row in slopes
+    ]
+    path = directory / "scale.json"
+    path.write_text(json.dumps(document, indent=1) + "\n", encoding="utf-8")
+    print(text)
+
+
 if __name__ == "__main__":
     app()
