--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench fuzz
+.PHONY: install test lint format demo bench fuzz faults
 
 install: $(STAMP)
 
@@ -24,3 +24,6 @@
 
 demo: install
 	$(PY) -m egretthread_standins.demo
+
+faults: install
+	$(PY) -m egretthread_standins.faults all
--- a/egretthread_standins/faults/stage.py
+++ b/egretthread_standins/faults/stage.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 
-from egretthread import apierror, client
+from egretthread import adminclient, apierror, client
 from egretthread_standins import children, cluster
 from egretthread_standins.cluster import Cluster, Layout, Start, Worker
 from egretthread_standins.faults.audit import Audit, Told
@@ -20,6 +20,7 @@
 TASKS = 60
 RUN_S = (0.2, 0.6)
 DEADLINE_S = 30.0
+CLOCK_ERROR_S = 0.05
 PROBE_DEADLINE_S = 0.5
 LOAD_TASKS = 6
 LOAD_RUN_S = (0.02, 0.06)
@@ -139,9 +140,25 @@
         starts = await self.cluster.starts()
         return max((s.at_s for s in starts if wanted(s)), default=0.0)
 
+    async def have_witnesses(self) -> bool:
+        """Whether every agent answers for all keys from now on."""
+        dumps = [
+            await adminclient.fetch_state(worker.agent.addresses["admin"])
+            for worker in self.cluster.workers
+        ]
+        ready_s = [
+            shard["ready_from_s"]
+            for state in dumps
+            for shard in state["witness"]["shards"].values()
+        ]
+        if not ready_s or None in ready_s:
+            return False
+        return max(ready_s) + CLOCK_ERROR_S < time.time()
+
     async def settle(self) -> None:
         """Waits until the cluster is whole and its witnesses take jobs."""
         await self.cluster.wait_ready()
+        await wait_for(self.have_witnesses, "witnesses that answer for keys")
         async with self.caller(*BOTH) as caller:
             job = self.make_job(cluster.SLOTS, LOAD_RUN_S)
             await self.audit.submit(caller, job, rekey=True)
