--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -52,7 +52,7 @@
     _free_quota(board, state)
     board.counters[f"refused_{refusal.kind}"] += 1
     _deliver(board, state.job, refusal)
-    _tell_askers(board, state.job, None)
+    tell_askers(board, state.job, None)
 
 
 def check_over(board: EntryBoard, state: JobState) -> None:
@@ -130,7 +130,7 @@
     board.counters[f"jobs_{kind}"] += 1
     board.samples.append(("job_seconds", board.now_s - state.created_s))
     _deliver(board, state.job, state.answer)
-    _tell_askers(board, state.job, state.answer)
+    tell_askers(board, state.job, state.answer)
 
 
 def _deliver(
@@ -145,9 +145,10 @@
     board.quotas.finish(state.job.organisation, tasks)
 
 
-def _tell_askers(
+def tell_askers(
     board: EntryBoard, job: JobRef, answer: JobAnswer | None
 ) -> None:
+    """Tells the entries that ask the answer, or that it is not found here."""
     for node, digest in board.askers.pop(job, {}).items():
         if answer is not None and _is_other(board.jobs[job], digest):
             _send_conflict(board, job, node)
@@ -175,7 +176,7 @@
     return message.AskReply(job, board.node, status)
 
 
-_NOT_COORDINATING = (Phase.CLAIMING, Phase.LOOKING, Phase.ASKING)
+_NOT_COORDINATING = (Phase.LOOKING, Phase.ASKING)
 
 
 def on_ask(board: EntryBoard, node: str, ask: message.Ask) -> None:
