--- a/tests/histories.py
+++ b/tests/histories.py
@@ -388,6 +388,16 @@
     history.world.cut_off_log({_entry(history, pick)})
 
 
+def cut_stream(history: History, pick: Pick) -> None:
+    """Cuts one entry off from one stream of the log, or ends that."""
+    stream = ("config", "members", "members")[pick(3)]
+    region = history.world
+    if region.stream_cut:
+        region.stream_cut.clear()
+    else:
+        region.stream_cut.add((_entry(history, pick), stream))
+
+
 def log_outage(history: History, pick: Pick) -> None:
     """Takes the log out or brings it back."""
     region = history.world
@@ -512,6 +522,7 @@
         partition,
         heal,
         cut_log,
+        cut_stream,
         log_outage,
         log_slow,
         operate,
--- a/tests/world.py
+++ b/tests/world.py
@@ -79,9 +79,8 @@
         paused: Whether it is stopped for now.
         inbox: What waits for it while it is paused.
         links: Its ends of open links, the newest last.
-        config_next: Offset of the next configuration to read.
-        members_next: Offset of the next members record to read.
-        caught_up: Whether all members records were read.
+        next_offsets: Offset of the next record to read, by stream.
+        read_s: When each stream was last read, by the process's clock.
         backend_up: Whether its backend server is reachable.
         refuses_tasks: Whether its backend server answers its health check
             and refuses every task.
@@ -99,9 +98,8 @@
     paused: bool = False
     inbox: list = dataclasses.field(default_factory=list)
     links: list = dataclasses.field(default_factory=list)
-    config_next: int = 0
-    members_next: int = 0
-    caught_up: bool = False
+    next_offsets: dict = dataclasses.field(default_factory=collections.Counter)
+    read_s: dict = dataclasses.field(default_factory=dict)
     backend_up: bool = True
     refuses_tasks: bool = False
     leaving: bool = False
@@ -166,6 +164,8 @@
         outage: The oracle's note of that, if any.
         log_outage: Its note that most entries are cut off from the log.
         log_slow_s: Added to the time of each read of the log.
+        stream_cut: Names cut off from one stream, with its name.
+        streams: Both streams by name.
         configs: Records of the configuration stream.
         members: Records of the members stream.
         origins: Who handed out each task, by agent, job and index.
@@ -205,8 +205,10 @@
         self.outage: list | None = None
         self.log_outage: list | None = None
         self.log_slow_s = 0.0
+        self.stream_cut: set[tuple[str, str]] = set()
         self.configs: list[config.Configuration] = []
         self.members: list[str] = []
+        self.streams = {"config": self.configs, "members": self.members}
         self.origins: dict[tuple, list] = collections.defaultdict(list)
         self.attempts = collections.defaultdict(list)
         self.results: dict = {}
@@ -275,7 +277,9 @@
         if kind == "entry":
             self.every(process, ENTRY_TICK_S, jitter_s, _entry_tick)
             self.every(process, 1.0, jitter_s, _entry_second)
-            self.at(jitter_s * 0.1, lambda: self._poll_log(process))
+            for stream in self.streams:
+                poll = functools.partial(self._poll_log, process, stream)
+                self.at(jitter_s * 0.1, poll)
             self.every(process, LOG_WRITE_S, jitter_s, self._write_log)
         else:
             self.every(process, 1.0, jitter_s, _agent_tick)
@@ -578,46 +582,56 @@
 
     # The log.
 
-    def log_reaches(self, process: Process) -> bool:
-        """Whether a process reaches the log now."""
-        return not self.log_out and process.name not in self.log_cut
+    def log_reaches(self, process: Process, stream: str = "config") -> bool:
+        """Whether a process reaches a stream of the log now."""
+        if self.log_out or process.name in self.log_cut:
+            return False
+        return (process.name, stream) not in self.stream_cut
 
-    def _poll_log(self, process: Process) -> None:
-        if not process.alive:
-            return
-        self.call(process, lambda: self._read_log(process))
+    def _poll_log(self, process: Process, stream: str) -> None:
+        self.call(process, lambda: self._read_log(process, stream))
+
+    def _read_log(self, process: Process, stream: str) -> None:
+        def again() -> None:
+            self._poll_log(process, stream)
 
-    def _read_log(self, process: Process) -> None:
-        if not self.log_reaches(process):
-            self.at(LOG_POLL_S, lambda: self._poll_log(process))
+        if not self.log_reaches(process, stream):
+            self.at(LOG_POLL_S, again)
             return
         sent_s = process.clock_s + self.now_s
-        first = process.config_next
+        records = list(enumerate(self.streams[stream]))
+        first = process.next_offsets[stream]
         if self.faults and self.rng.random() < 0.1:
             # The log may be read again from an earlier offset.
             first = max(0, first - 2)
-        configs = self.configs[first:]
-        records = self.members[process.members_next :]
-
-        def answer() -> None:
-            self.call(process, lambda: take(configs, records))
-            self.at(LOG_POLL_S, lambda: self._poll_log(process))
-
-        def take(configs: list, records: list) -> None:
-            board = process.board
-            for offset, configuration in enumerate(configs, first):
-                entry.on_configuration(board, offset, configuration)
-                process.config_next = max(process.config_next, offset + 1)
-            entry.on_log_read(board, sent_s)
-            for text in records:
-                entry.on_members_record(board, process.members_next, text)
-                process.members_next += 1
-            process.caught_up = True
-
-        self.at(self.rng.uniform(0.002, 0.01) + self.log_slow_s, answer)
+        take = functools.partial(
+            self._take_records, process, stream, records[first:], sent_s
+        )
+        way_s = self.rng.uniform(0.002, 0.01) + self.log_slow_s
+        self.at(way_s, lambda: self.call(process, take))
+        self.at(way_s + LOG_POLL_S, again)
+        if self.faults and self.rng.random() < 0.05:
+            # An answer may come once more, late.
+            self.at(way_s + 1.0, lambda: self.call(process, take))
+
+    def _take_records(
+        self, process: Process, stream: str, records: list, sent_s: float
+    ) -> None:
+        board = process.board
+        for offset, record in records:
+            if stream == "config":
+                entry.on_configuration(board, offset, record)
+            else:
+                entry.on_members_record(board, offset, record)
+            following = max(process.next_offsets[stream], offset + 1)
+            process.next_offsets[stream] = following
+        read_s = process.read_s
+        read_s[stream] = max(read_s.get(stream, sent_s), sent_s)
+        if len(read_s) == len(self.streams):
+            entry.on_log_read(board, min(read_s.values()))
 
     def _write_log(self, process: Process) -> None:
-        if not process.caught_up or process.leaving:
+        if "members" not in process.read_s or process.leaving:
             return
         board = process.board
         own = _member(process)
@@ -625,8 +639,9 @@
         if board.membership.entries.get(own.name) != own:
             record = members.entry_up_record(own)
         board.proposal = ""
-        if record and self.log_reaches(process):
-            self._append_members(process, record, process.members_next)
+        if record:
+            expected = process.next_offsets["members"]
+            self._append_members(process, record, expected)
 
     def _append_members(
         self, process: Process, record: str, expected: int | None
@@ -635,7 +650,7 @@
             if expected is None or expected == len(self.members):
                 self.members.append(record)
 
-        if self.log_reaches(process):
+        if self.log_reaches(process, "members"):
             self.at(self.rng.uniform(0.002, 0.2), append)
 
     def publish(self, change: Change, lost: bool = False) -> None:
@@ -817,6 +832,7 @@
         """Ends every fault and restarts what is dead."""
         self.heal()
         self.cut_off_log(set())
+        self.stream_cut.clear()
         self.log_slow_s = 0.0
         if self.log_out:
             self.set_log_out(False)
