Let an entry cut off from the log not make itself the only one known

Now only an entry that reads both streams proposes, how long others are gone is counted also while others propose, and one that announces itself again is given the whole time anew. tests/test_entry_members.py failed before.

--- a/egretthread/controllers/entry_members.py
+++ b/egretthread/controllers/entry_members.py
@@ -262,8 +262,12 @@
     the expected offset of the append.
     """
     board.proposal = ""
+    _note_absent_entries(board)
     if board.configuration is None or not _is_proposer(board):
         return
+    if board.log_age_s >= lease.OUTAGE_AFTER_S:
+        # Cut off itself, it must not make itself the only known entry.
+        return
     board.proposal = _entry_removal(board) or _shard_changes(board)
 
 
@@ -273,15 +277,22 @@
     return own <= min(alive, default=own)
 
 
+def _note_absent_entries(board: EntryBoard) -> None:
+    """Keeps count, also while others propose, of how long entries are gone."""
+    present = {message.node_name(node) for node in (board.node, *board.peers)}
+    for name in board.membership.entries:
+        if name in present:
+            board.absent_since_s.pop(name, None)
+        else:
+            board.absent_since_s.setdefault(name, board.now_s)
+
+
 def _entry_removal(board: EntryBoard) -> str:
-    heard = {message.node_name(node) for node in board.peers}
-    own = message.node_name(board.node)
     for name, member in board.membership.entries.items():
-        if name in heard or name == own:
-            board.absent_since_s.pop(name, None)
-            continue
-        since_s = board.absent_since_s.setdefault(name, board.now_s)
+        since_s = board.absent_since_s.get(name, board.now_s)
         if board.now_s - since_s >= REMOVE_ENTRY_AFTER_S:
+            # One that is alive announces itself again and is given time anew.
+            del board.absent_since_s[name]
             return members.entry_down_record(member)
     return ""
 
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -393,9 +393,9 @@
     stream = ("config", "members", "members")[pick(3)]
     region = history.world
     if region.stream_cut:
-        region.stream_cut.clear()
+        region.join_streams()
     else:
-        region.stream_cut.add((_entry(history, pick), stream))
+        region.cut_off_stream(_entry(history, pick), stream)
 
 
 def log_outage(history: History, pick: Pick) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -705,9 +705,23 @@
         from an outage: the promise that gives way.
         """
         self.log_cut = set(names)
+        self._note_cut()
+
+    def cut_off_stream(self, name: str, stream: str) -> None:
+        """Cuts an entry off from one stream of the log."""
+        self.stream_cut.add((name, stream))
+        self._note_cut()
+
+    def join_streams(self) -> None:
+        """Lets all entries reach both streams again."""
+        self.stream_cut.clear()
+        self._note_cut()
+
+    def _note_cut(self) -> None:
         if self.log_outage is not None:
             self.oracle.end_outage(self, self.log_outage)
             self.log_outage = None
+        names = self.log_cut.union(name for name, _ in self.stream_cut)
         for name in names:
             known = self.processes[name].board.membership.entries
             if 2 * len(names.intersection(known)) > len(known):
@@ -832,7 +846,7 @@
         """Ends every fault and restarts what is dead."""
         self.heal()
         self.cut_off_log(set())
-        self.stream_cut.clear()
+        self.join_streams()
         self.log_slow_s = 0.0
         if self.log_out:
             self.set_log_out(False)
