Nest the lists of agents that a job proposes to its witnesses

Cause, found by reading: an extension that failed and the next one could name different agents in equal number; a late copy of the first then replaced the second at a witness, which tells the newest by its length, and a takeover could miss an agent that held tasks. Ruled out: that closing is hidden, since a closed registration always stands. Each list now holds the one before.

--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -180,6 +180,7 @@
         deadline_s: Monotonic time of its deadline.
         created_s: Monotonic time of the submission.
         agents: Node ids registered as possible holders of its tasks.
+        proposed_agents: Those last sent to the witnesses, if more.
         round: The round with the witnesses now under way, if any.
         extension: The round that registers more agents, if any.
         seals: Seal replies by agent node id.
@@ -201,6 +202,7 @@
     deadline_s: float
     created_s: float
     agents: tuple[str, ...] = ()
+    proposed_agents: tuple[str, ...] = ()
     round: Round | None = None
     extension: Round | None = None
     seals: dict[str, message.SealReply] = dataclasses.field(
--- a/egretthread/controllers/claims.py
+++ b/egretthread/controllers/claims.py
@@ -166,6 +166,7 @@
     state.vanished.clear()
     state.outcomes.clear()
     state.hand_outs.clear()
+    state.proposed_agents = ()
     state.round = rounds.begin(board, state.job, message.Prepare, state.ballot)
     if state.round is None:
         answers.refuse(board, state, _unavailable("no witness table yet"))
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -259,9 +259,12 @@
         return
     if state.registration.closed or not _unsettled(state):
         return
-    agents = pool.widen(board, state.submission.service, state.agents)
+    # Each list holds the one before, so that the longest is the newest word.
+    known = state.proposed_agents or state.agents
+    agents = pool.widen(board, state.submission.service, known)
     if len(agents) == len(state.agents):
         return
+    state.proposed_agents = agents
     registration = message.Registration(
         state.submission.digest, state.ballot, agents
     )
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -143,11 +143,13 @@
         "controllers/dispatch.py",
         "    registration = message.Registration(\n"
         "        state.submission.digest, state.ballot, agents\n"
-        "    )\n",
+        "    )\n"
+        "    state.extension",
         "    registration = message.Registration(\n"
         "        state.submission.digest, state.ballot, agents\n"
         "    )\n"
-        "    state.agents = agents\n",
+        "    state.agents = agents\n"
+        "    state.extension",
     ),
     Mutation(
         "forget refused hand-outs",
