Say nothing of a job that an agent has forgotten

Cause, found by reading: a seal for a job past retention was answered as if nothing had started, though the agent had only forgotten it; while clocks or the retention in force differ, an agent that still took the key could start the task again. The agent keeps silent now, which makes the tasks unknown. Ruled out: that the witnesses alone prevent it, since their horizon may lag as well. A test in tests/test_agent_leases.py failed before.

--- a/egretthread/controllers/agent_tasks.py
+++ b/egretthread/controllers/agent_tasks.py
@@ -241,7 +241,14 @@
 
 
 def on_seal(board: AgentBoard, node: str, seal: message.Seal) -> None:
-    """Refuses lower ballots from now on and says what is held of the job."""
+    """Refuses lower ballots from now on and says what is held of the job.
+
+    What has been forgotten cannot be answered for; silence makes its tasks
+    unknown to the entry, never unstarted.
+    """
+    if _is_expired(board, seal.job) and seal.job not in board.ledger.jobs:
+        board.counters["seals_after_retention"] += 1
+        return
     if seal.agent == board.node:
         entry = ledger.job_entry(board.ledger, seal.job)
         _raise_ballot(board, seal.job, entry, seal.ballot)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -15,6 +15,7 @@
 
 # Tests that may catch a break before the histories are played.
 FOCUSED = (
+    "tests/test_agent_leases.py",
     "tests/test_agent_tasks.py",
     "tests/test_claims.py",
     "tests/test_entry_members.py",
--- a/tests/test_agent_leases.py
+++ b/tests/test_agent_leases.py
@@ -1,10 +1,10 @@
-"""Focused tests of an agent's starts: each at most once, under a lease."""
+"""Tests of an agent's starts: each at most once, and under a lease."""
 
 import dataclasses
 
 import testtools
 
-from egretthread import agent, message
+from egretthread import agent, message, outcome
 from egretthread.jobkey import JobRef
 from egretthread.message import Ballot, Refusal, TaskState
 from tests import world
@@ -82,6 +82,28 @@
         self.assertEqual([], self.assign(0))
         self.assertEqual([Refusal.SEALED], self.refusals())
 
+    def test_late_hand_out_of_an_old_ballot_does_not_block_the_new_one(self):
+        seal = message.Seal(JOB, Ballot(2, OTHER), self.board.node)
+        agent.on_message(self.board, OTHER, seal)
+        self.assertEqual([], self.assign(0, generation=1))
+        self.assertEqual([0], self.assign(0, generation=3))
+
+    def test_late_hand_out_does_not_block_under_the_sealed_ballot(self):
+        seal = message.Seal(JOB, Ballot(2, ENTRY), self.board.node)
+        agent.on_message(self.board, ENTRY, seal)
+        self.assertEqual([], self.assign(0, generation=1))
+        self.assertEqual([0], self.assign(0, generation=2))
+
+    def test_nothing_is_said_of_a_job_that_was_forgotten(self):
+        self.assign(0)
+        agent.on_finished(self.board, self.board.to_start[0], outcome.done("1"))
+        self.pass_time(200.0)
+        agent.on_tick(self.board)
+        self.board.outbox.clear()
+        seal = message.Seal(JOB, Ballot(2, OTHER), self.board.node)
+        agent.on_message(self.board, OTHER, seal)
+        self.assertEqual([], self.board.outbox)
+
     def test_paused_process_starts_nothing_under_a_lapsed_lease(self):
         self.assign(0)
         order = self.board.to_start[0]
@@ -106,7 +128,11 @@
         self.board.outbox.clear()
         seal = message.Seal(JOB, Ballot(2, OTHER), self.board.node)
         agent.on_message(self.board, OTHER, seal)
-        reply = self.board.outbox[0][1]
+        reply = next(
+            item
+            for _, item in self.board.outbox
+            if isinstance(item, message.SealReply)
+        )
         states = {task.index: task.state for task in reply.tasks}
         started = TaskState.STARTED
         self.assertEqual({0: started, 1: started}, states)
