Withdraw the wishes of an entry that has no lease

Cause: an entry with waiting tasks whose lease had lapsed left its wishes standing; the agents held their free slots for it by turns, lost to other entries, and sent a credit every 20 ms.

--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -71,11 +71,12 @@
 
 def run(board: EntryBoard, service: str) -> None:
     """Hands out as many waiting tasks of a service as slots are free."""
-    if not len(queue_for(board, service)):
-        wants.withdraw(board, service)
-    elif _may_hand_out(board, service):
+    if len(queue_for(board, service)) and _may_hand_out(board, service):
         _hand_out_to(board, service, pool.views(board, service))
         wants.update(board, service)
+    else:
+        # Without a lease, slots held for this entry would be lost to others.
+        wants.withdraw(board, service)
 
 
 def run_agent(board: EntryBoard, agent: AgentState) -> None:
--- a/tests/test_wants.py
+++ b/tests/test_wants.py
@@ -2,9 +2,10 @@
 
 import testtools
 
-from egretthread import entry, message, settings
+from egretthread import entry, message, settings, witness
 from egretthread.blackboard import AgentState
 from egretthread.controllers import wants
+from tests import world
 
 SETTINGS = settings.EntrySettings(
     name="entry-1",
@@ -33,3 +34,17 @@
         withdrawal = message.Want(board.node, "match", 0, 0.0)
         self.assertEqual([(agent.node, withdrawal)], board.outbox)
         self.assertEqual(0, agent.wanted)
+
+    def test_entry_without_a_lease_keeps_no_wish(self):
+        region = world.World(3, faults=False)
+        region.run(5.0 + witness.SETTLE_S)
+        region.submit("e1", region.new_submission("job", 190))
+        region.run(0.05)
+        pairs = {frozenset(("e1", name)) for name in ("e2", "e3")}
+        region.cut_off_log({"e1"})
+        region.partition(set(), pairs)
+        region.run(5.0)
+        agents = [region.processes[name].board for name in region.agent_names]
+        given = [board.counters["credits"] for board in agents]
+        region.run(2.0)
+        self.assertEqual(given, [board.counters["credits"] for board in agents])
