--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -71,11 +71,12 @@
 
 def run(board: EntryBoard, service: str) -> None:
     """Hands out as many waiting tasks of a service as slots are free."""
-    if not len(queue_for(board, service)):
-        wants.withdraw(board, service)
-    elif _may_hand_out(board, service):
+    if len(queue_for(board, service)) and _may_hand_out(board, service):
         _hand_out_to(board, service, pool.views(board, service))
         wants.update(board, service)
+    else:
+        # Without a lease, slots held for this entry would be lost to others.
+        wants.withdraw(board, service)
 
 
 def run_agent(board: EntryBoard, agent: AgentState) -> None:
@@ -259,9 +260,12 @@
         return
     if state.registration.closed or not _unsettled(state):
         return
-    agents = pool.widen(board, state.submission.service, state.agents)
+    # Each list holds the one before, so that the longest is the newest word.
+    known = state.proposed_agents or state.agents
+    agents = pool.widen(board, state.submission.service, known)
     if len(agents) == len(state.agents):
         return
+    state.proposed_agents = agents
     registration = message.Registration(
         state.submission.digest, state.ballot, agents
     )
