Tell an agent of entries and shards only when they change

Each heartbeat reply repeated all entries' addresses and all shards of the agent, and the entry went through the whole table to find them. A reply now names what changed since this link told of it, shards count whatever the age of the entry's configuration, and the table is indexed by agent.

--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -263,6 +263,9 @@
         refusals: Times in a row that it refused what it was handed.
         refused_s: Monotonic time when the last of them came.
         rest_until_s: Monotonic time until which it is handed nothing.
+        told_entries: Addresses of the entries as last sent over this link.
+        told_shards: Epoch of each shard as last sent over this link, and
+            whether it was fenced.
     """
 
     node: str
@@ -277,6 +280,10 @@
     refusals: int = 0
     refused_s: float = float("-inf")
     rest_until_s: float = float("-inf")
+    told_entries: tuple[str, ...] = ()
+    told_shards: dict[int, tuple[int, bool]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass
--- a/egretthread/controllers/agent_leases.py
+++ b/egretthread/controllers/agent_leases.py
@@ -86,7 +86,8 @@
     """Takes over the lease, the configuration and the witness shards."""
     if reply.config_offset < 0:
         return
-    board.entries = reply.entries
+    board.entries = reply.entries or board.entries
+    _take_shards(board, reply)
     previous = board.lease
     board.lease = lease.renew(
         previous, reply.config_offset, reply.echo_s, reply.lease_s
@@ -96,6 +97,16 @@
         return
     board.view = reply
     board.slots = min(board.settings.slots, reply.slots)
+
+
+def _take_shards(board: AgentBoard, reply: message.HeartbeatReply) -> None:
+    """Adopts shards; an entry tells of each change only once.
+
+    The witness table does not depend on the configuration, so that of an
+    entry whose configuration is old counts too.
+    """
+    if not reply.shards:
+        return
     before = _epochs(board)
     _adopt_shards(board, reply)
     if _epochs(board) != before:
@@ -115,10 +126,13 @@
     Entries may lag behind one another, so a shard that one of them does not
     name is dropped only when a newer epoch without this agent is seen.
     """
+    error_s = reply.clock_error_s
+    if board.view is not None:
+        error_s = max(error_s, board.view.clock_error_s)
     for view in reply.shards:
         if board.witness.name not in view.members:
             known = board.witness.shards.get(view.shard)
             if known is not None and known.epoch < view.epoch:
                 del board.witness.shards[view.shard]
             continue
-        witness.adopt(board.witness, view, board.unix_s, reply.clock_error_s)
+        witness.adopt(board.witness, view, board.unix_s, error_s)
--- a/egretthread/controllers/entry_members.py
+++ b/egretthread/controllers/entry_members.py
@@ -97,27 +97,58 @@
             slots=limits.slots if limits else 0,
             retention_s=board.configuration.retention_s,
             clock_error_s=board.configuration.clock_error_s,
-            entries=tuple(e.address for e in board.membership.entries.values()),
+            entries=_entries_to_tell(board, agent),
             shards=_shard_views(board, agent),
         ),
     )
 
 
+def _entries_to_tell(board: EntryBoard, agent: AgentState) -> tuple[str, ...]:
+    """Returns the addresses of all entries, or nothing if they are known."""
+    entries = tuple(e.address for e in board.membership.entries.values())
+    if entries == agent.told_entries:
+        return ()
+    agent.told_entries = entries
+    return entries
+
+
 def _shard_views(
     board: EntryBoard, agent: AgentState
 ) -> tuple[message.ShardView, ...]:
-    """Returns the shards an agent belongs to or still believes it does."""
+    """Returns the shards that an agent is to learn something of.
+
+    These are the ones that it belongs to and that changed since this link
+    told of them, and those that it belongs to no more.
+    """
     name = message.node_name(agent.node)
-    believed = {number for number, _ in agent.heartbeat.shard_epochs}
-    return tuple(
-        message.ShardView(
-            number, shard.epoch, shard.members, is_fenced(board, number)
-        )
-        for number, shard in board.membership.shards.items()
-        if name in shard.members or number in believed
+    numbers = board.membership.numbers.get(name, ())
+    believed = dict(agent.heartbeat.shard_epochs)
+    views = [_shard_view(board, number) for number in numbers]
+    fresh = [view for view in views if _is_news(agent, believed, view)]
+    agent.told_shards = {v.shard: (v.epoch, v.fenced) for v in views}
+    others = [
+        _shard_view(board, number)
+        for number in believed
+        if number not in agent.told_shards and number in board.membership.shards
+    ]
+    return (*fresh, *others)
+
+
+def _shard_view(board: EntryBoard, number: int) -> message.ShardView:
+    shard = board.membership.shards[number]
+    return message.ShardView(
+        number, shard.epoch, shard.members, is_fenced(board, number)
     )
 
 
+def _is_news(
+    agent: AgentState, believed: dict[int, int], view: message.ShardView
+) -> bool:
+    told = agent.told_shards.get(view.shard)
+    adopted = believed.get(view.shard) == view.epoch
+    return told != (view.epoch, view.fenced) or not adopted
+
+
 def is_fenced(board: EntryBoard, number: int) -> bool:
     """Whether no majority of a shard's older epoch can answer any more."""
     if number in board.fenced.get(board.membership.shards[number].epoch, ()):
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -95,6 +95,8 @@
         agent.connected = True
         agent.wanted = 0
         agent.assigned = 0
+        agent.told_entries = ()
+        agent.told_shards.clear()
         dispatch.resend(board, node)
 
 
--- a/egretthread/members.py
+++ b/egretthread/members.py
@@ -49,12 +49,16 @@
         entries: Entry members by name.
         shards: Shards by number.
         shard_count: Number of shards once the table exists.
+        numbers: Numbers of an agent's shards, by its name.
     """
 
     offset: int = -1
     entries: dict[str, EntryMember] = dataclasses.field(default_factory=dict)
     shards: dict[int, Shard] = dataclasses.field(default_factory=dict)
     shard_count: int = 0
+    numbers: dict[str, tuple[int, ...]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def entry_up_record(member: EntryMember) -> str:
@@ -112,6 +116,16 @@
         old = membership.shards.get(int(number))
         previous = old.members if old else ()
         membership.shards[int(number)] = Shard(offset, tuple(members), previous)
+    _index(membership)
+
+
+def _index(membership: Membership) -> None:
+    """Works out the shards of each agent."""
+    numbers: dict[str, list[int]] = {}
+    for number, shard in membership.shards.items():
+        for name in shard.members:
+            numbers.setdefault(name, []).append(number)
+    membership.numbers = {n: tuple(found) for n, found in numbers.items()}
 
 
 def _apply_snapshot(membership: Membership, offset: int, record: dict) -> None:
@@ -127,6 +141,7 @@
         )
         for number, fields in record["shards"].items()
     }
+    _index(membership)
 
 
 APPLIERS = {
--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -369,8 +369,10 @@
         slots: Slots the configuration allows the service per server.
         retention_s: How long job keys are remembered.
         clock_error_s: Bound on the error of any node's clock.
-        entries: Addresses (`host:port`) of the entries to connect to.
-        shards: The shards of the witness table the agent belongs to.
+        entries: Addresses (`host:port`) of the entries to connect to; empty
+            when they are as last told over this link.
+        shards: The shards of the witness table that the agent is to learn
+            something of.
     """
 
     entry: str
--- a/egretthread_bench/scale.py
+++ b/egretthread_bench/scale.py
@@ -349,17 +349,25 @@
     beats = [len(wire.encode([make_beat(1, n)])) for n in sizes]
     replies = [len(wire.encode([make_reply(30, n)])) for n in sizes]
     by_entries = [len(wire.encode([make_reply(n, 4)])) for n in (3, 30, 100)]
+    steady = [len(wire.encode([make_reply(30, n, True)])) for n in sizes]
     return [
+        Slope(
+            "heartbeat reply, no news",
+            "shards",
+            "bytes",
+            sizes,
+            tuple(steady),
+        ),
         Slope("heartbeat", "shards", "bytes", sizes, tuple(beats)),
         Slope(
-            "heartbeat reply, 30 entries",
+            "first heartbeat reply, 30 entries",
             "shards",
             "bytes",
             sizes,
             tuple(replies),
         ),
         Slope(
-            "heartbeat reply, 4 shards",
+            "first heartbeat reply, 4 shards",
             "entries",
             "bytes",
             (3, 30, 100),
@@ -368,8 +376,16 @@
     ]
 
 
-def make_reply(entries: int, shards: int) -> message.HeartbeatReply:
-    """Returns the reply to an agent that belongs to so many shards."""
+def make_reply(
+    entries: int, shards: int, steady: bool = False
+) -> message.HeartbeatReply:
+    """Returns the reply to an agent that belongs to so many shards.
+
+    Args:
+        entries: Entries of the region.
+        shards: Shards of the agent.
+        steady: Whether the agent was told all of it before.
+    """
     board = new_entry(3, max(1, shards))
     for number in range(entries):
         member = members.EntryMember(
@@ -379,7 +395,13 @@
         entry.on_members_record(board, 10 + number, record)
     if not shards:
         board.membership.shards.clear()
+        board.membership.numbers.clear()
     beat = make_beat(1)
+    if steady:
+        entry.on_message(board, beat.agent, beat)
+        epochs = {n: s.epoch for n, s in board.membership.shards.items()}
+        beat = dataclasses.replace(beat, shard_epochs=tuple(epochs.items()))
+        entry.on_message(board, beat.agent, beat)
     board.outbox.clear()
     entry.on_message(board, beat.agent, beat)
     return board.outbox[0][1]
