Add the policy bench's fakes, workload and measurements

Policies were not measured. An event loop drives the real fair queue, placements, quotas and ejection against a small fake of an agent, beside a central queue with perfect knowledge.

--- /dev/null
+++ b/egretthread_bench/benchentry.py
@@ -0,0 +1,300 @@
+"""An entry's dispatch, made of the real decision modules, for the bench."""
+
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable
+
+from egretthread import ejection, fairqueue, placement, placements, quota
+from egretthread.jobkey import JobRef
+from egretthread_bench.experiment import Experiment, Rule
+from egretthread_bench.fakeagent import FakeAgent, FakeReport, Start
+from egretthread_bench.postbox import Postbox
+from egretthread_bench.workload import Arrival
+
+# A wish for slots is repeated after this time.
+WANT_AGAIN_S = 0.5
+# Finished tasks that an agent's failure share rests on.
+HEALTH_TASKS = 50
+
+
+@dataclasses.dataclass
+class Belief:
+    """What an entry believes of one agent.
+
+    Attributes:
+        agent: The agent.
+        free: Slots believed free.
+        sent: Tasks sent to it so far.
+        wanted: Slots still wished for there.
+        wanted_s: When it was last told so.
+        failures: Weighted share of its recent tasks that failed.
+        tasks: Tasks that the share rests on.
+    """
+
+    agent: FakeAgent
+    free: int
+    sent: int = 0
+    wanted: int = 0
+    wanted_s: float = 0.0
+    failures: float = 0.0
+    tasks: int = 0
+
+
+@dataclasses.dataclass
+class OpenJob:
+    """A job that is not over.
+
+    Attributes:
+        arrival: The job as it arrived.
+        remaining: Tasks that have not ended.
+        failed: Tasks that failed.
+    """
+
+    arrival: Arrival
+    remaining: int
+    failed: int = 0
+
+
+class BenchEntry:
+    """One entry under a rule.
+
+    Attributes:
+        node: Its node id.
+        queue: Its waiting tasks.
+        beliefs: What it believes of each agent, by node id.
+        jobs: Its open jobs.
+        quotas: The organisations' quotas.
+        probation: The ejected backend servers.
+        handed_back: Tasks that agents refused.
+        refused_jobs: Jobs that the quotas refused, by organisation.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        agents: list[FakeAgent],
+        experiment: Experiment,
+        rule: Rule,
+        postbox: Postbox,
+        on_over: Callable[[OpenJob], None],
+    ):
+        self.node = f"entry{number}#1"
+        self.experiment = experiment
+        self.rule = rule
+        self.postbox = postbox
+        self.on_over = on_over
+        self.rng = random.Random(experiment.seed * 1000 + number)
+        self.queue = fairqueue.FairQueue()
+        self.jobs: dict[JobRef, OpenJob] = {}
+        self.weights = {t.name: t.weight for t in experiment.tenants}
+        self.quotas = quota.QuotaTable()
+        self.probation = ejection.Probation()
+        self.handed_back = 0
+        self.beliefs = {a.node: Belief(a, a.slots) for a in agents}
+        self.order = list(self.beliefs.values())
+        self.rng.shuffle(self.order)
+        self.policy = placements.find_policy(rule.placement)
+
+    def submit(self, arrival: Arrival) -> None:
+        """Takes a job in and hands out what finds a slot."""
+        job = arrival.job
+        self.jobs[job] = OpenJob(arrival, len(arrival.run_s))
+        self._enqueue(job, range(len(arrival.run_s)))
+        self.dispatch()
+
+    def on_report(self, report: FakeReport) -> None:
+        """Takes in what an agent says."""
+        belief = self.beliefs[report.node]
+        belief.free = report.free + report.credit
+        if self.rule.exact_free:
+            flying = belief.sent - report.received
+            belief.free = report.free + report.held - flying
+        belief.wanted = max(0, belief.wanted - report.credit)
+        for task in report.finished:
+            self._finish(belief, task, report.failed)
+        if report.refused:
+            self.handed_back += len(report.refused)
+            belief.wanted = max(belief.wanted, len(report.refused))
+            self._put_back(report.refused)
+        self.dispatch()
+
+    def update_health(self) -> None:
+        """Ejects the backend servers that fail."""
+        views = [
+            ejection.HealthView(node, belief.failures, belief.tasks)
+            for node, belief in self.beliefs.items()
+        ]
+        self.probation.update(views, 0.3, self.postbox.loop.now_s)
+
+    def dispatch(self) -> None:
+        """Hands out waiting tasks and asks for slots for the rest."""
+        pushed: dict[str, list[Start]] = {}
+        while len(self.queue):
+            if not self._place_some(pushed):
+                break
+        wants = self._choose_wants(pushed)
+        for node, tasks in pushed.items():
+            self._assign(self.beliefs[node], tasks, wants.pop(node, 0))
+        for node, count in wants.items():
+            self._want(self.beliefs[node], count)
+
+    def _place_some(self, pushed: dict[str, list[Start]]) -> bool:
+        """Places tasks on one set of candidates; whether any were."""
+        views = [self._view(belief) for belief in self._candidates()]
+        room = sum(placement.usable_slots(view) for view in views)
+        if self.rule.agents_queue:
+            room = len(self.queue)
+        placed = False
+        for job, indices in self._take(room):
+            rest = iter(indices)
+            for node, count in self.policy(views, len(indices)):
+                tasks = list(itertools.islice(rest, count))
+                self._push(node, job, tasks, pushed)
+                placed = True
+            left = list(rest)
+            if left:
+                self._put_back([self._start(job, index) for index in left])
+            views = [self._view(self.beliefs[view.node]) for view in views]
+        return placed and not self.rule.agents_queue
+
+    def _candidates(self) -> list[Belief]:
+        if len(self.order) <= self.rule.candidates:
+            return self.order
+        return self.rng.sample(self.order, self.rule.candidates)
+
+    def _view(self, belief: Belief) -> placement.AgentView:
+        agent = belief.agent
+        weight = 1.0
+        if self.experiment.eject and self.probation.trials:
+            now_s = self.postbox.loop.now_s
+            weight = self.probation.weight(agent.node, agent.slots, now_s)
+        return placement.AgentView(
+            agent.node,
+            agent.zone,
+            agent.slots,
+            max(0, belief.free),
+            load_share=1.0 - belief.free / agent.slots,
+            weight=weight,
+        )
+
+    def _take(self, count: int) -> list[tuple[JobRef, list[int]]]:
+        groups: dict[JobRef, list[int]] = {}
+        for _ in range(count):
+            item = self.queue.pop()
+            if item is None:
+                break
+            groups.setdefault(item[0], []).append(item[1])
+        return list(groups.items())
+
+    def _push(
+        self,
+        node: str,
+        job: JobRef,
+        indices: list[int],
+        pushed: dict[str, list[Start]],
+    ) -> None:
+        self.beliefs[node].free -= len(indices)
+        self.probation.pushed(node, self.postbox.loop.now_s)
+        tasks = [self._start(job, index) for index in indices]
+        pushed.setdefault(node, []).extend(tasks)
+
+    def _assign(self, belief: Belief, tasks: list[Start], want: int) -> None:
+        belief.sent += len(tasks)
+        since_s = self._since_s()
+        if want and not self.rule.want_in_assign:
+            self._want(belief, want)
+            want = 0
+        if want:
+            belief.wanted = want
+            belief.wanted_s = self.postbox.loop.now_s
+        self.postbox.send(
+            "assign",
+            self.node,
+            belief.agent.node,
+            belief.agent.on_assign,
+            self,
+            tasks,
+            want,
+            since_s,
+            count=len({task.job for task in tasks}),
+        )
+
+    def _choose_wants(self, pushed: dict[str, list[Start]]) -> dict[str, int]:
+        """Returns the agents to tell of waiting tasks, and the counts."""
+        waiting = len(self.queue)
+        if self.rule.agents_queue:
+            return {}
+        if not waiting:
+            return {
+                belief.agent.node: 0
+                for belief in self.order
+                if belief.wanted > 0
+            }
+        now_s = self.postbox.loop.now_s
+        wants: dict[str, int] = {}
+        for belief in self._want_candidates(waiting):
+            fresh = now_s - belief.wanted_s < WANT_AGAIN_S
+            if not belief.wanted or not fresh:
+                wants[belief.agent.node] = min(waiting, belief.agent.slots)
+        return wants
+
+    def _want_candidates(self, waiting: int) -> list[Belief]:
+        per_task = self.rule.want_agents_per_task
+        if not per_task:
+            return self.order
+        count = max(1, round(waiting * per_task))
+        wanted = [belief for belief in self.order if belief.wanted]
+        if len(wanted) >= count or count >= len(self.order):
+            return wanted or self.order
+        return wanted + self.rng.sample(self.order, count - len(wanted))
+
+    def _want(self, belief: Belief, count: int) -> None:
+        belief.wanted = count
+        belief.wanted_s = self.postbox.loop.now_s
+        self.postbox.send(
+            "want",
+            self.node,
+            belief.agent.node,
+            belief.agent.on_want,
+            self,
+            count,
+            self._since_s(),
+        )
+
+    def _since_s(self) -> float:
+        now_s = self.postbox.loop.now_s
+        return now_s - self.queue.oldest_wait_s(now_s)
+
+    def _finish(self, belief: Belief, task: Start, failed: bool) -> None:
+        now_s = self.postbox.loop.now_s
+        gain = max(1.0 / HEALTH_TASKS, 1.0 / (belief.tasks + 1))
+        belief.failures += gain * (failed - belief.failures)
+        belief.tasks = min(HEALTH_TASKS, belief.tasks + 1)
+        self.probation.finished(belief.agent.node, not failed, now_s)
+        state = self.jobs[task.job]
+        state.remaining -= 1
+        state.failed += failed
+        if not state.remaining:
+            del self.jobs[task.job]
+            self.on_over(state)
+
+    def _put_back(self, tasks) -> None:
+        """Returns tasks to the front of the queue, in their order."""
+        for job, group in itertools.groupby(tasks, key=lambda task: task.job):
+            arrival = self.jobs[job].arrival
+            self.queue.pushback(
+                job.organisation,
+                self.weights[job.organisation],
+                job,
+                [task.index for task in group],
+                arrival.at_s,
+            )
+
+    def _enqueue(self, job: JobRef, indices) -> None:
+        weight = self.weights[job.organisation]
+        now_s = self.postbox.loop.now_s
+        self.queue.push(job.organisation, weight, job, indices, now_s)
+
+    def _start(self, job: JobRef, index: int) -> Start:
+        return Start(job, index, self.jobs[job].arrival.run_s[index])
--- /dev/null
+++ b/egretthread_bench/policy.py
@@ -0,0 +1,314 @@
+"""Runs one rule of an experiment at one load and measures it."""
+
+import collections
+import dataclasses
+import time
+
+from hdrh.histogram import HdrHistogram
+
+from egretthread import config
+from egretthread_bench import central, workload
+from egretthread_bench.benchentry import BenchEntry, OpenJob
+from egretthread_bench.eventloop import EventLoop
+from egretthread_bench.experiment import Experiment, Rule
+from egretthread_bench.fakeagent import FakeAgent
+from egretthread_bench.postbox import Postbox
+from egretthread_bench.workload import Arrival
+
+# Ratios are recorded in thousandths, up to a ratio of 10,000.
+RATIO_UNIT = 1000
+MAX_RATIO = 10_000_000
+# Jobs of this many tasks or more have a target of messages per task.
+LARGE_JOB_TASKS = 30
+HEARTBEAT_S = 1.0
+# Jobs that arrive in the first part of a run only warm it up.
+WARM_UP_SHARE = 0.05
+
+
+@dataclasses.dataclass
+class Ratios:
+    """Response times against the ideal, all and by organisation.
+
+    Attributes:
+        all: Every job.
+        tenants: By organisation.
+    """
+
+    all: HdrHistogram = dataclasses.field(
+        default_factory=lambda: HdrHistogram(1, MAX_RATIO, 3)
+    )
+    tenants: dict[str, HdrHistogram] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(
+            lambda: HdrHistogram(1, MAX_RATIO, 3)
+        )
+    )
+
+    def add(self, job, ratio: float) -> None:
+        """Records one job."""
+        value = min(MAX_RATIO, max(1, round(ratio * RATIO_UNIT)))
+        self.all.record_value(value)
+        self.tenants[job.organisation].record_value(value)
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """What one rule did at one load.
+
+    Attributes:
+        experiment: Name of the experiment.
+        rule: Name of the rule; `central` for the bound.
+        load: Share of the slots that the arrivals keep busy.
+        jobs: Jobs measured.
+        tasks: Tasks of all jobs.
+        p50: Median of response / ideal.
+        p99: 99th percentile of response / ideal.
+        mean: Mean of response / ideal.
+        tenant_p99: 99th percentile by organisation.
+        failed_share: Share of the tasks that a backend server failed.
+        refused_jobs: Jobs that quotas refused, by organisation.
+        messages: Messages per task, by kind, heartbeats left out.
+        messages_per_task: Their sum.
+        frames_per_task: Writes to connections per task, with heartbeats.
+        wasted_share: Share of the messages that moved no task: refusals,
+            credits that lapsed and wishes that brought no credit.
+        handed_back_share: Share of the hand-outs that agents refused.
+        run_s: Time that the run took.
+    """
+
+    experiment: str
+    rule: str
+    load: float
+    jobs: int
+    tasks: int
+    p50: float
+    p99: float
+    mean: float
+    tenant_p99: dict[str, float]
+    failed_share: float = 0.0
+    refused_jobs: dict[str, int] = dataclasses.field(default_factory=dict)
+    messages: dict[str, float] = dataclasses.field(default_factory=dict)
+    messages_per_task: float = 0.0
+    frames_per_task: float = 0.0
+    wasted_share: float = 0.0
+    handed_back_share: float = 0.0
+    run_s: float = 0.0
+
+
+class Run:
+    """One rule at one load, while it runs.
+
+    Attributes:
+        loop: The event loop.
+        postbox: Carries and counts the messages.
+        agents: The fake agents.
+        entries: The entries.
+        ratios: Response times so far.
+        open: Jobs that are not over.
+        failed: Tasks that failed.
+        refused: Jobs that quotas refused, by organisation.
+    """
+
+    def __init__(self, experiment: Experiment, rule: Rule, jobs: list[Arrival]):
+        self.experiment = experiment
+        self.jobs = jobs
+        self.loop = EventLoop()
+        self.postbox = Postbox(self.loop, experiment.delay_s)
+        self.agents = [
+            FakeAgent(
+                f"agent{number}#1",
+                f"zone{number % experiment.zones}",
+                experiment.slots,
+                rule,
+                self.postbox,
+            )
+            for number in range(experiment.agents)
+        ]
+        for agent in self.agents[: experiment.failing_agents]:
+            agent.fails = True
+        self.entries = [
+            BenchEntry(
+                number, agents, experiment, rule, self.postbox, self._on_over
+            )
+            for number, agents in enumerate(self._shared(rule))
+        ]
+        self.ratios = Ratios()
+        self.open = len(jobs)
+        self.failed = 0
+        self.refused: collections.Counter = collections.Counter()
+        self._warm_s = jobs[-1].at_s * WARM_UP_SHARE
+
+    def _shared(self, rule: Rule) -> list[list[FakeAgent]]:
+        """Returns the agents that each entry may use."""
+        count = self.experiment.entries
+        if not rule.sharing or rule.sharing >= count:
+            return [self.agents] * count
+        shared: list[list[FakeAgent]] = [[] for _ in range(count)]
+        for number, agent in enumerate(self.agents):
+            for place in range(rule.sharing):
+                step = 1 + number // count % (count - 1)
+                shared[(number + place * step) % count].append(agent)
+        return shared
+
+    def run(self) -> None:
+        """Runs until every job is over."""
+        self._set_quotas()
+        for arrival in self.jobs:
+            self.loop.at(arrival.at_s, self._arrive, arrival)
+        self._start_heartbeats()
+        self.loop.run(lambda: not self.open)
+
+    def _set_quotas(self) -> None:
+        limits = [
+            config.Organisation(
+                tenant.name,
+                starts_per_s=tenant.starts_per_s or 1e9,
+                max_running=1_000_000_000,
+            )
+            for tenant in self.experiment.tenants
+        ]
+        for entry in self.entries:
+            entry.quotas.configure(limits)
+
+    def _arrive(self, arrival: Arrival) -> None:
+        entry = self.entries[arrival.entry]
+        name = arrival.job.organisation
+        starts = len(arrival.run_s)
+        if entry.quotas.admit(name, starts, self.loop.now_s).ok:
+            entry.submit(arrival)
+        else:
+            self.refused[name] += 1
+            self.open -= 1
+
+    def _start_heartbeats(self) -> None:
+        users = collections.defaultdict(list)
+        for entry in self.entries:
+            for node in entry.beliefs:
+                users[node].append(entry)
+        for number, agent in enumerate(self.agents):
+            phase_s = HEARTBEAT_S * number / len(self.agents)
+            self.loop.at(phase_s, self._beat, agent, users[agent.node])
+        self.loop.at(HEARTBEAT_S, self._second)
+
+    def _beat(self, agent: FakeAgent, entries: list[BenchEntry]) -> None:
+        agent.heartbeat(entries)
+        self.loop.after(HEARTBEAT_S, self._beat, agent, entries)
+
+    def _second(self) -> None:
+        demands = [dict(e.quotas.demand(self.loop.now_s)) for e in self.entries]
+        for number, entry in enumerate(self.entries):
+            others = demands[:number] + demands[number + 1 :]
+            entry.quotas.set_shares(demands[number], others)
+            if self.experiment.eject:
+                entry.update_health()
+        self.loop.after(1.0, self._second)
+
+    def _on_over(self, state: OpenJob) -> None:
+        arrival = state.arrival
+        self.open -= 1
+        self.failed += state.failed
+        if arrival.at_s < self._warm_s:
+            return
+        response_s = self.loop.now_s - arrival.at_s
+        self.ratios.add(
+            arrival.job, ratio(self.experiment, arrival, response_s)
+        )
+
+
+def ratio(experiment: Experiment, arrival: Arrival, response_s: float) -> float:
+    """Returns a job's response time against its ideal.
+
+    The ideal is the job's longest task plus a round trip from caller to
+    entry and one from entry to agent.
+    """
+    caller_s = 2 * experiment.caller_delay_s
+    ideal_s = max(arrival.run_s) + 2 * experiment.delay_s + caller_s
+    return (response_s + caller_s) / ideal_s
+
+
+def measure(
+    experiment: Experiment, name: str, rule: Rule, load: float
+) -> Result:
+    """Runs a rule and returns what it did."""
+    began_s = time.perf_counter()
+    jobs = workload.arrivals(experiment, load)
+    run = Run(experiment, rule, jobs)
+    run.run()
+    tasks = sum(len(arrival.run_s) for arrival in jobs)
+    return _result(
+        experiment, name, load, run.ratios, jobs, run, tasks, began_s
+    )
+
+
+def bound(experiment: Experiment, load: float) -> Result:
+    """Returns the central queue's result on the same arrivals.
+
+    Its response times get one round trip between entry and agent added.
+    """
+    began_s = time.perf_counter()
+    jobs = workload.arrivals(experiment, load)
+    by_job = {arrival.job: arrival for arrival in jobs}
+    ratios = Ratios()
+    warm_s = jobs[-1].at_s * WARM_UP_SHARE
+    for job, response_s in central.responses_s(experiment, jobs).items():
+        if by_job[job].at_s >= warm_s:
+            total_s = response_s + 2 * experiment.delay_s
+            ratios.add(job, ratio(experiment, by_job[job], total_s))
+    tasks = sum(len(arrival.run_s) for arrival in jobs)
+    return _result(
+        experiment, "central", load, ratios, jobs, None, tasks, began_s
+    )
+
+
+def _result(
+    experiment: Experiment,
+    name: str,
+    load: float,
+    ratios: Ratios,
+    jobs: list[Arrival],
+    run: Run | None,
+    tasks: int,
+    began_s: float,
+) -> Result:
+    result = Result(
+        experiment=experiment.name,
+        rule=name,
+        load=load,
+        jobs=ratios.all.get_total_count(),
+        tasks=tasks,
+        p50=ratios.all.get_value_at_percentile(50) / RATIO_UNIT,
+        p99=ratios.all.get_value_at_percentile(99) / RATIO_UNIT,
+        mean=ratios.all.get_mean_value() / RATIO_UNIT,
+        tenant_p99={
+            tenant: histogram.get_value_at_percentile(99) / RATIO_UNIT
+            for tenant, histogram in sorted(ratios.tenants.items())
+        },
+        run_s=time.perf_counter() - began_s,
+    )
+    if run is None:
+        return result
+    return dataclasses.replace(result, **_traffic(run, tasks))
+
+
+def _traffic(run: Run, tasks: int) -> dict:
+    messages = dict(run.postbox.messages)
+    messages.pop("heartbeat", None)
+    total = sum(messages.values())
+    lapsed = sum(agent.lapsed for agent in run.agents)
+    handed_back = sum(entry.handed_back for entry in run.entries)
+    sent = sum(
+        belief.sent
+        for entry in run.entries
+        for belief in entry.beliefs.values()
+    )
+    wasted = messages.get("refusal", 0) + lapsed
+    return {
+        "failed_share": run.failed / tasks,
+        "refused_jobs": dict(run.refused),
+        "messages": {
+            kind: count / tasks for kind, count in sorted(messages.items())
+        },
+        "messages_per_task": total / tasks,
+        "frames_per_task": run.postbox.frames / tasks,
+        "wasted_share": wasted / max(1, total),
+        "handed_back_share": handed_back / max(1, sent),
+    }
--- /dev/null
+++ b/egretthread_bench/workload.py
@@ -0,0 +1,92 @@
+"""Arrivals of jobs: open loop, from a fixed seed."""
+
+import dataclasses
+import random
+
+from egretthread import jobkey
+from egretthread_bench.experiment import Experiment, Tenant
+
+# Shortest and longest of the usual tasks, in seconds.
+SHORT_RUN_S = (0.05, 1.0)
+# Shortest and longest of the few long tasks, in seconds.
+LONG_RUN_S = (3.0, 5.0)
+# Part of the tasks that are long.
+LONG_SHARE = 0.02
+# The usual tasks follow a beta distribution with mean 1/3 of the range.
+BETA = (1.0, 2.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One job as it arrives.
+
+    Attributes:
+        at_s: When it reaches its entry.
+        entry: Number of the entry.
+        job: Its organisation and key.
+        run_s: Run time of each task.
+    """
+
+    at_s: float
+    entry: int
+    job: jobkey.JobRef
+    run_s: tuple[float, ...]
+
+
+def mean_run_s() -> float:
+    """Returns the mean run time of a task, in seconds."""
+    low_s, high_s = SHORT_RUN_S
+    beta_mean = BETA[0] / sum(BETA)
+    short_s = low_s + (high_s - low_s) * beta_mean
+    return (1 - LONG_SHARE) * short_s + LONG_SHARE * sum(LONG_RUN_S) / 2
+
+
+def draw_run_s(rng: random.Random) -> float:
+    """Returns the run time of one task, in seconds."""
+    if rng.random() < LONG_SHARE:
+        return rng.uniform(*LONG_RUN_S)
+    low_s, high_s = SHORT_RUN_S
+    return low_s + (high_s - low_s) * rng.betavariate(*BETA)
+
+
+def arrivals(experiment: Experiment, load: float) -> list[Arrival]:
+    """Returns the jobs of all organisations in the order they arrive.
+
+    Each organisation draws from a generator of its own, so that one's
+    arrivals stay the same when another's load is changed.
+    """
+    total = sum(tenant.share for tenant in experiment.tenants)
+    seconds = experiment.jobs / _jobs_per_s(experiment, load)
+    jobs: list[Arrival] = []
+    for tenant in experiment.tenants:
+        part = load * tenant.share / total
+        jobs.extend(_tenant_arrivals(experiment, tenant, part, seconds))
+    return sorted(jobs, key=lambda arrival: arrival.at_s)
+
+
+def _jobs_per_s(experiment: Experiment, load: float) -> float:
+    slots = experiment.agents * experiment.slots
+    mean_tasks = (1 + experiment.max_tasks) / 2
+    return load * slots / (mean_tasks * mean_run_s())
+
+
+def _tenant_arrivals(
+    experiment: Experiment, tenant: Tenant, load: float, seconds: float
+) -> list[Arrival]:
+    rng = random.Random(f"{experiment.seed}/{tenant.name}")
+    rate_per_s = _jobs_per_s(experiment, load)
+    jobs = []
+    at_s = rng.expovariate(rate_per_s)
+    while at_s < seconds:
+        key = jobkey.make_key(at_s, f"job{len(jobs)}")
+        tasks = rng.randint(1, experiment.max_tasks)
+        jobs.append(
+            Arrival(
+                at_s=at_s,
+                entry=rng.randrange(experiment.entries),
+                job=jobkey.JobRef(tenant.name, key),
+                run_s=tuple(draw_run_s(rng) for _ in range(tasks)),
+            )
+        )
+        at_s += rng.expovariate(rate_per_s)
+    return jobs
