--- a/egretthread_bench/benchentry.py
+++ b/egretthread_bench/benchentry.py
@@ -106,10 +106,12 @@
     def on_report(self, report: FakeReport) -> None:
         """Takes in what an agent says."""
         belief = self.beliefs[report.node]
-        belief.free = report.free + report.credit
+        belief.free = max(report.free, -self.rule.unasked)
         if self.rule.exact_free:
             flying = belief.sent - report.received
-            belief.free = report.free + report.held - flying
+            belief.free += report.held - flying
+        else:
+            belief.free += report.credit
         belief.wanted = max(0, belief.wanted - report.credit)
         for task in report.finished:
             self._finish(belief, task, report.failed)
@@ -130,18 +132,25 @@
     def dispatch(self) -> None:
         """Hands out waiting tasks and asks for slots for the rest."""
         pushed: dict[str, list[Start]] = {}
-        while len(self.queue):
-            if not self._place_some(pushed):
-                break
+        for beyond in {0, self.rule.unasked}:
+            while len(self.queue) and self._place_some(pushed, beyond):
+                pass
         wants = self._choose_wants(pushed)
+        waiting = len(self.queue)
         for node, tasks in pushed.items():
-            self._assign(self.beliefs[node], tasks, wants.pop(node, 0))
+            belief = self.beliefs[node]
+            if self.rule.want_in_assign and not self.rule.agents_queue:
+                wants.pop(node, 0)
+                self._assign(belief, tasks, min(waiting, belief.agent.slots))
+            else:
+                self._assign(belief, tasks, wants.pop(node, 0))
         for node, count in wants.items():
             self._want(self.beliefs[node], count)
 
-    def _place_some(self, pushed: dict[str, list[Start]]) -> bool:
+    def _place_some(self, pushed: dict[str, list[Start]], beyond: int) -> bool:
         """Places tasks on one set of candidates; whether any were."""
-        views = [self._view(belief) for belief in self._candidates()]
+        beliefs = self._candidates()
+        views = [self._view(belief, beyond) for belief in beliefs]
         room = sum(placement.usable_slots(view) for view in views)
         if self.rule.agents_queue:
             room = len(self.queue)
@@ -155,7 +164,7 @@
             left = list(rest)
             if left:
                 self._put_back([self._start(job, index) for index in left])
-            views = [self._view(self.beliefs[view.node]) for view in views]
+            views = [self._view(belief, beyond) for belief in beliefs]
         return placed and not self.rule.agents_queue
 
     def _candidates(self) -> list[Belief]:
@@ -163,7 +172,7 @@
             return self.order
         return self.rng.sample(self.order, self.rule.candidates)
 
-    def _view(self, belief: Belief) -> placement.AgentView:
+    def _view(self, belief: Belief, beyond: int) -> placement.AgentView:
         agent = belief.agent
         weight = 1.0
         if self.experiment.eject and self.probation.trials:
@@ -172,8 +181,8 @@
         return placement.AgentView(
             agent.node,
             agent.zone,
-            agent.slots,
-            max(0, belief.free),
+            agent.slots + beyond,
+            max(0, belief.free + beyond),
             load_share=1.0 - belief.free / agent.slots,
             weight=weight,
         )
@@ -205,7 +214,7 @@
         if want and not self.rule.want_in_assign:
             self._want(belief, want)
             want = 0
-        if want:
+        if self.rule.want_in_assign:
             belief.wanted = want
             belief.wanted_s = self.postbox.loop.now_s
         self.postbox.send(
@@ -253,7 +262,7 @@
         belief.wanted = count
         belief.wanted_s = self.postbox.loop.now_s
         self.postbox.send(
-            "want",
+            "want" if count else "unwant",
             self.node,
             belief.agent.node,
             belief.agent.on_want,
--- a/egretthread_bench/experiment.py
+++ b/egretthread_bench/experiment.py
@@ -25,6 +25,11 @@
             any entry waits for slots.
         want_agents_per_task: Agents asked for slots per waiting task; 0 for
             all of them.
+        lookahead: Tasks that an agent queues beyond its slots at most.
+        batch: Room in slots and queue at which an agent gives credit, unless
+            a slot is idle.
+        unasked: Tasks beyond its idle slots that an agent gets without a
+            credit at most.
         hold_s: How long an agent holds a slot for a credited entry.
         candidates: Agents that one job may be placed on at most.
         sharing: Entries that share one agent; 0 for all of them.
@@ -37,6 +42,9 @@
     exact_free: bool = True
     flush_reports: bool = False
     want_agents_per_task: float = 0.0
+    lookahead: int = 0
+    batch: int = 1
+    unasked: int = 0
     hold_s: float = 0.02
     candidates: int = 64
     sharing: int = 0
--- a/egretthread_bench/fakeagent.py
+++ b/egretthread_bench/fakeagent.py
@@ -64,7 +64,7 @@
         held: Slots held by entry.
         received: Tasks got so far, by entry.
         waiting: Tasks queued here, when the rule lets agents queue.
-        lapsed: Credits that no Assign used.
+        lapsed: Credits of which no Assign used any slot.
     """
 
     def __init__(self, node, zone, slots, rule: Rule, postbox: Postbox):
@@ -85,23 +85,31 @@
 
     @property
     def free(self) -> int:
-        """Slots that neither run a task nor are held."""
-        return self.slots - self.running - self.held.total()
+        """Slots that neither run a task nor are held or queued for."""
+        taken = self.running + len(self.waiting) + self.held.total()
+        return self.slots - taken
+
+    @property
+    def room(self) -> int:
+        """Tasks that may be taken, to start or to queue."""
+        return self.free + self.rule.lookahead
 
     def on_assign(self, entry, tasks, want: int, since_s: float) -> None:
         """Starts what finds a slot; queues or refuses the rest."""
         self.received[entry] += len(tasks)
         self.held[entry] = max(0, self.held[entry] - len(tasks))
-        room = len(tasks) if self.rule.agents_queue else max(0, self.free)
+        room = len(tasks) if self.rule.agents_queue else max(0, self.room)
         refused = tasks[room:]
         for task in tasks[:room]:
             self._open[entry, task.job] += 1
-            if self.free > 0:
+            if self.running < self.slots:
                 self._start(entry, task)
             else:
                 self.waiting.append((entry, task))
         if refused or want:
             self.wishes[entry] = (since_s, max(want, len(refused)))
+        elif self.rule.want_in_assign:
+            self.wishes.pop(entry, None)
         credits = self._assign_credits()
         if refused:
             self._tell(entry, credits, refused=tuple(refused))
@@ -143,10 +151,12 @@
     def _assign_credits(self) -> dict:
         """Gives free slots to the entries that have waited longest."""
         credits: dict = {}
-        while self.wishes and self.free > 0:
+        if self.free <= 0 and self.room < self.rule.batch:
+            return credits
+        while self.wishes and self.room > 0:
             entry = min(self.wishes, key=self._since_s)
             since_s, count = self.wishes.pop(entry)
-            given = min(count, self.free)
+            given = min(count, self.room)
             if count > given:
                 self.wishes[entry] = (since_s, count - given)
             credits[entry] = given
@@ -168,7 +178,7 @@
         if unused <= 0:
             return
         self.held[entry] -= unused
-        self.lapsed += unused
+        self.lapsed += unused == given
         self._send_credits(self._assign_credits())
 
     def _send_credits(self, credits: dict) -> None:
--- a/egretthread_bench/policy.py
+++ b/egretthread_bench/policy.py
@@ -70,7 +70,7 @@
         messages_per_task: Their sum.
         frames_per_task: Writes to connections per task, with heartbeats.
         wasted_share: Share of the messages that moved no task: refusals,
-            credits that lapsed and wishes that brought no credit.
+            credits that lapsed whole and wishes taken back.
         handed_back_share: Share of the hand-outs that agents refused.
         run_s: Time that the run took.
     """
@@ -300,7 +300,7 @@
         for entry in run.entries
         for belief in entry.beliefs.values()
     )
-    wasted = messages.get("refusal", 0) + lapsed
+    wasted = messages.get("refusal", 0) + messages.get("unwant", 0) + lapsed
     return {
         "failed_share": run.failed / tasks,
         "refused_jobs": dict(run.refused),
