Let small jobs overtake large ones within a bounded patience

The ratio of response to ideal time is worst for small jobs that wait behind large ones. Jobs of an organisation now leave by arrival time plus 60 ms per task.

--- a/egretthread/fairqueue.py
+++ b/egretthread/fairqueue.py
@@ -4,16 +4,23 @@
 start tag that grows by 1 / weight per task taken, and the lowest tag is
 served next. An organisation that was idle joins at the current virtual
 time, so it neither saves up service nor waits behind another's backlog.
-Within one organisation jobs leave in the order they came.
+Within one organisation jobs leave by the time they came plus a patience per
+task: a small job, whose ideal time is short, may overtake a large one that
+came at most so much earlier, and no job waits behind later ones for ever.
 """
 
 import collections
 import dataclasses
 import heapq
+import itertools
 from collections.abc import Iterable
 
 from egretthread.jobkey import JobRef
 
+# Patience of a job per task, in seconds. The ideal time of a job grows with
+# its tasks, because it is that of the longest of them.
+PATIENCE_S = 0.06
+
 
 @dataclasses.dataclass
 class WaitingJob:
@@ -21,10 +28,12 @@
 
     Attributes:
         since_s: When the job was queued.
+        order_s: When it would have been queued without patience.
         indices: Its waiting task indices, next first.
     """
 
     since_s: float
+    order_s: float
     indices: collections.deque[int]
 
 
@@ -37,17 +46,33 @@
         tag: Virtual start tag of its next task.
         version: Counts the changes of `tag`, to spot outdated heap entries.
         waiting: How many of its tasks wait.
-        jobs: Its waiting jobs, next first.
+        jobs: Its waiting jobs.
+        order: Heap of (order_s, number, job), with outdated entries.
     """
 
     weight: float
     tag: float = 0.0
     version: int = 0
     waiting: int = 0
-    jobs: collections.OrderedDict[JobRef, WaitingJob] = dataclasses.field(
-        default_factory=collections.OrderedDict
+    jobs: dict[JobRef, WaitingJob] = dataclasses.field(default_factory=dict)
+    order: list[tuple[float, int, JobRef]] = dataclasses.field(
+        default_factory=list
     )
 
+    def add(self, job: JobRef, waiting: WaitingJob, number: int) -> None:
+        """Puts a job in its place."""
+        self.jobs[job] = waiting
+        heapq.heappush(self.order, (waiting.order_s, number, job))
+
+    def first(self) -> tuple[JobRef, WaitingJob]:
+        """Returns the job whose tasks leave next; there must be one."""
+        while True:
+            order_s, _, job = self.order[0]
+            waiting = self.jobs.get(job)
+            if waiting is not None and waiting.order_s == order_s:
+                return job, waiting
+            heapq.heappop(self.order)
+
 
 class FairQueue:
     """Waiting tasks of one service, by organisation and job.
@@ -55,13 +80,16 @@
     Attributes:
         lanes: The organisations that have or recently had waiting tasks.
         virtual_time: Tag of the task that was taken last.
+        patience_s: Patience of a job per task.
     """
 
-    def __init__(self):
+    def __init__(self, patience_s: float = PATIENCE_S):
+        self.patience_s = patience_s
         self.lanes: dict[str, Lane] = {}
         self.virtual_time = 0.0
         self._heap: list[tuple[float, int, str]] = []
         self._count = 0
+        self._numbers = itertools.count()
 
     def __len__(self) -> int:
         return self._count
@@ -74,7 +102,7 @@
         indices: Iterable[int],
         now_s: float,
     ) -> None:
-        """Queues tasks of a job behind the organisation's others.
+        """Queues tasks of a job in its place among the organisation's.
 
         Args:
             organisation: Whose share of service the tasks use.
@@ -84,13 +112,15 @@
             now_s: The current time, from which the job's wait counts.
         """
         lane = self._lane(organisation, weight)
-        if job not in lane.jobs:
-            lane.jobs[job] = WaitingJob(now_s, collections.deque())
-        waiting = lane.jobs[job].indices
-        before = len(waiting)
-        waiting.extend(indices)
         was_waiting = lane.waiting > 0
-        self._added(lane, job, len(waiting) - before)
+        joining = collections.deque(indices)
+        if job in lane.jobs:
+            lane.jobs[job].indices.extend(joining)
+        elif joining:
+            order_s = now_s + self.patience_s * len(joining)
+            waiting = WaitingJob(now_s, order_s, joining.copy())
+            lane.add(job, waiting, next(self._numbers))
+        self._added(lane, len(joining))
         if not was_waiting:
             self._schedule(organisation, lane)
 
@@ -104,6 +134,9 @@
     ) -> None:
         """Returns tasks to the front and refunds the organisation's share.
 
+        They go before the rest of their job if that waits, and else to the
+        place of a job without patience.
+
         Args:
             organisation: Whose share of service the tasks use.
             weight: The organisation's weight from now on, above 0.
@@ -111,16 +144,17 @@
             indices: Indices of the tasks, next first.
             since_s: When the job was first queued.
         """
+        returned = collections.deque(indices)
+        if not returned:
+            return
         lane = self._lane(organisation, weight)
-        if job not in lane.jobs:
-            lane.jobs[job] = WaitingJob(since_s, collections.deque())
-        entry = lane.jobs[job]
-        entry.since_s = min(entry.since_s, since_s)
-        lane.jobs.move_to_end(job, last=False)
-        returned = list(indices)
-        entry.indices.extendleft(reversed(returned))
+        if job in lane.jobs:
+            lane.jobs[job].indices.extendleft(reversed(returned))
+        else:
+            waiting = WaitingJob(since_s, since_s, returned.copy())
+            lane.add(job, waiting, next(self._numbers))
         lane.tag -= len(returned) / lane.weight
-        self._added(lane, job, len(returned))
+        self._added(lane, len(returned))
         self._schedule(organisation, lane)
 
     def pop(self) -> tuple[JobRef, int] | None:
@@ -129,7 +163,7 @@
         if lane is None:
             return None
         tag, _, organisation = heapq.heappop(self._heap)
-        job, waiting = next(iter(lane.jobs.items()))
+        job, waiting = lane.first()
         index = waiting.indices.popleft()
         self.virtual_time = max(self.virtual_time, tag)
         lane.tag += 1.0 / lane.weight
@@ -173,13 +207,22 @@
         return lane.waiting if lane else 0
 
     def oldest_wait_s(self, now_s: float) -> float:
-        """Returns how long the oldest waiting job has waited; 0 for none."""
-        oldest_s = now_s
-        for lane in self.lanes.values():
-            if lane.waiting:
-                first = next(iter(lane.jobs.values()))
-                oldest_s = min(oldest_s, first.since_s)
-        return now_s - oldest_s
+        """Returns how long the next tasks have waited at most; 0 for none."""
+        since_s = [w.since_s for w in self._first_jobs()]
+        return now_s - min(since_s, default=now_s)
+
+    def urgency_s(self, now_s: float) -> float:
+        """Returns by how much the most urgent job is past its patience.
+
+        Entries compete for freed slots by this; it is negative while every
+        waiting job is within its patience, and 0 when nothing waits.
+        """
+        order_s = [w.order_s for w in self._first_jobs()]
+        return now_s - min(order_s, default=now_s)
+
+    def _first_jobs(self) -> list[WaitingJob]:
+        lanes = [lane for lane in self.lanes.values() if lane.waiting]
+        return [lane.first()[1] for lane in lanes]
 
     def _lane(self, organisation: str, weight: float) -> Lane:
         lane = self.lanes.setdefault(organisation, Lane(weight))
@@ -188,10 +231,7 @@
             lane.tag = max(lane.tag, self.virtual_time)
         return lane
 
-    def _added(self, lane: Lane, job: JobRef, count: int) -> None:
-        if not lane.jobs[job].indices:
-            del lane.jobs[job]
-            return
+    def _added(self, lane: Lane, count: int) -> None:
         lane.waiting += count
         self._count += count
 
--- a/egretthread_bench/benchentry.py
+++ b/egretthread_bench/benchentry.py
@@ -85,7 +85,7 @@
         self.postbox = postbox
         self.on_over = on_over
         self.rng = random.Random(experiment.seed * 1000 + number)
-        self.queue = fairqueue.FairQueue()
+        self.queue = fairqueue.FairQueue(rule.patience_s)
         self.jobs: dict[JobRef, OpenJob] = {}
         self.weights = {t.name: t.weight for t in experiment.tenants}
         self.quotas = quota.QuotaTable()
@@ -273,6 +273,8 @@
 
     def _since_s(self) -> float:
         now_s = self.postbox.loop.now_s
+        if self.rule.by_urgency:
+            return now_s - self.queue.urgency_s(now_s)
         return now_s - self.queue.oldest_wait_s(now_s)
 
     def _finish(self, belief: Belief, task: Start, failed: bool) -> None:
--- a/egretthread_bench/experiment.py
+++ b/egretthread_bench/experiment.py
@@ -44,6 +44,8 @@
     want_agents_per_task: float = 0.0
     lookahead: int = 0
     batch: int = 1
+    patience_s: float = 0.06
+    by_urgency: bool = True
     unasked: int = 0
     hold_s: float = 0.02
     candidates: int = 64
