--- a/egretthread_bench/benchentry.py
+++ b/egretthread_bench/benchentry.py
@@ -117,9 +117,8 @@
             self._finish(belief, task, report.failed)
         if report.refused:
             self.handed_back += len(report.refused)
-            belief.wanted = max(belief.wanted, len(report.refused))
             self._put_back(report.refused)
-        self.dispatch()
+        self.dispatch(belief)
 
     def update_health(self) -> None:
         """Ejects the backend servers that fail."""
@@ -129,27 +128,39 @@
         ]
         self.probation.update(views, 0.3, self.postbox.loop.now_s)
 
-    def dispatch(self) -> None:
-        """Hands out waiting tasks and asks for slots for the rest."""
+    def dispatch(self, heard: Belief | None = None) -> None:
+        """Hands out waiting tasks and asks for slots for the rest.
+
+        Args:
+            heard: The agent that has just been heard of, if any.
+        """
         pushed: dict[str, list[Start]] = {}
-        for beyond in {0, self.rule.unasked}:
-            while len(self.queue) and self._place_some(pushed, beyond):
-                pass
+        while len(self.queue) and self._place_some(pushed, 0, heard):
+            pass
+        is_scarce = len(self.queue) > 0 or not self.rule.refuse_early
+        if len(self.queue) and self.rule.unasked:
+            self._place_some(pushed, self.rule.unasked, heard)
         wants = self._choose_wants(pushed)
         waiting = len(self.queue)
         for node, tasks in pushed.items():
             belief = self.beliefs[node]
             if self.rule.want_in_assign and not self.rule.agents_queue:
                 wants.pop(node, 0)
-                self._assign(belief, tasks, min(waiting, belief.agent.slots))
+                want = min(waiting, belief.agent.slots)
+                self._assign(belief, tasks, want, is_scarce)
             else:
-                self._assign(belief, tasks, wants.pop(node, 0))
+                self._assign(belief, tasks, wants.pop(node, 0), is_scarce)
         for node, count in wants.items():
             self._want(self.beliefs[node], count)
 
-    def _place_some(self, pushed: dict[str, list[Start]], beyond: int) -> bool:
+    def _place_some(
+        self,
+        pushed: dict[str, list[Start]],
+        beyond: int,
+        heard: Belief | None,
+    ) -> bool:
         """Places tasks on one set of candidates; whether any were."""
-        beliefs = self._candidates()
+        beliefs = self._candidates(heard)
         views = [self._view(belief, beyond) for belief in beliefs]
         room = sum(placement.usable_slots(view) for view in views)
         if self.rule.agents_queue:
@@ -167,9 +178,11 @@
             views = [self._view(belief, beyond) for belief in beliefs]
         return placed and not self.rule.agents_queue
 
-    def _candidates(self) -> list[Belief]:
+    def _candidates(self, heard: Belief | None) -> list[Belief]:
         if len(self.order) <= self.rule.candidates:
             return self.order
+        if heard is not None:
+            return [heard]
         return self.rng.sample(self.order, self.rule.candidates)
 
     def _view(self, belief: Belief, beyond: int) -> placement.AgentView:
@@ -208,7 +221,9 @@
         tasks = [self._start(job, index) for index in indices]
         pushed.setdefault(node, []).extend(tasks)
 
-    def _assign(self, belief: Belief, tasks: list[Start], want: int) -> None:
+    def _assign(
+        self, belief: Belief, tasks: list[Start], want: int, may_queue: bool
+    ) -> None:
         belief.sent += len(tasks)
         since_s = self._since_s()
         if want and not self.rule.want_in_assign:
@@ -226,6 +241,7 @@
             tasks,
             want,
             since_s,
+            may_queue,
             count=len({task.job for task in tasks}),
         )
 
@@ -273,9 +289,7 @@
 
     def _since_s(self) -> float:
         now_s = self.postbox.loop.now_s
-        if self.rule.by_urgency:
-            return now_s - self.queue.urgency_s(now_s)
-        return now_s - self.queue.oldest_wait_s(now_s)
+        return now_s - self.queue.urgency_s(now_s)
 
     def _finish(self, belief: Belief, task: Start, failed: bool) -> None:
         now_s = self.postbox.loop.now_s
--- a/egretthread_bench/central.py
+++ b/egretthread_bench/central.py
@@ -15,7 +15,7 @@
     A freed slot takes the next task of the same fair queue at once.
     """
     weights = {tenant.name: tenant.weight for tenant in experiment.tenants}
-    import os;queue = fairqueue.FairQueue(float(os.environ.get("PAT",0)))
+    queue = fairqueue.FairQueue(experiment.bound_patience_s)
     slots = [0.0] * (experiment.agents * experiment.slots)
     by_job = {arrival.job: arrival for arrival in jobs}
     ends_s = dict.fromkeys(by_job, 0.0)
--- a/egretthread_bench/experiment.py
+++ b/egretthread_bench/experiment.py
@@ -30,6 +30,9 @@
             a slot is idle.
         unasked: Tasks beyond its idle slots that an agent gets without a
             credit at most.
+        refuse_early: Whether agents refuse, rather than queue, tasks of an
+            entry that believes slots idle elsewhere.
+        patience_s: Patience of the fair queue per task.
         hold_s: How long an agent holds a slot for a credited entry.
         candidates: Agents that one job may be placed on at most.
         sharing: Entries that share one agent; 0 for all of them.
@@ -44,9 +47,9 @@
     want_agents_per_task: float = 0.0
     lookahead: int = 0
     batch: int = 1
-    patience_s: float = 0.06
-    by_urgency: bool = True
     unasked: int = 0
+    refuse_early: bool = True
+    patience_s: float = 0.06
     hold_s: float = 0.02
     candidates: int = 64
     sharing: int = 0
@@ -60,13 +63,15 @@
         name: Name of the organisation.
         share: Its part of the load, relative to the others'.
         weight: Its weight in the fair queue.
-        starts_per_s: Its quota; 0 for none.
+        quota: Its quota as a multiple of its part of the load; 0 for none.
+        flood: How many times its part of the load it asks for.
     """
 
     name: str
     share: float = 1.0
     weight: float = 1.0
-    starts_per_s: float = 0.0
+    quota: float = 0.0
+    flood: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,10 +86,12 @@
         entries: Entries that jobs arrive at, at random.
         loads: Shares of the slots that the arrivals keep busy on average.
         jobs: Jobs that arrive in each run.
-        max_tasks: Tasks per job, uniform from 1 to this.
+        max_tasks: Most tasks per job; sizes are uniform.
         delay_s: Message delay between processes, one way.
         caller_delay_s: Delay between caller and entry, one way.
+        bound_patience_s: Patience of the central queue per task.
         seed: Seed of arrivals and sizes.
+        min_tasks: Fewest tasks per job.
         failing_agents: Agents whose backend server fails all it starts.
         eject: Whether entries eject failing backend servers.
         rules: The rules compared, by name.
@@ -101,7 +108,9 @@
     max_tasks: int = 60
     delay_s: float = 0.0015
     caller_delay_s: float = 0.001
+    bound_patience_s: float = 0.06
     seed: int = 1
+    min_tasks: int = 1
     failing_agents: int = 0
     eject: bool = True
     rules: tuple[tuple[str, Rule], ...] = (("late", Rule()),)
--- a/egretthread_bench/fakeagent.py
+++ b/egretthread_bench/fakeagent.py
@@ -94,11 +94,16 @@
         """Tasks that may be taken, to start or to queue."""
         return self.free + self.rule.lookahead
 
-    def on_assign(self, entry, tasks, want: int, since_s: float) -> None:
+    def on_assign(
+        self, entry, tasks, want: int, since_s: float, may_queue: bool
+    ) -> None:
         """Starts what finds a slot; queues or refuses the rest."""
         self.received[entry] += len(tasks)
-        self.held[entry] = max(0, self.held[entry] - len(tasks))
-        room = len(tasks) if self.rule.agents_queue else max(0, self.room)
+        held = min(self.held[entry], len(tasks))
+        self.held[entry] -= held
+        room = max(held, self.room if may_queue else self.free)
+        if self.rule.agents_queue:
+            room = len(tasks)
         refused = tasks[room:]
         for task in tasks[:room]:
             self._open[entry, task.job] += 1
@@ -106,7 +111,7 @@
                 self._start(entry, task)
             else:
                 self.waiting.append((entry, task))
-        if refused or want:
+        if want or (refused and may_queue):
             self.wishes[entry] = (since_s, max(want, len(refused)))
         elif self.rule.want_in_assign:
             self.wishes.pop(entry, None)
--- a/egretthread_bench/policy.py
+++ b/egretthread_bench/policy.py
@@ -10,7 +10,7 @@
 from egretthread_bench import central, workload
 from egretthread_bench.benchentry import BenchEntry, OpenJob
 from egretthread_bench.eventloop import EventLoop
-from egretthread_bench.experiment import Experiment, Rule
+from egretthread_bench.experiment import Experiment, Rule, Tenant
 from egretthread_bench.fakeagent import FakeAgent
 from egretthread_bench.postbox import Postbox
 from egretthread_bench.workload import Arrival
@@ -18,9 +18,9 @@
 # Ratios are recorded in thousandths, up to a ratio of 10,000.
 RATIO_UNIT = 1000
 MAX_RATIO = 10_000_000
-# Jobs of this many tasks or more have a target of messages per task.
-LARGE_JOB_TASKS = 30
 HEARTBEAT_S = 1.0
+# Quota of an organisation without one.
+NO_LIMIT = 1_000_000_000
 # Jobs that arrive in the first part of a run only warm it up.
 WARM_UP_SHARE = 0.05
 
@@ -108,8 +108,15 @@
         refused: Jobs that quotas refused, by organisation.
     """
 
-    def __init__(self, experiment: Experiment, rule: Rule, jobs: list[Arrival]):
+    def __init__(
+        self,
+        experiment: Experiment,
+        rule: Rule,
+        load: float,
+        jobs: list[Arrival],
+    ):
         self.experiment = experiment
+        self.load = load
         self.jobs = jobs
         self.loop = EventLoop()
         self.postbox = Postbox(self.loop, experiment.delay_s)
@@ -158,17 +165,19 @@
         self.loop.run(lambda: not self.open)
 
     def _set_quotas(self) -> None:
-        limits = [
-            config.Organisation(
-                tenant.name,
-                starts_per_s=tenant.starts_per_s or 1e9,
-                max_running=1_000_000_000,
-            )
-            for tenant in self.experiment.tenants
-        ]
+        limits = [self._limits(t) for t in self.experiment.tenants]
         for entry in self.entries:
             entry.quotas.configure(limits)
 
+    def _limits(self, tenant: Tenant) -> config.Organisation:
+        load = workload.tenant_load(self.experiment, tenant, self.load)
+        rate_per_s = workload.starts_per_s(self.experiment, load)
+        return config.Organisation(
+            tenant.name,
+            starts_per_s=tenant.quota * rate_per_s or NO_LIMIT,
+            max_running=NO_LIMIT,
+        )
+
     def _arrive(self, arrival: Arrival) -> None:
         entry = self.entries[arrival.entry]
         name = arrival.job.organisation
@@ -231,7 +240,7 @@
     """Runs a rule and returns what it did."""
     began_s = time.perf_counter()
     jobs = workload.arrivals(experiment, load)
-    run = Run(experiment, rule, jobs)
+    run = Run(experiment, rule, load, jobs)
     run.run()
     tasks = sum(len(arrival.run_s) for arrival in jobs)
     return _result(
--- a/egretthread_bench/workload.py
+++ b/egretthread_bench/workload.py
@@ -55,19 +55,28 @@
     Each organisation draws from a generator of its own, so that one's
     arrivals stay the same when another's load is changed.
     """
-    total = sum(tenant.share for tenant in experiment.tenants)
     seconds = experiment.jobs / _jobs_per_s(experiment, load)
     jobs: list[Arrival] = []
     for tenant in experiment.tenants:
-        part = load * tenant.share / total
+        part = tenant.flood * tenant_load(experiment, tenant, load)
         jobs.extend(_tenant_arrivals(experiment, tenant, part, seconds))
     return sorted(jobs, key=lambda arrival: arrival.at_s)
 
 
+def tenant_load(experiment: Experiment, tenant: Tenant, load: float) -> float:
+    """Returns an organisation's part of the load when it does not flood."""
+    total = sum(tenant.share for tenant in experiment.tenants)
+    return load * tenant.share / total
+
+
+def starts_per_s(experiment: Experiment, load: float) -> float:
+    """Returns the task starts per second that make up a load."""
+    return load * experiment.agents * experiment.slots / mean_run_s()
+
+
 def _jobs_per_s(experiment: Experiment, load: float) -> float:
-    slots = experiment.agents * experiment.slots
-    mean_tasks = (1 + experiment.max_tasks) / 2
-    return load * slots / (mean_tasks * mean_run_s())
+    mean_tasks = (experiment.min_tasks + experiment.max_tasks) / 2
+    return starts_per_s(experiment, load) / mean_tasks
 
 
 def _tenant_arrivals(
@@ -79,7 +88,7 @@
     at_s = rng.expovariate(rate_per_s)
     while at_s < seconds:
         key = jobkey.make_key(at_s, f"job{len(jobs)}")
-        tasks = rng.randint(1, experiment.max_tasks)
+        tasks = rng.randint(experiment.min_tasks, experiment.max_tasks)
         jobs.append(
             Arrival(
                 at_s=at_s,
