Add the bench's command line, reports and experiments

`python -m egretthread_bench` runs the experiments of a TOML file and writes JSON and Markdown beside a comparison of two runs; `make bench` runs the policy experiments.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 faults: install
 	$(PY) -m egretthread_standins.faults all
+
+bench: install
+	$(PY) -m egretthread_bench policy experiments/policy.toml
--- /dev/null
+++ b/egretthread_bench/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the benches: `python -m egretthread_bench`."""
+
+from egretthread_bench import cmdline
+
+cmdline.main()
--- a/egretthread_bench/benchentry.py
+++ b/egretthread_bench/benchentry.py
@@ -137,8 +137,8 @@
         pushed: dict[str, list[Start]] = {}
         while len(self.queue) and self._place_some(pushed, 0, heard):
             pass
-        is_scarce = len(self.queue) > 0 or not self.rule.refuse_early
-        if len(self.queue) and self.rule.unasked:
+        may_queue = self._is_deep()
+        if may_queue and self.rule.unasked:
             self._place_some(pushed, self.rule.unasked, heard)
         wants = self._choose_wants(pushed)
         waiting = len(self.queue)
@@ -147,11 +147,16 @@
             if self.rule.want_in_assign and not self.rule.agents_queue:
                 wants.pop(node, 0)
                 want = min(waiting, belief.agent.slots)
-                self._assign(belief, tasks, want, is_scarce)
+                self._assign(belief, tasks, want, may_queue)
             else:
-                self._assign(belief, tasks, wants.pop(node, 0), is_scarce)
+                self._assign(belief, tasks, wants.pop(node, 0), may_queue)
         for node, count in wants.items():
-            self._want(self.beliefs[node], count)
+            self._want(self.beliefs[node], count, may_queue)
+
+    def _is_deep(self) -> bool:
+        """Whether so much waits that queueing at agents costs no time."""
+        depth = len(self.queue) / len(self.order)
+        return depth > 0.0 and depth >= self.rule.depth
 
     def _place_some(
         self,
@@ -227,7 +232,7 @@
         belief.sent += len(tasks)
         since_s = self._since_s()
         if want and not self.rule.want_in_assign:
-            self._want(belief, want)
+            self._want(belief, want, may_queue)
             want = 0
         if self.rule.want_in_assign:
             belief.wanted = want
@@ -274,7 +279,7 @@
             return wanted or self.order
         return wanted + self.rng.sample(self.order, count - len(wanted))
 
-    def _want(self, belief: Belief, count: int) -> None:
+    def _want(self, belief: Belief, count: int, may_queue: bool) -> None:
         belief.wanted = count
         belief.wanted_s = self.postbox.loop.now_s
         self.postbox.send(
@@ -285,6 +290,7 @@
             self,
             count,
             self._since_s(),
+            may_queue,
         )
 
     def _since_s(self) -> float:
--- /dev/null
+++ b/egretthread_bench/cmdline.py
@@ -0,0 +1,67 @@
+"""Command line of the benches."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from egretthread_bench import experiment, policy, report
+
+app = typer.Typer(help="Measure the placement policies.")
+
+
+@app.callback()
+def bench() -> None:
+    """Measures what the system does under load."""
+
+
+@app.command("policy")
+def run_policy(
+    experiments: Annotated[
+        pathlib.Path, typer.Argument(help="TOML file of experiments")
+    ] = pathlib.Path("experiments/policy.toml"),
+    out: Annotated[
+        pathlib.Path, typer.Option(help="Directory of the reports")
+    ] = pathlib.Path("build/bench"),
+    only: Annotated[
+        str, typer.Option(help="Run only the experiment of this name")
+    ] = "",
+) -> None:
+    """Runs the decision modules against fake agents and writes a report."""
+    results = []
+    for item in experiment.load_experiments(experiments):
+        if only in ("", item.name):
+            results.extend(_run_experiment(item))
+    out.mkdir(parents=True, exist_ok=True)
+    report.write_json(results, out / "policy.json")
+    text = report.markdown(results)
+    (out / "policy.md").write_text(text)
+    typer.echo(text)
+
+
+def _run_experiment(item: experiment.Experiment) -> list[policy.Result]:
+    results = []
+    for load in item.loads:
+        results.append(policy.bound(item, load))
+        for name, rule in item.rules:
+            result = policy.measure(item, name, rule, load)
+            typer.echo(
+                f"experiment={item.name} rule={name} load={load}"
+                f" p99={result.p99:.3f} run_s={result.run_s:.1f}",
+                err=True,
+            )
+            results.append(result)
+    return results
+
+
+@app.command("compare")
+def compare(before: pathlib.Path, after: pathlib.Path) -> None:
+    """Prints two JSON reports side by side."""
+    old = report.read_json(before)
+    new = report.read_json(after)
+    typer.echo(report.comparison(old, new))
+
+
+def main() -> None:
+    """Runs the benches' command line."""
+    app()
--- a/egretthread_bench/experiment.py
+++ b/egretthread_bench/experiment.py
@@ -30,8 +30,8 @@
             a slot is idle.
         unasked: Tasks beyond its idle slots that an agent gets without a
             credit at most.
-        refuse_early: Whether agents refuse, rather than queue, tasks of an
-            entry that believes slots idle elsewhere.
+        depth: Waiting tasks of an entry, per agent, from which it lets agents
+            queue its tasks.
         patience_s: Patience of the fair queue per task.
         hold_s: How long an agent holds a slot for a credited entry.
         candidates: Agents that one job may be placed on at most.
@@ -48,7 +48,7 @@
     lookahead: int = 0
     batch: int = 1
     unasked: int = 0
-    refuse_early: bool = True
+    depth: float = 0.0
     patience_s: float = 0.06
     hold_s: float = 0.02
     candidates: int = 64
--- a/egretthread_bench/fakeagent.py
+++ b/egretthread_bench/fakeagent.py
@@ -60,7 +60,7 @@
         slots: Its slots.
         running: Tasks that run.
         fails: Whether its backend server fails everything at once.
-        wishes: (since_s, count) by entry that waits for slots.
+        wishes: (since_s, count, may_queue) by entry that waits for slots.
         held: Slots held by entry.
         received: Tasks got so far, by entry.
         waiting: Tasks queued here, when the rule lets agents queue.
@@ -112,7 +112,8 @@
             else:
                 self.waiting.append((entry, task))
         if want or (refused and may_queue):
-            self.wishes[entry] = (since_s, max(want, len(refused)))
+            count = max(want, len(refused))
+            self.wishes[entry] = (since_s, count, may_queue)
         elif self.rule.want_in_assign:
             self.wishes.pop(entry, None)
         credits = self._assign_credits()
@@ -120,10 +121,12 @@
             self._tell(entry, credits, refused=tuple(refused))
         self._send_credits(credits)
 
-    def on_want(self, entry, count: int, since_s: float) -> None:
+    def on_want(
+        self, entry, count: int, since_s: float, may_queue: bool
+    ) -> None:
         """Remembers or forgets that an entry waits for slots."""
         if count:
-            self.wishes[entry] = (since_s, count)
+            self.wishes[entry] = (since_s, count, may_queue)
         else:
             self.wishes.pop(entry, None)
         self._send_credits(self._assign_credits())
@@ -156,14 +159,14 @@
     def _assign_credits(self) -> dict:
         """Gives free slots to the entries that have waited longest."""
         credits: dict = {}
-        if self.free <= 0 and self.room < self.rule.batch:
-            return credits
-        while self.wishes and self.room > 0:
-            entry = min(self.wishes, key=self._since_s)
-            since_s, count = self.wishes.pop(entry)
-            given = min(count, self.room)
+        for entry in sorted(self.wishes, key=self._since_s):
+            since_s, count, may_queue = self.wishes[entry]
+            given = min(count, self._credit_room(may_queue))
+            if given <= 0:
+                continue
+            del self.wishes[entry]
             if count > given:
-                self.wishes[entry] = (since_s, count - given)
+                self.wishes[entry] = (since_s, count - given, may_queue)
             credits[entry] = given
             self.held[entry] += given
             self.postbox.loop.after(
@@ -175,6 +178,12 @@
             )
         return credits
 
+    def _credit_room(self, may_queue: bool) -> int:
+        """Returns the room to give; queue room is given in batches."""
+        if not may_queue:
+            return self.free
+        return self.room if self.room >= self.rule.batch else self.free
+
     def _since_s(self, entry) -> float:
         return self.wishes[entry][0]
 
--- /dev/null
+++ b/egretthread_bench/report.py
@@ -0,0 +1,141 @@
+"""Reports of bench results as JSON and Markdown, and their comparison."""
+
+import dataclasses
+import json
+import pathlib
+
+from egretthread_bench.policy import Result
+
+# Name of the central queue among the rules.
+BOUND = "central"
+COLUMNS = (
+    "rule",
+    "load",
+    "jobs",
+    "p50",
+    "p99",
+    "p99 / bound",
+    "messages / task",
+    "wasted",
+    "handed back",
+    "failed",
+    "refused jobs",
+)
+
+
+def write_json(results: list[Result], path: pathlib.Path) -> None:
+    """Writes the results to a file."""
+    rows = [dataclasses.asdict(result) for result in results]
+    path.write_text(json.dumps(rows, indent=1) + "\n")
+
+
+def read_json(path: pathlib.Path) -> list[Result]:
+    """Returns the results of a file."""
+    return [Result(**row) for row in json.loads(path.read_text())]
+
+
+def markdown(results: list[Result]) -> str:
+    """Returns the results as one table per experiment."""
+    lines = [
+        "# Policy bench",
+        "",
+        "Response times are given against the ideal of each job: its longest",
+        "task plus one round trip from caller to entry and one from entry to",
+        "agent. `central` is one queue that knows every slot, on the same",
+        "arrivals. Messages leave heartbeats out; wasted are refusals,",
+        "credits that lapsed whole and wishes taken back.",
+    ]
+    for name in dict.fromkeys(result.experiment for result in results):
+        rows = [r for r in results if r.experiment == name]
+        lines += ["", f"## {name}", "", *_table(COLUMNS, _cells(rows))]
+        lines += ["", *_tenants(rows), "", *_kinds(rows)]
+    return "\n".join(lines) + "\n"
+
+
+def _cells(rows: list[Result]) -> list[tuple[str, ...]]:
+    bounds = {r.load: r.p99 for r in rows if r.rule == BOUND}
+    return [
+        (
+            row.rule,
+            f"{row.load:.0%}",
+            str(row.jobs),
+            f"{row.p50:.3f}",
+            f"{row.p99:.3f}",
+            f"{row.p99 / bounds[row.load]:.3f}",
+            f"{row.messages_per_task:.2f}",
+            f"{row.wasted_share:.1%}",
+            f"{row.handed_back_share:.1%}",
+            f"{row.failed_share:.2%}",
+            _pairs(row.refused_jobs, "{}"),
+        )
+        for row in rows
+    ]
+
+
+def _tenants(rows: list[Result]) -> list[str]:
+    columns = ("rule", "load", "p99 by organisation")
+    cells = [
+        (row.rule, f"{row.load:.0%}", _pairs(row.tenant_p99, "{:.3f}"))
+        for row in rows
+    ]
+    return _table(columns, cells)
+
+
+def _kinds(rows: list[Result]) -> list[str]:
+    columns = ("rule", "load", "messages per task by kind", "frames / task")
+    cells = [
+        (
+            row.rule,
+            f"{row.load:.0%}",
+            _pairs(row.messages, "{:.3f}"),
+            f"{row.frames_per_task:.2f}",
+        )
+        for row in rows
+        if row.messages
+    ]
+    return _table(columns, cells)
+
+
+def _pairs(table: dict, form: str) -> str:
+    pairs = [f"{key} {form.format(value)}" for key, value in table.items()]
+    return ", ".join(pairs)
+
+
+def _table(columns: tuple, rows: list[tuple]) -> list[str]:
+    head = "| " + " | ".join(columns) + " |"
+    rule = "|" + " --- |" * len(columns)
+    return [head, rule, *("| " + " | ".join(row) + " |" for row in rows)]
+
+
+def comparison(before: list[Result], after: list[Result]) -> str:
+    """Returns two runs side by side, for what both of them hold."""
+    known = {(r.experiment, r.rule, r.load): r for r in before}
+    columns = (
+        "experiment",
+        "rule",
+        "load",
+        "p50",
+        "p99",
+        "change",
+        "messages / task",
+        "wasted",
+    )
+    rows = []
+    for new in after:
+        old = known.get((new.experiment, new.rule, new.load))
+        if old is not None:
+            rows.append(_compared(old, new))
+    return "\n".join(_table(columns, rows)) + "\n"
+
+
+def _compared(old: Result, new: Result) -> tuple[str, ...]:
+    return (
+        new.experiment,
+        new.rule,
+        f"{new.load:.0%}",
+        f"{old.p50:.3f} -> {new.p50:.3f}",
+        f"{old.p99:.3f} -> {new.p99:.3f}",
+        f"{new.p99 / old.p99 - 1:+.1%}",
+        f"{old.messages_per_task:.2f} -> {new.messages_per_task:.2f}",
+        f"{old.wasted_share:.1%} -> {new.wasted_share:.1%}",
+    )
