--- a/egretthread_bench/benchentry.py
+++ b/egretthread_bench/benchentry.py
@@ -1,19 +1,25 @@
 """An entry's dispatch, made of the real decision modules, for the bench."""
 
 import dataclasses
+import functools
 import itertools
 import random
 from collections.abc import Callable
 
-from egretthread import ejection, fairqueue, placement, placements, quota
+from egretthread import (
+    credit,
+    ejection,
+    fairqueue,
+    placement,
+    placements,
+    quota,
+)
 from egretthread.jobkey import JobRef
 from egretthread_bench.experiment import Experiment, Rule
 from egretthread_bench.fakeagent import FakeAgent, FakeReport, Start
 from egretthread_bench.postbox import Postbox
 from egretthread_bench.workload import Arrival
 
-# A wish for slots is repeated after this time.
-WANT_AGAIN_S = 0.5
 # Finished tasks that an agent's failure share rests on.
 HEALTH_TASKS = 50
 
@@ -95,6 +101,8 @@
         self.order = list(self.beliefs.values())
         self.rng.shuffle(self.order)
         self.policy = placements.find_policy(rule.placement)
+        if rule.placement == "random":
+            self.policy = functools.partial(self.policy, rng=self.rng)
 
     def submit(self, arrival: Arrival) -> None:
         """Takes a job in and hands out what finds a slot."""
@@ -106,12 +114,11 @@
     def on_report(self, report: FakeReport) -> None:
         """Takes in what an agent says."""
         belief = self.beliefs[report.node]
-        belief.free = max(report.free, -self.rule.unasked)
-        if self.rule.exact_free:
-            flying = belief.sent - report.received
-            belief.free += report.held - flying
-        else:
-            belief.free += report.credit
+        received = report.received if self.rule.exact_free else belief.sent
+        held = report.held if self.rule.exact_free else report.credit
+        belief.free = credit.believed_free(
+            report.free, held, belief.sent, received, self.rule.credit
+        )
         belief.wanted = max(0, belief.wanted - report.credit)
         for task in report.finished:
             self._finish(belief, task, report.failed)
@@ -137,9 +144,11 @@
         pushed: dict[str, list[Start]] = {}
         while len(self.queue) and self._place_some(pushed, 0, heard):
             pass
-        may_queue = self._is_deep()
-        if may_queue and self.rule.unasked:
-            self._place_some(pushed, self.rule.unasked, heard)
+        waiting = len(self.queue)
+        agents = len(self.order)
+        may_queue = credit.is_deep(waiting, agents, self.rule.credit)
+        if may_queue and self.rule.credit.unasked:
+            self._place_some(pushed, self.rule.credit.unasked, heard)
         wants = self._choose_wants(pushed)
         waiting = len(self.queue)
         for node, tasks in pushed.items():
@@ -153,11 +162,6 @@
         for node, count in wants.items():
             self._want(self.beliefs[node], count, may_queue)
 
-    def _is_deep(self) -> bool:
-        """Whether so much waits that queueing at agents costs no time."""
-        depth = len(self.queue) / len(self.order)
-        return depth > 0.0 and depth >= self.rule.depth
-
     def _place_some(
         self,
         pushed: dict[str, list[Start]],
@@ -264,19 +268,19 @@
         now_s = self.postbox.loop.now_s
         wants: dict[str, int] = {}
         for belief in self._want_candidates(waiting):
-            fresh = now_s - belief.wanted_s < WANT_AGAIN_S
+            fresh = now_s - belief.wanted_s < self.rule.credit.again_s
             if not belief.wanted or not fresh:
                 wants[belief.agent.node] = min(waiting, belief.agent.slots)
         return wants
 
     def _want_candidates(self, waiting: int) -> list[Belief]:
-        per_task = self.rule.want_agents_per_task
-        if not per_task:
-            return self.order
-        count = max(1, round(waiting * per_task))
+        agents = len(self.order)
+        count = credit.agents_to_ask(waiting, agents, self.rule.credit)
         wanted = [belief for belief in self.order if belief.wanted]
-        if len(wanted) >= count or count >= len(self.order):
-            return wanted or self.order
+        if count >= agents:
+            return self.order
+        if len(wanted) >= count:
+            return wanted
         return wanted + self.rng.sample(self.order, count - len(wanted))
 
     def _want(self, belief: Belief, count: int, may_queue: bool) -> None:
--- a/egretthread_bench/experiment.py
+++ b/egretthread_bench/experiment.py
@@ -5,6 +5,7 @@
 import tomllib
 
 from egretthread import util
+from egretthread.credit import CreditRule
 
 
 @dataclasses.dataclass(frozen=True)
@@ -13,8 +14,7 @@
 
     Attributes:
         placement: Name of the placement policy.
-        agents_queue: Whether agents queue what exceeds their slots instead
-            of refusing it.
+        agents_queue: Whether agents queue all that exceeds their slots.
         credit_in_report: Whether a Report carries the slots held for its
             receiver, so that no Credit goes beside it.
         want_in_assign: Whether an Assign carries what still waits, so that
@@ -23,19 +23,10 @@
             entry, so that it knows which pushes `free` has taken in.
         flush_reports: Whether a finished task is reported at once while
             any entry waits for slots.
-        want_agents_per_task: Agents asked for slots per waiting task; 0 for
-            all of them.
-        lookahead: Tasks that an agent queues beyond its slots at most.
-        batch: Room in slots and queue at which an agent gives credit, unless
-            a slot is idle.
-        unasked: Tasks beyond its idle slots that an agent gets without a
-            credit at most.
-        depth: Waiting tasks of an entry, per agent, from which it lets agents
-            queue its tasks.
         patience_s: Patience of the fair queue per task.
-        hold_s: How long an agent holds a slot for a credited entry.
         candidates: Agents that one job may be placed on at most.
         sharing: Entries that share one agent; 0 for all of them.
+        credit: Numbers of the rule for credits.
     """
 
     placement: str = "late"
@@ -44,15 +35,10 @@
     want_in_assign: bool = True
     exact_free: bool = True
     flush_reports: bool = False
-    want_agents_per_task: float = 0.0
-    lookahead: int = 0
-    batch: int = 1
-    unasked: int = 0
-    depth: float = 0.0
     patience_s: float = 0.06
-    hold_s: float = 0.02
     candidates: int = 64
     sharing: int = 0
+    credit: CreditRule = CreditRule()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -131,7 +117,7 @@
     """
     document = tomllib.loads(path.read_text())
     rules = {
-        name: _build(Rule, table, f"rules.{name}")
+        name: _rule(table, f"rules.{name}")
         for name, table in document.get("rules", {}).items()
     }
     return [
@@ -139,6 +125,15 @@
     ]
 
 
+def _rule(table: dict, path: str) -> Rule:
+    fields = dict(table)
+    if "credit" in fields:
+        fields["credit"] = _build(
+            CreditRule, fields["credit"], f"{path}.credit"
+        )
+    return _build(Rule, fields, path)
+
+
 def _experiment(table: dict, rules: dict[str, Rule]) -> Experiment:
     fields = dict(table)
     names = fields.pop("rules", list(rules))
--- a/egretthread_bench/fakeagent.py
+++ b/egretthread_bench/fakeagent.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from egretthread import credit
 from egretthread.jobkey import JobRef
 from egretthread_bench.experiment import Rule
 from egretthread_bench.postbox import Postbox
@@ -60,7 +61,7 @@
         slots: Its slots.
         running: Tasks that run.
         fails: Whether its backend server fails everything at once.
-        wishes: (since_s, count, may_queue) by entry that waits for slots.
+        wishes: Wishes by entry that waits for slots.
         held: Slots held by entry.
         received: Tasks got so far, by entry.
         waiting: Tasks queued here, when the rule lets agents queue.
@@ -89,21 +90,19 @@
         taken = self.running + len(self.waiting) + self.held.total()
         return self.slots - taken
 
-    @property
-    def room(self) -> int:
-        """Tasks that may be taken, to start or to queue."""
-        return self.free + self.rule.lookahead
-
     def on_assign(
         self, entry, tasks, want: int, since_s: float, may_queue: bool
     ) -> None:
         """Starts what finds a slot; queues or refuses the rest."""
         self.received[entry] += len(tasks)
-        held = min(self.held[entry], len(tasks))
-        self.held[entry] -= held
-        room = max(held, self.room if may_queue else self.free)
+        count = len(tasks)
+        held = self.held[entry]
+        room = credit.accepted(
+            count, self.free, held, may_queue, self.rule.credit
+        )
+        self.held[entry] -= min(held, count)
         if self.rule.agents_queue:
-            room = len(tasks)
+            room = count
         refused = tasks[room:]
         for task in tasks[:room]:
             self._open[entry, task.job] += 1
@@ -112,8 +111,8 @@
             else:
                 self.waiting.append((entry, task))
         if want or (refused and may_queue):
-            count = max(want, len(refused))
-            self.wishes[entry] = (since_s, count, may_queue)
+            wanted = max(want, len(refused))
+            self.wishes[entry] = credit.Wish(wanted, since_s, may_queue)
         elif self.rule.want_in_assign:
             self.wishes.pop(entry, None)
         credits = self._assign_credits()
@@ -126,7 +125,7 @@
     ) -> None:
         """Remembers or forgets that an entry waits for slots."""
         if count:
-            self.wishes[entry] = (since_s, count, may_queue)
+            self.wishes[entry] = credit.Wish(count, since_s, may_queue)
         else:
             self.wishes.pop(entry, None)
         self._send_credits(self._assign_credits())
@@ -158,34 +157,18 @@
 
     def _assign_credits(self) -> dict:
         """Gives free slots to the entries that have waited longest."""
-        credits: dict = {}
-        for entry in sorted(self.wishes, key=self._since_s):
-            since_s, count, may_queue = self.wishes[entry]
-            given = min(count, self._credit_room(may_queue))
-            if given <= 0:
-                continue
-            del self.wishes[entry]
-            if count > given:
-                self.wishes[entry] = (since_s, count - given, may_queue)
-            credits[entry] = given
-            self.held[entry] += given
+        granted = credit.grant(self.wishes, self.free, self.rule.credit)
+        credit.spend(self.wishes, granted)
+        for entry, count in granted.items():
+            self.held[entry] += count
             self.postbox.loop.after(
-                self.rule.hold_s,
+                self.rule.credit.hold_s,
                 self._lapse,
                 entry,
                 self.received[entry],
-                given,
+                count,
             )
-        return credits
-
-    def _credit_room(self, may_queue: bool) -> int:
-        """Returns the room to give; queue room is given in batches."""
-        if not may_queue:
-            return self.free
-        return self.room if self.room >= self.rule.batch else self.free
-
-    def _since_s(self, entry) -> float:
-        return self.wishes[entry][0]
+        return granted
 
     def _lapse(self, entry, received: int, given: int) -> None:
         unused = min(self.held[entry], given - self.received[entry] + received)
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -17,14 +17,14 @@
 
     def test_reads_rules_and_tenants(self):
         text = (
-            "[rules.a]\nlookahead = 2\n[[experiments]]\nname = 'x'\n"
+            "[rules.a]\ncredit = {lookahead = 2}\n[[experiments]]\nname = 'x'\n"
             "loads = [0.5]\ntenants = [{name = 'dublin', flood = 2.0}]\n"
         )
         item = self.read(text)[0]
-        self.assertEqual((("a", experiment.Rule(lookahead=2)),), item.rules)
+        self.assertEqual(2, dict(item.rules)["a"].credit.lookahead)
         self.assertEqual(2.0, item.tenants[0].flood)
 
     def test_unknown_keys_are_refused(self):
-        text = "[rules.a]\nlook_ahead = 2\n"
+        text = "[rules.a.credit]\nlook_ahead = 2\n"
         error = self.assertRaises(experiment.ExperimentError, self.read, text)
         self.assertIn("lookahead", error.remedy)
--- a/tests/test_fakeagent.py
+++ b/tests/test_fakeagent.py
@@ -3,6 +3,7 @@
 import testtools
 
 from egretthread import jobkey
+from egretthread.credit import CreditRule
 from egretthread_bench import fakeagent
 from egretthread_bench.eventloop import EventLoop
 from egretthread_bench.experiment import Rule
@@ -35,7 +36,7 @@
         return [fakeagent.Start(JOB, index, 0.1) for index in range(count)]
 
     def test_refuses_what_exceeds_slots_and_queue(self):
-        agent = self.agent(Rule(lookahead=1))
+        agent = self.agent(Rule(credit=CreditRule(lookahead=1)))
         agent.on_assign(self.entry, self.starts(4), 0, 0.0, True)
         self.loop.run(lambda: bool(self.entry.reports))
         refused = self.entry.reports[0].refused
@@ -43,7 +44,7 @@
         self.assertEqual((2, 1), (agent.running, len(agent.waiting)))
 
     def test_reports_a_job_once_all_of_it_ended(self):
-        agent = self.agent(Rule(lookahead=2, batch=2))
+        agent = self.agent(Rule(credit=CreditRule(lookahead=2, batch=2)))
         agent.on_assign(self.entry, self.starts(4), 0, 0.0, True)
         self.loop.run(lambda: False)
         self.assertEqual(1, len(self.entry.reports))
@@ -51,7 +52,7 @@
         self.assertEqual([0, 1, 2, 3], sorted(t.index for t in finished))
 
     def test_credits_the_entry_that_waits_longest(self):
-        agent = self.agent(Rule(hold_s=1.0))
+        agent = self.agent(Rule(credit=CreditRule(hold_s=1.0)))
         agent.on_assign(self.entry, self.starts(2), 0, 0.0, True)
         agent.on_want(self.entry, 1, 5.0, False)
         agent.on_want(self.other, 1, 2.0, False)
@@ -59,7 +60,7 @@
         self.assertEqual(1, self.other.reports[0].credit)
 
     def test_an_unused_credit_lapses(self):
-        agent = self.agent(Rule(hold_s=0.02))
+        agent = self.agent(Rule(credit=CreditRule(hold_s=0.02)))
         agent.on_want(self.entry, 2, 0.0, False)
         self.assertEqual(0, agent.free)
         self.loop.run(lambda: False)
