Share the bound and the command line with the bench of the programs

Two modules computed the central queue and the command line had no group for the benches. The policy bench now uses bound.py, and one command line holds the policy, processes, cost, scale and compare commands.

--- a/egretthread_bench/cmdline.py
+++ b/egretthread_bench/cmdline.py
@@ -5,14 +5,10 @@
 
 import typer
 
-from egretthread_bench import experiment, policy, report
+from egretthread_bench import experiment, policy, programs, report
 
-app = typer.Typer(help="Measure the placement policies.")
-
-
-@app.callback()
-def bench() -> None:
-    """Measures what the system does under load."""
+app = typer.Typer(no_args_is_help=True, help="Measure policies and programs.")
+app.registered_commands.extend(programs.app.registered_commands)
 
 
 @app.command("policy")
--- a/egretthread_bench/experiment.py
+++ b/egretthread_bench/experiment.py
@@ -75,7 +75,6 @@
         max_tasks: Most tasks per job; sizes are uniform.
         delay_s: Message delay between processes, one way.
         caller_delay_s: Delay between caller and entry, one way.
-        bound_patience_s: Patience of the central queue per task.
         seed: Seed of arrivals and sizes.
         min_tasks: Fewest tasks per job.
         failing_agents: Agents whose backend server fails all it starts.
@@ -94,7 +93,6 @@
     max_tasks: int = 60
     delay_s: float = 0.0015
     caller_delay_s: float = 0.001
-    bound_patience_s: float = 0.06
     seed: int = 1
     min_tasks: int = 1
     failing_agents: int = 0
--- a/egretthread_bench/policy.py
+++ b/egretthread_bench/policy.py
@@ -7,7 +7,8 @@
 from hdrh.histogram import HdrHistogram
 
 from egretthread import config
-from egretthread_bench import central, workload
+from egretthread_bench import bound as bounds
+from egretthread_bench import workload
 from egretthread_bench.benchentry import BenchEntry, OpenJob
 from egretthread_bench.eventloop import EventLoop
 from egretthread_bench.experiment import Experiment, Rule, Tenant
@@ -255,13 +256,14 @@
     """
     began_s = time.perf_counter()
     jobs = workload.arrivals(experiment, load)
-    by_job = {arrival.job: arrival for arrival in jobs}
+    slots = experiment.agents * experiment.slots
     ratios = Ratios()
     warm_s = jobs[-1].at_s * WARM_UP_SHARE
-    for job, response_s in central.responses_s(experiment, jobs).items():
-        if by_job[job].at_s >= warm_s:
+    responses = bounds.responses_s(jobs, slots)
+    for arrival, response_s in zip(jobs, responses, strict=True):
+        if arrival.at_s >= warm_s:
             total_s = response_s + 2 * experiment.delay_s
-            ratios.add(job, ratio(experiment, by_job[job], total_s))
+            ratios.add(arrival.job, ratio(experiment, arrival, total_s))
     tasks = sum(len(arrival.run_s) for arrival in jobs)
     return _result(
         experiment, "central", load, ratios, jobs, None, tasks, began_s
--- a/egretthread_bench/workload.py
+++ b/egretthread_bench/workload.py
@@ -32,6 +32,11 @@
     job: jobkey.JobRef
     run_s: tuple[float, ...]
 
+    @property
+    def organisation(self) -> str:
+        """Name of the organisation that submits it."""
+        return self.job.organisation
+
 
 def mean_run_s() -> float:
     """Returns the mean run time of a task, in seconds."""
