--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 
 mutations: install
 	$(PY) -m tests.mutations
+
+bench: install
+	$(PY) -m egretthread_bench policy experiments/policy.toml
