Drive the real engines of entries and agents in the policy bench

The bench followed a copy of the rule that entries and agents keep to, which has changed since. It can now run the engines themselves from the end of a job's registration on.

--- a/egretthread_bench/experiment.py
+++ b/egretthread_bench/experiment.py
@@ -13,6 +13,8 @@
     """How entries and agents agree on slots.
 
     Attributes:
+        engines: Whether the real engines run, which follow a rule of their
+            own; nothing else of this rule matters then.
         placement: Name of the placement policy.
         agents_queue: Whether agents queue all that exceeds their slots.
         credit_in_report: Whether a Report carries the slots held for its
@@ -29,6 +31,7 @@
         credit: Numbers of the rule for credits.
     """
 
+    engines: bool = False
     placement: str = "late"
     agents_queue: bool = False
     credit_in_report: bool = True
--- a/egretthread_bench/policy.py
+++ b/egretthread_bench/policy.py
@@ -8,7 +8,7 @@
 
 from egretthread import config
 from egretthread_bench import bound as bounds
-from egretthread_bench import workload
+from egretthread_bench import engines, workload
 from egretthread_bench.benchentry import BenchEntry, OpenJob
 from egretthread_bench.eventloop import EventLoop
 from egretthread_bench.experiment import Experiment, Rule, Tenant
@@ -121,6 +121,33 @@
         self.jobs = jobs
         self.loop = EventLoop()
         self.postbox = Postbox(self.loop, experiment.delay_s)
+        if rule.engines:
+            self._build_engines()
+        else:
+            self._build(rule)
+        for agent in self.agents[: experiment.failing_agents]:
+            agent.fails = True
+        self.ratios = Ratios()
+        self.open = len(jobs)
+        self.failed = 0
+        self.refused: collections.Counter = collections.Counter()
+        self._warm_s = jobs[-1].at_s * WARM_UP_SHARE
+
+    def _build_engines(self) -> None:
+        experiment = self.experiment
+        self.agents = [
+            engines.EngineAgent(number, experiment, self.postbox)
+            for number in range(experiment.agents)
+        ]
+        self.entries = [
+            engines.EngineEntry(number, experiment, self.postbox, self._on_over)
+            for number in range(experiment.entries)
+        ]
+        for agent in self.agents:
+            agent.begin(self.entries)
+
+    def _build(self, rule: Rule) -> None:
+        experiment = self.experiment
         self.agents = [
             FakeAgent(
                 f"agent{number}#1",
@@ -131,19 +158,12 @@
             )
             for number in range(experiment.agents)
         ]
-        for agent in self.agents[: experiment.failing_agents]:
-            agent.fails = True
         self.entries = [
             BenchEntry(
                 number, agents, experiment, rule, self.postbox, self._on_over
             )
             for number, agents in enumerate(self._shared(rule))
         ]
-        self.ratios = Ratios()
-        self.open = len(jobs)
-        self.failed = 0
-        self.refused: collections.Counter = collections.Counter()
-        self._warm_s = jobs[-1].at_s * WARM_UP_SHARE
 
     def _shared(self, rule: Rule) -> list[list[FakeAgent]]:
         """Returns the agents that each entry may use."""
