Queue a little at agents while much waits, and give slots in batches

Agents now take up to half their slots beyond these while an entry's queue is deep, credits come in batches, an Assign tells how much more waits and a Report tells of slots held. Accepted tasks that may not start any more are handed back.

--- a/egretthread/agent.py
+++ b/egretthread/agent.py
@@ -63,6 +63,7 @@
 def on_tick(board: AgentBoard) -> None:
     """Does what is due by time: heartbeats, credits, forgetting."""
     agent_leases.send_heartbeats(board)
+    agent_tasks.hand_back_waiting(board)
     agent_tasks.give_credits(board)
     agent_witness.forget_expired(board)
 
@@ -85,7 +86,7 @@
 
 def is_idle(board: AgentBoard) -> bool:
     """Whether no task runs and everything finished is reported."""
-    return board.running == 0
+    return board.running == 0 and not board.waiting
 
 
 def set_healthy(board: AgentBoard, healthy: bool) -> None:
--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -7,6 +7,7 @@
 
 from egretthread import (
     config,
+    credit,
     ejection,
     fairqueue,
     members,
@@ -345,6 +346,8 @@
         open_jobs: The jobs among them that have no answer yet.
         generations: Highest generation used by this entry, by job.
         queues: Fair queue of waiting tasks, by service.
+        eligible_counts: Agents that may get tasks, by service, as last
+            counted.
         wanting: Node ids of agents asked for slots, by service.
         probations: Ejected backend servers, by service.
         quotas: Quotas by organisation.
@@ -395,6 +398,7 @@
     queues: dict[str, fairqueue.FairQueue] = dataclasses.field(
         default_factory=dict
     )
+    eligible_counts: dict[str, int] = dataclasses.field(default_factory=dict)
     wanting: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     probations: dict[str, ejection.Probation] = dataclasses.field(
         default_factory=dict
@@ -474,18 +478,6 @@
     accepted_s: float = 0.0
 
 
-@dataclasses.dataclass
-class EntryWish:
-    """An entry's wish for free slots at an agent.
-
-    Attributes:
-        since_s: Monotonic time since when its oldest task has waited, or
-            when it was last given a slot.
-    """
-
-    since_s: float
-
-
 @dataclasses.dataclass
 class AgentBoard:
     """All state of one agent; controllers read and write it.
@@ -504,8 +496,10 @@
         witness: Job keys this agent is a witness of.
         slots: Slots in force.
         running: Tasks running now.
+        waiting: Accepted tasks that wait for a slot, next first.
         held: Slots held for entries: (until_s, entry node id, count).
         wishes: Wishes for free slots, by entry node id.
+        granted_s: Monotonic time of the last grant, by entry node id.
         healthy: Whether the backend server answers.
         draining: Whether the process is shutting down.
         recent: Whether recent tasks failed, newest last.
@@ -528,8 +522,12 @@
     witness: WitnessRegister | None = None
     slots: int = 0
     running: int = 0
+    waiting: collections.deque[StartOrder] = dataclasses.field(
+        default_factory=collections.deque
+    )
     held: list[tuple[float, str, int]] = dataclasses.field(default_factory=list)
-    wishes: dict[str, EntryWish] = dataclasses.field(default_factory=dict)
+    granted_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    wishes: dict[str, credit.Wish] = dataclasses.field(default_factory=dict)
     healthy: bool = True
     draining: bool = False
     recent: collections.deque = dataclasses.field(
--- a/egretthread/controllers/agent_leases.py
+++ b/egretthread/controllers/agent_leases.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from egretthread import lease, message, witness
+from egretthread import credit, lease, message, witness
 from egretthread.blackboard import AgentBoard
 
 
@@ -25,10 +25,13 @@
 
 
 def free_slots(board: AgentBoard) -> int:
-    """Returns the slots neither running a task nor held for an entry."""
+    """Returns the slots neither running a task nor held nor queued for.
+
+    It is negative while accepted tasks wait for slots.
+    """
     _drop_lapsed_holds(board)
     held = sum(count for _, _, count in board.held)
-    return max(0, board.slots - board.running - held)
+    return board.slots - board.running - len(board.waiting) - held
 
 
 def _drop_lapsed_holds(board: AgentBoard) -> None:
@@ -43,8 +46,16 @@
     """Returns the slots that an entry may fill now."""
     if not is_open(board):
         return 0
-    held = sum(count for _, holder, count in board.held if holder == node)
-    return min(free_slots(board) + held, board.slots - board.running)
+    return credit.believed_free(
+        free_slots(board),
+        held_for(board, node),
+        credit.rule_for(board.slots),
+    )
+
+
+def held_for(board: AgentBoard, node: str) -> int:
+    """Returns the slots held for an entry."""
+    return sum(count for _, holder, count in board.held if holder == node)
 
 
 def failure_share(board: AgentBoard) -> float:
--- a/egretthread/controllers/agent_tasks.py
+++ b/egretthread/controllers/agent_tasks.py
@@ -1,23 +1,21 @@
 """Agent: starts each task at most once and reports what became of it."""
 
 import collections
+import dataclasses
 
-from egretthread import ledger, message
-from egretthread.blackboard import AgentBoard, EntryWish, StartOrder
+from egretthread import credit, ledger, message
+from egretthread.blackboard import AgentBoard, StartOrder
 from egretthread.controllers import agent_leases
 from egretthread.jobkey import JobRef
 from egretthread.message import Ballot, Refusal, TaskReport, TaskState
 from egretthread.outcome import Outcome, OutcomeKind
 
-# A slot given to an entry is held this long for its next task.
-CREDIT_HOLD_S = 0.02
-
 
 def _is_expired(board: AgentBoard, job: JobRef) -> bool:
     return job.issued_s < board.horizon_s
 
 
-def _refusal(board: AgentBoard, node: str, assign: message.Assign) -> Refusal:
+def _refusal(board: AgentBoard, assign: message.Assign, room: int) -> Refusal:
     """Returns why a new task of this message may not start now."""
     refusal = agent_leases.refusal(board)
     if refusal is not Refusal.NONE:
@@ -26,7 +24,7 @@
         return Refusal.WRONG_SERVICE
     if _is_expired(board, assign.job):
         return Refusal.OUTSIDE_RETENTION
-    if agent_leases.free_slots(board) <= 0:
+    if room <= 0:
         return Refusal.BUSY
     return Refusal.NONE
 
@@ -38,6 +36,13 @@
         return
     count = len(assign.tasks)
     board.links[node] = board.links.get(node, 0) + count
+    room = credit.accepted(
+        count,
+        agent_leases.free_slots(board),
+        agent_leases.held_for(board, node),
+        assign.may_queue,
+        credit.rule_for(board.slots),
+    )
     _release_holds(board, node, count)
     entry = ledger.job_entry(board.ledger, assign.job)
     superseded = assign.ballot < entry.ballot
@@ -49,13 +54,17 @@
         if report is None:
             refusal = Refusal.SEALED
             if not superseded:
-                refusal = _refusal(board, node, assign)
+                refusal = _refusal(board, assign, room)
+            room -= refusal is Refusal.NONE
             report = _start_or_refuse(board, assign, entry, task, refusal)
         if report is not None and report.state is not TaskState.STARTED:
             reports.append(report)
-    _wish_for_refused(board, node, reports)
+    _note_wish(board, node, assign, reports)
+    granted = _grant_credits(board)
     if reports:
+        granted.discard(node)
         _send_report(board, node, assign.job, entry, tuple(reports))
+    _send_credits(board, granted)
 
 
 def _raise_ballot(
@@ -87,9 +96,8 @@
     if refusal is not Refusal.NONE:
         return ledger.refuse(entry, task.index, task.attempt, refusal)
     ledger.start(entry, task)
-    board.running += 1
     board.counters["starts"] += 1
-    board.to_start.append(
+    board.waiting.append(
         StartOrder(
             assign.job,
             assign.service,
@@ -100,9 +108,33 @@
             board.now_s,
         )
     )
+    _fill_slots(board)
     return None
 
 
+def _fill_slots(board: AgentBoard) -> None:
+    """Gives free slots to the accepted tasks that wait for one."""
+    while board.waiting and board.running < board.slots:
+        order = board.waiting.popleft()
+        board.running += 1
+        board.to_start.append(
+            dataclasses.replace(order, accepted_s=board.now_s)
+        )
+
+
+def hand_back_waiting(board: AgentBoard) -> None:
+    """Refuses the accepted tasks that wait while none may start.
+
+    They provably did not start, so other agents may have them at once.
+    """
+    refusal = agent_leases.refusal(board)
+    if refusal is Refusal.NONE or board.draining:
+        return
+    waiting, board.waiting = board.waiting, collections.deque()
+    for order in waiting:
+        _hand_back(board, order, refusal)
+
+
 def _release_holds(board: AgentBoard, node: str, count: int) -> None:
     """Frees the slots held for an entry that now uses them."""
     kept = []
@@ -114,13 +146,20 @@
     board.held = kept
 
 
-def _wish_for_refused(
-    board: AgentBoard, node: str, reports: list[TaskReport]
+def _note_wish(
+    board: AgentBoard,
+    node: str,
+    assign: message.Assign,
+    reports: list[TaskReport],
 ) -> None:
-    """Remembers that an entry has work for slots that were not free."""
+    """Remembers how much more work an entry has, if any."""
     busy = sum(report.refusal is Refusal.BUSY for report in reports)
-    if busy and node not in board.wishes:
-        board.wishes[node] = EntryWish(board.now_s)
+    count = max(assign.want, busy)
+    if count:
+        since_s = _since_s(board, node, assign.urgent_s)
+        board.wishes[node] = credit.Wish(count, since_s, assign.may_queue)
+    else:
+        board.wishes.pop(node, None)
 
 
 def _send_report(
@@ -166,23 +205,33 @@
     board: AgentBoard, order: StartOrder, refusal: Refusal
 ) -> None:
     """Reports a task that provably did not reach the backend server."""
+    board.running -= 1
+    _fill_slots(board)
+    granted = _grant_credits(board)
+    entry = _hand_back(board, order, refusal)
+    granted.discard(entry.ballot.coordinator)
+    _send_credits(board, granted)
+
+
+def _hand_back(
+    board: AgentBoard, order: StartOrder, refusal: Refusal
+) -> ledger.JobEntry:
     entry = board.ledger.jobs[order.job]
     report = ledger.withdraw_start(entry, order.index, refusal)
-    board.running -= 1
     board.counters[f"refused_{refusal}"] += 1
-    give_credits(board)
     reports = (report,)
     if not entry.running:
         # Finished tasks waited for this one to be reported with them.
         reports += ledger.take_unreported(entry)
     _send_report(board, entry.ballot.coordinator, order.job, entry, reports)
+    return entry
 
 
 def on_finished(board: AgentBoard, order: StartOrder, outcome: Outcome) -> None:
     """Records the outcome of a task and reports when the job's part is over.
 
-    Results wait until no task of the job runs here: the job's answer needs
-    all of them, and a message per job costs less than one per task.
+    Results wait until no task of the job is left here, since the job's
+    answer needs all of them, or until a credit goes to the same entry.
     """
     entry = board.ledger.jobs[order.job]
     run_s = max(0.0, board.now_s - order.accepted_s)
@@ -190,10 +239,14 @@
     board.running -= 1
     board.recent.append(outcome.kind is not OutcomeKind.DONE)
     board.counters[f"tasks_{outcome.kind}"] += 1
-    # Slots given as credits must not be reported as free too.
-    give_credits(board)
-    if not entry.running:
+    _fill_slots(board)
+    granted = _grant_credits(board)
+    coordinator = entry.ballot.coordinator
+    if not entry.running or coordinator in granted:
+        # A report tells of the slots held as well as a credit does.
+        granted.discard(coordinator)
         flush_job(board, order.job)
+    _send_credits(board, granted)
 
 
 def flush_job(board: AgentBoard, job: JobRef) -> None:
@@ -210,34 +263,47 @@
     if want.count <= 0:
         board.wishes.pop(node, None)
         return
-    board.wishes[node] = EntryWish(board.now_s - want.waited_s)
+    since_s = _since_s(board, node, want.urgent_s)
+    board.wishes[node] = credit.Wish(want.count, since_s, want.may_queue)
     give_credits(board)
 
 
-def give_credits(board: AgentBoard) -> None:
-    """Gives free slots to the entries whose tasks have waited longest.
+def _since_s(board: AgentBoard, node: str, urgent_s: float) -> float:
+    """Returns since when an entry's wish counts.
 
-    A wish stands until the entry withdraws it. An entry that was given a
-    slot goes behind the others.
+    It goes behind the others with each grant. By urgency alone an entry
+    with an old backlog would keep the slots from another entry's callers.
     """
-    if not board.wishes or not agent_leases.is_open(board):
-        return
-    given = collections.Counter()
-    for _ in range(agent_leases.free_slots(board)):
-        node = min(board.wishes, key=lambda name: board.wishes[name].since_s)
-        board.wishes[node].since_s = board.now_s
-        given[node] += 1
-    for node, count in given.items():
-        board.held.append((board.now_s + CREDIT_HOLD_S, node, count))
-    for node, count in given.items():
-        _send_credit(board, node, count)
+    granted_s = board.granted_s.get(node, float("-inf"))
+    return max(board.now_s - urgent_s, granted_s)
 
 
-def _send_credit(board: AgentBoard, node: str, count: int) -> None:
-    board.counters["credits"] += count
-    free = agent_leases.free_for(board, node)
-    received = board.links.get(node, 0)
-    board.send(node, message.Credit(board.node, free, received))
+def give_credits(board: AgentBoard) -> None:
+    """Gives free slots to the entries whose tasks are most urgent."""
+    _send_credits(board, _grant_credits(board))
+
+
+def _grant_credits(board: AgentBoard) -> set[str]:
+    """Holds slots for entries; returns the entries that are to be told."""
+    if not board.wishes or not agent_leases.is_open(board):
+        return set()
+    rule = credit.rule_for(board.slots)
+    free = agent_leases.free_slots(board)
+    granted = credit.grant(board.wishes, free, rule)
+    credit.spend(board.wishes, granted)
+    until_s = board.now_s + rule.hold_s
+    for node, count in granted.items():
+        board.counters["credits"] += count
+        board.granted_s[node] = board.now_s
+        board.held.append((until_s, node, count))
+    return set(granted)
+
+
+def _send_credits(board: AgentBoard, nodes: set[str]) -> None:
+    for node in sorted(nodes):
+        free = agent_leases.free_for(board, node)
+        received = board.links.get(node, 0)
+        board.send(node, message.Credit(board.node, free, received))
 
 
 def on_seal(board: AgentBoard, node: str, seal: message.Seal) -> None:
@@ -266,4 +332,5 @@
     """Forgets the wishes of an entry whose link is gone."""
     board.links.pop(node, None)
     board.wishes.pop(node, None)
+    board.granted_s.pop(node, None)
     board.held = [hold for hold in board.held if hold[1] != node]
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -2,7 +2,14 @@
 
 import itertools
 
-from egretthread import fairqueue, message, outcome, placement, placements
+from egretthread import (
+    credit,
+    fairqueue,
+    message,
+    outcome,
+    placement,
+    placements,
+)
 from egretthread.blackboard import (
     AgentState,
     EntryBoard,
@@ -87,7 +94,8 @@
     """
     service = agent.heartbeat.service
     waiting = len(queue_for(board, service))
-    if not waiting or agent.free <= 0 or not _may_hand_out(board, service):
+    room = agent.free + credit.rule_for(agent.heartbeat.slots).unasked
+    if not waiting or room <= 0 or not _may_hand_out(board, service):
         return
     if pool.takes_work(board, agent):
         view = pool.view(board, agent)
@@ -102,10 +110,30 @@
 
 
 def _hand_out_to(board: EntryBoard, service: str, views: dict) -> None:
+    """Fills idle slots; while much waits, a little more than these.
+
+    The messages go out last, since they tell how much still waits.
+    """
+    placed = _place_all(board, service, views)
+    may_queue = wants.may_queue(board, service)
+    if may_queue:
+        wider = {n: pool.wide_view(board, board.agents[n]) for n in views}
+        placed += _place_all(board, service, wider)
+    for hand_out in placed:
+        _send_assign(board, *hand_out, may_queue)
+
+
+# A job's state, an agent's node id and the indices placed there.
+Placed = tuple[JobState, str, list[int]]
+
+
+def _place_all(board: EntryBoard, service: str, views: dict) -> list[Placed]:
     queue = queue_for(board, service)
     free = sum(placement.usable_slots(view) for view in views.values())
+    placed = []
     for state, indices in _take(board, queue, free):
-        _place(board, queue, state, indices, views)
+        placed += _place(board, queue, state, indices, views)
+    return placed
 
 
 def _take(
@@ -130,25 +158,28 @@
     state: JobState,
     indices: list[int],
     views: dict,
-) -> None:
-    """Hands tasks of one job to agents; what finds no slot goes back."""
+) -> list[Placed]:
+    """Chooses agents for tasks of one job; what finds no slot goes back."""
     limits = board.configuration.service(state.submission.service)
     policy = placements.find_policy(limits.placement)
     usable = [views[node] for node in state.agents if node in views]
     rest = iter(indices)
+    placed = []
     for node, count in policy(usable, len(indices)):
         chosen = list(itertools.islice(rest, count))
         if chosen:
-            _hand_out(board, state, board.agents[node], chosen)
+            _note_hand_out(board, state, board.agents[node], chosen)
+            placed.append((state, node, chosen))
             views[node] = pool.take_free(views[node], len(chosen))
     left = list(rest)
     if left:
         name = state.job.organisation
         share = weight(board, name)
         queue.pushback(name, share, state.job, left, state.created_s)
+    return placed
 
 
-def _hand_out(
+def _note_hand_out(
     board: EntryBoard, state: JobState, agent: AgentState, indices: list[int]
 ) -> None:
     for index in indices:
@@ -163,16 +194,23 @@
     )
     board.counters["hand_outs"] += len(indices)
     board.samples.append(("queue_seconds", board.now_s - state.created_s))
-    _send_assign(board, state, agent.node, indices)
 
 
 def _send_assign(
-    board: EntryBoard, state: JobState, node: str, indices: list[int]
+    board: EntryBoard,
+    state: JobState,
+    node: str,
+    indices: list[int],
+    may_queue: bool,
 ) -> None:
+    """Sends tasks, and with them how much more waits for the agent."""
     submission = state.submission
     agent = board.agents.get(node)
+    want = 0
     if agent is not None:
         agent.assigned += len(indices)
+        want = wants.count_for(board, agent)
+        wants.note_count(board, agent, want)
     limits = board.configuration.service(submission.service)
     timeout_s = limits.max_task_s if limits else 0.0
     tasks = tuple(
@@ -187,7 +225,14 @@
     board.send(
         node,
         message.Assign(
-            state.job, submission.service, state.ballot, node, tasks
+            state.job,
+            submission.service,
+            state.ballot,
+            node,
+            tasks,
+            want,
+            wants.urgent_s(board, submission.service),
+            may_queue,
         ),
     )
 
@@ -217,7 +262,8 @@
         held = state.hand_outs[index]
         state.hand_outs[index] = HandOut(node, held.attempt, board.now_s)
     board.counters["hand_outs_resent"] += len(indices)
-    _send_assign(board, state, node, indices)
+    may_queue = wants.may_queue(board, state.submission.service)
+    _send_assign(board, state, node, indices, may_queue)
 
 
 def on_agent_gone(board: EntryBoard, node: str) -> None:
--- a/egretthread/controllers/pool.py
+++ b/egretthread/controllers/pool.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from egretthread import ejection, placement
+from egretthread import credit, ejection, placement
 from egretthread.blackboard import AgentState, EntryBoard
 
 # Most agents that one job may be registered with.
@@ -123,9 +123,9 @@
 
 def views(board: EntryBoard, service: str) -> dict[str, placement.AgentView]:
     """Returns what the placement policy sees of each agent, by node id."""
-    return {
-        agent.node: view(board, agent) for agent in eligible(board, service)
-    }
+    agents = eligible(board, service)
+    board.eligible_counts[service] = len(agents)
+    return {agent.node: view(board, agent) for agent in agents}
 
 
 def view(board: EntryBoard, agent: AgentState) -> placement.AgentView:
@@ -147,3 +147,14 @@
 def take_free(view: placement.AgentView, count: int) -> placement.AgentView:
     """Returns the view after so many of its free slots were used."""
     return dataclasses.replace(view, free=max(0, view.free - count))
+
+
+def wide_view(board: EntryBoard, agent: AgentState) -> placement.AgentView:
+    """Returns the view with room for tasks that the agent queues unasked."""
+    beyond = credit.rule_for(agent.heartbeat.slots).unasked
+    narrow = view(board, agent)
+    return dataclasses.replace(
+        narrow,
+        slots=narrow.slots + beyond,
+        free=max(0, agent.free + beyond),
+    )
--- a/egretthread/controllers/reports.py
+++ b/egretthread/controllers/reports.py
@@ -22,6 +22,8 @@
     if agent is None:
         return
     note_free(agent, credit.free, credit.received)
+    # The agent took what it gives off the wish.
+    agent.wanted = max(0, agent.wanted - max(0, credit.free))
     dispatch.run_agent(board, agent)
 
 
@@ -129,7 +131,7 @@
     if agent is None:
         return
     if refusal is Refusal.BUSY:
-        wants.note_wish(board, agent, state.submission.service)
+        wants.note_wish(board, agent)
         return
     agent.free = 0
     if refusal in RESTING_REFUSALS:
--- a/egretthread/controllers/wants.py
+++ b/egretthread/controllers/wants.py
@@ -1,28 +1,58 @@
 """Entry: tells agents whether tasks wait here for their slots."""
 
-from egretthread import fairqueue, message
+from egretthread import credit, message
 from egretthread.blackboard import AgentState, EntryBoard
 from egretthread.controllers import dispatch, pool
 
-# A wish for slots is repeated after this time.
-WANT_AGAIN_S = 0.5
+RULE = credit.CreditRule()
 
 
 def update(board: EntryBoard, service: str) -> None:
-    """Asks all agents of a service for slots while tasks wait."""
-    queue = dispatch.queue_for(board, service)
-    if not len(queue):
+    """Asks agents of a service for slots while tasks wait."""
+    waiting = len(dispatch.queue_for(board, service))
+    if not waiting:
         withdraw(board, service)
         return
-    for agent in pool.eligible(board, service):
+    agents = pool.eligible(board, service)
+    for agent in _choose(board, agents, waiting):
         if pool.view(board, agent).weight <= 0.0:
             # Slots that are not used must not be held for this entry.
             withdraw_from(board, agent)
-            continue
-        fresh = board.now_s - agent.wanted_s < WANT_AGAIN_S
-        if not (agent.wanted and fresh):
-            count = min(len(queue), agent.heartbeat.slots)
-            _send(board, agent, service, count, queue)
+        elif not _is_fresh(board, agent):
+            _send(board, agent, count_for(board, agent))
+
+
+def _choose(
+    board: EntryBoard, agents: list[AgentState], waiting: int
+) -> list[AgentState]:
+    """Returns the agents to ask: those asked before, and some at random."""
+    count = credit.agents_to_ask(waiting, len(agents), RULE)
+    if count >= len(agents):
+        return agents
+    asked = [agent for agent in agents if agent.wanted]
+    if len(asked) >= count:
+        return asked
+    return asked + board.rng.sample(agents, count - len(asked))
+
+
+def _is_fresh(board: EntryBoard, agent: AgentState) -> bool:
+    age_s = board.now_s - agent.wanted_s
+    return agent.wanted > 0 and age_s < RULE.again_s
+
+
+def count_for(board: EntryBoard, agent: AgentState) -> int:
+    """Returns how many waiting tasks an agent is asked to take."""
+    waiting = len(dispatch.queue_for(board, agent.heartbeat.service))
+    return min(waiting, agent.heartbeat.slots)
+
+
+def may_queue(board: EntryBoard, service: str) -> bool:
+    """Whether so much waits here that agents may queue tasks."""
+    waiting = len(dispatch.queue_for(board, service))
+    if not waiting:
+        return False
+    agents = board.eligible_counts.get(service, 0)
+    return credit.is_deep(waiting, agents, RULE)
 
 
 def withdraw(board: EntryBoard, service: str) -> None:
@@ -36,30 +66,35 @@
 def withdraw_from(board: EntryBoard, agent: AgentState) -> None:
     """Tells one agent, if it was asked, that nothing waits for it."""
     if agent.wanted:
-        service = agent.heartbeat.service
-        queue = dispatch.queue_for(board, service)
         board.counters["wants_withdrawn"] += 1
-        _send(board, agent, service, 0, queue)
+        _send(board, agent, 0)
 
 
-def note_wish(board: EntryBoard, agent: AgentState, service: str) -> None:
+def note_wish(board: EntryBoard, agent: AgentState) -> None:
     """Notes a wish that an agent holds without a Want from here."""
-    agent.wanted = max(1, agent.wanted)
-    agent.wanted_s = board.now_s
-    board.wanting.setdefault(service, set()).add(agent.node)
+    note_count(board, agent, max(1, agent.wanted))
 
 
-def _send(
-    board: EntryBoard,
-    agent: AgentState,
-    service: str,
-    count: int,
-    queue: fairqueue.FairQueue,
-) -> None:
+def note_count(board: EntryBoard, agent: AgentState, count: int) -> None:
+    """Notes what an agent has been told of the tasks that wait here."""
     agent.wanted = count
     agent.wanted_s = board.now_s
-    waited_s = 0.0
     if count:
-        waited_s = queue.oldest_wait_s(board.now_s)
+        service = agent.heartbeat.service
         board.wanting.setdefault(service, set()).add(agent.node)
-    board.send(agent.node, message.Want(board.node, service, count, waited_s))
+
+
+def urgent_s(board: EntryBoard, service: str) -> float:
+    """Returns how long the most urgent task is past its patience."""
+    return dispatch.queue_for(board, service).urgency_s(board.now_s)
+
+
+def _send(board: EntryBoard, agent: AgentState, count: int) -> None:
+    note_count(board, agent, count)
+    service = agent.heartbeat.service
+    waited_s = urgent_s(board, service) if count else 0.0
+    queued = may_queue(board, service) if count else False
+    board.send(
+        agent.node,
+        message.Want(board.node, service, count, waited_s, queued),
+    )
--- a/egretthread/credit.py
+++ b/egretthread/credit.py
@@ -12,10 +12,15 @@
 """
 
 import dataclasses
+import functools
 import math
 from collections.abc import Mapping
 
 
+# An agent with fewer slots queues no tasks.
+MIN_SLOTS_TO_QUEUE = 4
+
+
 @dataclasses.dataclass(frozen=True)
 class CreditRule:
     """The numbers of the rule.
@@ -42,6 +47,21 @@
     again_s: float = 0.5
 
 
+@functools.cache
+def rule_for(slots: int) -> CreditRule:
+    """Returns the rule of an agent with so many slots.
+
+    Its queue is half as long as it has slots, so that a task that was bound
+    early waits about half a run time at most. An agent with few slots has no
+    queue: whoever is behind a long task there would wait for it alone.
+    """
+    if slots < MIN_SLOTS_TO_QUEUE:
+        return CreditRule(lookahead=0, batch=1, unasked=0)
+    return CreditRule(
+        lookahead=slots // 2, batch=slots // 2, unasked=slots // 4
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Wish:
     """An entry's wish for room at an agent.
@@ -141,16 +161,12 @@
     return min(agents, math.ceil(waiting * rule.asked_per_task))
 
 
-def believed_free(
-    free: int, held: int, sent: int, received: int, rule: CreditRule
-) -> int:
-    """Returns what an entry may hand out after a message of an agent.
+def believed_free(free: int, held: int, rule: CreditRule) -> int:
+    """Returns what an agent lets an entry hand out to it.
 
     Args:
         free: Free slots that the agent reports.
         held: Room that the agent holds for this entry.
-        sent: Tasks this entry has sent to the agent so far.
-        received: Tasks the agent says it has got from this entry so far.
         rule: The rule's numbers.
     """
-    return max(free, -rule.unasked) + held - (sent - received)
+    return max(free, -rule.unasked) + held
--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -166,6 +166,9 @@
         ballot: The coordinator's ballot; a lower one than sealed is refused.
         agent: Node id of the agent incarnation this is meant for.
         tasks: The tasks handed out.
+        want: How many more tasks wait for this agent; 0 for none.
+        urgent_s: How long the most urgent of these is past its patience.
+        may_queue: Whether the agent may queue tasks beyond its slots.
     """
 
     job: JobRef
@@ -173,6 +176,9 @@
     ballot: Ballot
     agent: str
     tasks: tuple[TaskAssignment, ...]
+    want: int = 0
+    urgent_s: float = 0.0
+    may_queue: bool = False
 
 
 class TaskState(enum.StrEnum):
@@ -249,13 +255,15 @@
         entry: The entry's node id.
         service: The service the tasks are for.
         count: How many slots the entry would fill; 0 withdraws the wish.
-        waited_s: How long the oldest of the tasks has waited.
+        urgent_s: How long the most urgent of them is past its patience.
+        may_queue: Whether the agent may queue tasks beyond its slots.
     """
 
     entry: str
     service: str
     count: int
-    waited_s: float
+    urgent_s: float
+    may_queue: bool
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -111,6 +111,9 @@
   numbers @6 :List(Int64);
   payloads @7 :List(Text);
   timeouts @8 :List(Float64);
+  want @9 :Int64;
+  urgentS @10 :Float64;
+  mayQueue @11 :Bool;
 }
 
 # Report.numbers holds index, attempt and code of each task report; a code is
@@ -136,7 +139,8 @@
   entry @0 :Text;
   service @1 :Text;
   count @2 :Int64;
-  waitedS @3 :Float64;
+  urgentS @3 :Float64;
+  mayQueue @4 :Bool;
 }
 
 struct Credit {
--- a/egretthread/wire.py
+++ b/egretthread/wire.py
@@ -256,6 +256,9 @@
     builder.numbers = numbers
     builder.payloads = [task.payload for task in tasks]
     builder.timeouts = [task.timeout_s for task in tasks]
+    builder.want = message.want
+    builder.urgentS = message.urgent_s
+    builder.mayQueue = message.may_queue
 
 
 def _read_assign(reader) -> Assign:
@@ -273,6 +276,9 @@
         Ballot(reader.generation, reader.coordinator),
         reader.agent,
         tuple([TaskAssignment(*task) for task in tasks]),
+        reader.want,
+        reader.urgentS,
+        reader.mayQueue,
     )
 
 
--- a/egretthread_bench/benchentry.py
+++ b/egretthread_bench/benchentry.py
@@ -116,8 +116,10 @@
         belief = self.beliefs[report.node]
         received = report.received if self.rule.exact_free else belief.sent
         held = report.held if self.rule.exact_free else report.credit
-        belief.free = credit.believed_free(
-            report.free, held, belief.sent, received, self.rule.credit
+        under_way = belief.sent - received
+        belief.free = (
+            credit.believed_free(report.free, held, self.rule.credit)
+            - under_way
         )
         belief.wanted = max(0, belief.wanted - report.credit)
         for task in report.finished:
