Remember a newer configuration also when its reader is gone

Cause, found by reading: an entry that learned from another of a newer configuration kept its lease closed only while it remembered that entry. Ten seconds after the reader had died amid an outage of the log, the others agreed on the outage and went on with the older configuration. The highest offset heard of is kept now; work waits for the log in that case. A test in tests/test_entry_members.py failed before.

--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -326,6 +326,7 @@
         unix_s: Wall clock of the event being handled.
         configuration: The configuration in force, if any.
         config_offset: Its offset; -1 for none.
+        heard_offset: The newest offset that another entry has told of.
         log_read_s: Monotonic time of the last read of the log's end.
         lease_until_s: Monotonic time until which the configuration may be
             acted on.
@@ -373,6 +374,7 @@
     unix_s: float = 0.0
     configuration: config.Configuration | None = None
     config_offset: int = -1
+    heard_offset: int = -1
     log_read_s: float = float("-inf")
     lease_until_s: float = float("-inf")
     horizon_s: float = 0.0
--- a/egretthread/controllers/entry_members.py
+++ b/egretthread/controllers/entry_members.py
@@ -191,6 +191,10 @@
     """Works out until when the configuration may be acted on."""
     if board.configuration is None:
         return
+    if board.heard_offset > board.config_offset:
+        # Also when the entry that told of it is gone meanwhile.
+        board.lease_until_s = float("-inf")
+        return
     age_s = lease.confirmed_age_s(
         board.log_age_s,
         board.config_offset,
@@ -241,6 +245,7 @@
         if same_name and other != node:
             del board.peers[other]
     board.peers[node] = PeerState(state, board.now_s)
+    board.heard_offset = max(board.heard_offset, state.config_offset)
     renew_lease(board)
 
 
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -1,5 +1,6 @@
 """Focused histories of the entries' list."""
 
+import dataclasses
 import json
 
 import testtools
@@ -40,3 +41,16 @@
         self.assertEqual({"e1", "e2", "e3"}, set(known))
         region.run(ABSENT_S / 2)
         self.assertEqual(len(set(_removed(region))), len(_removed(region)))
+
+    def test_configuration_heard_of_is_not_forgotten_with_its_reader(self):
+        region = world.World(3, faults=False)
+        region.run(SETTLE_S)
+        for name in ("e2", "e3"):
+            region.cut_off_stream(name, "config")
+        region.publish(lambda old: dataclasses.replace(old, retention_s=100.0))
+        region.run(3.0)
+        region.set_log_out(True)
+        region.kill("e1")
+        region.run(SETTLE_S + 10.0)
+        for name in ("e2", "e3"):
+            self.assertFalse(region.processes[name].board.lease_open)
