End the child processes of a scene on SIGTERM as well

A scene cut short by SIGTERM left its processes running; now the signal cancels the scene and its cluster is closed.

--- a/egretthread_standins/faults/__main__.py
+++ b/egretthread_standins/faults/__main__.py
@@ -4,6 +4,7 @@
 import asyncio
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 
@@ -13,10 +14,19 @@
 from egretthread_standins.faults import player, scenes
 
 
+async def play(name: str, directory: pathlib.Path) -> list[Check]:
+    """Plays one scene; SIGTERM ends it and its child processes."""
+    own_task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, own_task.cancel)
+    seen = await player.play((name,), directory)
+    return seen[name]
+
+
 def run(name: str) -> list[Check]:
     """Plays one scene; its settings and logs are kept unless all went well."""
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"egretthread-{name}-"))
-    seen = asyncio.run(player.play((name,), directory))[name]
+    seen = asyncio.run(play(name, directory))
     if all(check.ok for check in seen):
         shutil.rmtree(directory)
     else:
