Bring about random faults in a row while each job is submitted twice

The scene storm kills, pauses, cuts off and silences processes at random and submits every job through both entries; the audit compares answers and starts.

--- a/egretthread_standins/faults/player.py
+++ b/egretthread_standins/faults/player.py
@@ -16,7 +16,9 @@
 Seen = dict[str, list[Check]]
 
 
-async def play(names: tuple[str, ...], directory: pathlib.Path) -> Seen:
+async def play(
+    names: tuple[str, ...], directory: pathlib.Path, seed: int = stages.SEED
+) -> Seen:
     """Plays scenes of one layout on one cluster, one after the other.
 
     A scene that breaks off fails, and so do those after it.
@@ -24,7 +26,7 @@
     seen = {name: [Check("the scene is played", False, "")] for name in names}
     layout = scenes.find_scene(names[0]).layout
     try:
-        stage = await stages.start(directory, layout)
+        stage = await stages.start(directory, layout, seed)
     except ERRORS as error:
         seen[names[0]] = [broken_off(error)]
         return seen
--- a/egretthread_standins/faults/scenes.py
+++ b/egretthread_standins/faults/scenes.py
@@ -13,6 +13,7 @@
     races,
     servers,
     shutdown,
+    storm,
     withdrawal,
 )
 from egretthread_standins.faults.stage import RELAYED, SMALL, Stage
@@ -55,6 +56,8 @@
     "end-entry": Scene(shutdown.end_entry),
     "end-agent": Scene(shutdown.end_agent),
     "restart-entries": Scene(shutdown.restart_entries),
+    "storm": Scene(storm.storm, RELAYED),
+    "storm-long": Scene(storm.storm_long, RELAYED),
 }
 
 
--- a/egretthread_standins/faults/stage.py
+++ b/egretthread_standins/faults/stage.py
@@ -213,12 +213,14 @@
     await asyncio.sleep(max(0.0, at_s - time.time()))
 
 
-async def start(directory: pathlib.Path, layout: Layout) -> Stage:
+async def start(
+    directory: pathlib.Path, layout: Layout, seed: int = SEED
+) -> Stage:
     """Starts a cluster of a layout and returns the stage around it."""
     running = Cluster(directory, layout)
     try:
         await running.start()
-        stage = Stage(running, Audit(), random.Random(SEED))
+        stage = Stage(running, Audit(), random.Random(seed))
         await stage.settle()
     except BaseException:
         await running.close()
--- a/tests/test_process_links.py
+++ b/tests/test_process_links.py
@@ -9,6 +9,7 @@
         ("outage",),
         ("one-cut-off",),
         ("all-cut-off", "stop-in-outage"),
+        ("storm",),
     )
 
     def test_links_fall_silent(self):
@@ -31,3 +32,6 @@
 
     def test_organisation_that_stops_in_an_outage(self):
         self.check("stop-in-outage")
+
+    def test_faults_in_a_row_while_each_job_is_submitted_twice(self):
+        self.check("storm")
