--- a/egretthread/credit.py
+++ b/egretthread/credit.py
@@ -16,7 +16,6 @@
 import math
 from collections.abc import Mapping
 
-
 # An agent with fewer slots queues no tasks.
 MIN_SLOTS_TO_QUEUE = 4
 
--- a/egretthread_bench/scale.py
+++ b/egretthread_bench/scale.py
@@ -30,7 +30,7 @@
     witness,
 )
 from egretthread.blackboard import EntryBoard, HandOut, JobState, Phase
-from egretthread.controllers import answers
+from egretthread.controllers import answers, dispatch, wants
 from egretthread.jobkey import JobRef, make_key
 from egretthread.message import Ballot, Registration
 from egretthread_bench.deployment import Deployment, Site, read_usage
@@ -50,6 +50,7 @@
 IDLE_MEASURE_S = 10.0
 AGENTS_PER_SINK = 50
 RESULT_BYTES = 100
+TASK_RUN_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -238,7 +239,7 @@
                 task = message.TaskAssignment(index, 1, "{}", 30.0)
                 ledger.start(held, task)
                 result = outcome.done(str(number) * RESULT_BYTES)
-                ledger.finish(held, index, _cut(result))
+                ledger.finish(held, index, _cut(result), TASK_RUN_S)
             ledger.take_unreported(held)
         return book
 
@@ -600,6 +601,26 @@
     return Slope("work of a second, 1024 shards", "agents", "ms", sizes, values)
 
 
+def wish_times() -> Slope:
+    """Time to look for agents to ask for slots while tasks wait."""
+
+    def update_us(agents: int) -> float:
+        board = new_entry(agents, 64)
+        queue = dispatch.queue_for(board, SERVICE)
+        queue.push("organisation-000", 1.0, job_ref(1), range(100), 100.0)
+        wants.update(board, SERVICE)
+
+        def update() -> None:
+            wants.update(board, SERVICE)
+            board.outbox.clear()
+
+        return 1e6 * seconds_of(update)
+
+    sizes = (100, 400, 1600)
+    values = tuple(update_us(count) for count in sizes)
+    return Slope("wishes looked through", "agents", "us", sizes, values)
+
+
 def verification_times() -> Slope:
     """Time to check an access key by the organisations configured."""
 
@@ -699,6 +720,7 @@
         submission_times(),
         configuration_times(),
         second_times(),
+        wish_times(),
         verification_times(),
         *asyncio.run(connected_agents()),
     ]
