--- a/tests/world.py
+++ b/tests/world.py
@@ -694,11 +694,12 @@
         """Takes the log out of service, or brings it back."""
         self.log_out = out
         if out:
-            read = max(
+            offsets = [
                 process.next_offsets["config"]
                 for process in self.processes.values()
                 if process.alive
-            )
+            ]
+            read = max(offsets, default=0)
             self.outage = self.oracle.begin_outage(self, read)
         elif self.outage is not None:
             self.oracle.end_outage(self, self.outage)
