--- a/tests/test_agent_leases.py
+++ b/tests/test_agent_leases.py
@@ -136,3 +136,12 @@
         states = {task.index: task.state for task in reply.tasks}
         started = TaskState.STARTED
         self.assertEqual({0: started, 1: started}, states)
+
+    def test_longer_retention_does_not_revive_forgotten_keys(self):
+        self.pass_time(50.0)
+        self.renew(config_offset=2, retention_s=40.0)
+        self.pass_time(50.1)
+        self.renew(config_offset=3, retention_s=120.0)
+        self.pass_time(50.2)
+        self.assertEqual([], self.assign(0))
+        self.assertEqual([Refusal.OUTSIDE_RETENTION], self.refusals())
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -72,3 +72,24 @@
         region.run(10.0)
         self.assertIsNotNone(first.result)
         self.assertTrue(getattr(first.result, "started", True))
+
+    def test_new_agent_gets_tasks_only_once_the_witnesses_know_it(self):
+        region = _settled(3)
+        job = region.new_submission("grows", 190, deadline_s=30.0)
+        coordinator = region.processes["e1"]
+        membership = coordinator.board.membership
+        number = members.shard_of(job.job, membership.shard_count)
+        witnesses = membership.shards[number].members
+        name = next(n for n in region.agent_names if n not in witnesses)
+        region.submit("e1", job)
+        region.run(0.05)
+        for other in witnesses[:2]:
+            node = region.processes[other].node
+            region.silence(coordinator.link_to(node))
+        region.restart(name)
+        node = region.processes[name].node
+        region.run(2.0)
+        self.assertIn(node, coordinator.board.agents)
+        self.assertEqual([], [key for key in region.origins if node in key])
+        region.run(8.0)
+        self.assertNotEqual([], [key for key in region.origins if node in key])
