Begin a job at the same cost however many agents there are

A job's begin looked at every agent three times: for the agents that it is registered with, for the largest worker and for views to hand out to. It now samples 128 agents when there are more, looks for the largest worker only if a task declares memory, and hands out to the job's own agents.

--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -36,7 +36,7 @@
     if state.cancel_reason:
         give_up_queued(board, state)
     answers.check_over(board, state)
-    run(board, state.submission.service)
+    _run_job(board, state)
 
 
 def _unsettled(state: JobState) -> list[int]:
@@ -86,6 +86,20 @@
         wants.withdraw(board, service)
 
 
+def _run_job(board: EntryBoard, state: JobState) -> None:
+    """Hands out waiting tasks to the agents that a new job may use.
+
+    Other agents have had their chance: their slots wait for no new job.
+    """
+    service = state.submission.service
+    if not len(queue_for(board, service)):
+        wants.withdraw(board, service)
+    elif _may_hand_out(board, service):
+        views = pool.views_among(board, service, state.agents)
+        _hand_out_to(board, service, views)
+        wants.update(board, service)
+
+
 def run_agent(board: EntryBoard, agent: AgentState) -> None:
     """Hands waiting tasks to one agent that has free slots.
 
--- a/egretthread/controllers/pool.py
+++ b/egretthread/controllers/pool.py
@@ -7,6 +7,8 @@
 
 # Most agents that one job may be registered with.
 MAX_AGENTS = 64
+# Agents drawn at random to find so many among.
+SAMPLE_AGENTS = 128
 # An agent that refuses what it is handed rests for this long at first.
 FIRST_REST_S = 0.05
 # It rests for this long at most.
@@ -43,10 +45,14 @@
     return [
         agent
         for agent in board.agents.values()
-        if agent.heartbeat.service == service and takes_work(board, agent)
+        if _serves(board, agent, service)
     ]
 
 
+def _serves(board: EntryBoard, agent: AgentState, service: str) -> bool:
+    return agent.heartbeat.service == service and takes_work(board, agent)
+
+
 def probation(board: EntryBoard, service: str) -> ejection.Probation:
     """Returns the record of a service's ejected backend servers."""
     return board.probations.setdefault(service, ejection.Probation())
@@ -68,12 +74,33 @@
 ) -> tuple[str, ...]:
     """Returns the given agents and more of the service, up to a limit."""
     known = set(agents)
-    fresh = [a.node for a in eligible(board, service) if a.node not in known]
-    board.rng.shuffle(fresh)
     room = max(0, MAX_AGENTS - len(agents))
+    fresh = _sample(board, service, known)
+    if len(fresh) < room:
+        fresh = [
+            agent.node
+            for agent in eligible(board, service)
+            if agent.node not in known
+        ]
+        board.rng.shuffle(fresh)
     return tuple(sorted([*agents, *fresh[:room]]))
 
 
+def _sample(board: EntryBoard, service: str, known: set[str]) -> list[str]:
+    """Returns eligible agents among a few drawn at random from very many.
+
+    Looking at each of thousands for every job would cost more than the job.
+    """
+    if len(board.agents) <= SAMPLE_AGENTS:
+        return []
+    drawn = board.rng.sample(list(board.agents), SAMPLE_AGENTS)
+    return [
+        node
+        for node in drawn
+        if node not in known and _serves(board, board.agents[node], service)
+    ]
+
+
 def note_refusal(board: EntryBoard, agent: AgentState, sent_s: float) -> None:
     """Lets an agent rest that cannot start tasks, the longer the more often.
 
@@ -128,6 +155,18 @@
     return {agent.node: view(board, agent) for agent in agents}
 
 
+def views_among(
+    board: EntryBoard, service: str, nodes: tuple[str, ...]
+) -> dict[str, placement.AgentView]:
+    """Returns what the placement policy sees of some agents, by node id."""
+    agents = [board.agents[node] for node in nodes if node in board.agents]
+    return {
+        agent.node: view(board, agent)
+        for agent in agents
+        if _serves(board, agent, service)
+    }
+
+
 def view(board: EntryBoard, agent: AgentState) -> placement.AgentView:
     """Returns what the placement policy sees of one agent."""
     trials = probation(board, agent.heartbeat.service)
--- a/egretthread/controllers/submissions.py
+++ b/egretthread/controllers/submissions.py
@@ -195,6 +195,8 @@
             f"a task declares {largest} bytes of memory and the service"
             f" allows {service.max_memory_bytes}; declare less or split it"
         )
+    if not largest:
+        return ""
     workers = [
         agent.heartbeat.memory_bytes
         for agent in board.agents.values()
