Draw the scenarios' run times by the policy bench's workload

Run times were drawn by two copies of the same code; the scenarios now use the policy bench's. make bench also runs the short Dublin scenario on the real programs.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,5 @@
 
 bench: install
 	$(PY) -m egretthread_bench policy experiments/policy.toml
+	$(PY) -m egretthread_bench processes \
+	  experiments/processes/dublin-short.toml --directory build/bench
--- a/egretthread_bench/driver.py
+++ b/egretthread_bench/driver.py
@@ -7,20 +7,10 @@
 
 from egretthread import apierror, client
 from egretthread.outcome import JobAnswer
+from egretthread_bench import workload
 from egretthread_bench.deployment import Deployment
 from egretthread_bench.scenario import Scenario, Tenant
 
-# Shortest and longest of the usual tasks, in seconds.
-SHORT_RUN_S = (0.05, 1.0)
-# Shortest and longest of the few long tasks, in seconds.
-LONG_RUN_S = (3.0, 5.0)
-# Part of the tasks that are long.
-LONG_SHARE = 0.02
-# The usual tasks follow a beta distribution with mean 1/3 of the range.
-BETA = (1.0, 2.0)
-# Mean run time of a task, in seconds.
-MEAN_RUN_S = (1 - LONG_SHARE) * (0.05 + 0.95 / 3) + LONG_SHARE * 4.0
-
 
 @dataclasses.dataclass(frozen=True)
 class Arrival:
@@ -63,14 +53,6 @@
         return self.answer is None and not self.error
 
 
-def draw_run_s(rng: random.Random) -> float:
-    """Returns the run time of one task, in seconds."""
-    if rng.random() < LONG_SHARE:
-        return rng.uniform(*LONG_RUN_S)
-    low_s, high_s = SHORT_RUN_S
-    return low_s + (high_s - low_s) * rng.betavariate(*BETA)
-
-
 def arrivals(scenario: Scenario) -> list[Arrival]:
     """Returns a scenario's jobs in the order they arrive.
 
@@ -87,13 +69,13 @@
     rng = random.Random(f"{scenario.seed}/{tenant.name}")
     slots = scenario.site.total_slots
     mean_tasks = (1 + tenant.max_tasks) / 2
-    rate_per_s = tenant.load * slots / (mean_tasks * MEAN_RUN_S)
+    rate_per_s = tenant.load * slots / (mean_tasks * workload.mean_run_s())
     end_s = tenant.until_s or scenario.duration_s
     at_s = tenant.from_s + rng.expovariate(rate_per_s)
     jobs = []
     while at_s < end_s:
         tasks = rng.randint(1, tenant.max_tasks)
-        run_s = tuple(round(draw_run_s(rng), 4) for _ in range(tasks))
+        run_s = tuple(round(workload.draw_run_s(rng), 4) for _ in range(tasks))
         jobs.append(Arrival(at_s, tenant.name, run_s))
         at_s += rng.expovariate(rate_per_s)
     return jobs
