Share agents' names among a witness's records

Each record of a witness kept its own copies of up to 64 agents' names, which took most of its memory. The names are interned now.

--- a/egretthread/witness.py
+++ b/egretthread/witness.py
@@ -1,6 +1,7 @@
 """A witness's memory of job keys and the rules by which it answers."""
 
 import dataclasses
+import sys
 
 from egretthread import message
 from egretthread.jobkey import JobRef
@@ -118,11 +119,22 @@
     return None
 
 
+def _share_names(registration: Registration) -> Registration:
+    """Returns an equal registration whose names all records share.
+
+    Each message brings strings of its own; kept for every job, the names of
+    the same agents would take most of a witness's memory.
+    """
+    return dataclasses.replace(
+        registration, agents=tuple(map(sys.intern, registration.agents))
+    )
+
+
 def _claim(register: WitnessRegister, request: message.Claim) -> Verdict:
     record = register.records.get(request.job)
     if record is None:
         register.records[request.job] = JobRecord(
-            request.registration.ballot, request.registration
+            request.registration.ballot, _share_names(request.registration)
         )
         return Verdict.GRANTED
     repeated = record.registration == request.registration
@@ -149,7 +161,7 @@
         return Verdict.REFUSED
     record.promised = ballot
     if not _is_older(request.registration, record.registration):
-        record.registration = request.registration
+        record.registration = _share_names(request.registration)
     return Verdict.GRANTED
 
 
