Give the ledger a run time in the scale bench

The ledger records a task's run time since the reports carry it, which the bench of its memory did not give.

--- a/egretthread_bench/scale.py
+++ b/egretthread_bench/scale.py
@@ -50,6 +50,7 @@
 IDLE_MEASURE_S = 10.0
 AGENTS_PER_SINK = 50
 RESULT_BYTES = 100
+TASK_RUN_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -238,7 +239,7 @@
                 task = message.TaskAssignment(index, 1, "{}", 30.0)
                 ledger.start(held, task)
                 result = outcome.done(str(number) * RESULT_BYTES)
-                ledger.finish(held, index, _cut(result))
+                ledger.finish(held, index, _cut(result), TASK_RUN_S)
             ledger.take_unreported(held)
         return book
 
