--- a/egretthread_bench/scale.py
+++ b/egretthread_bench/scale.py
@@ -30,7 +30,7 @@
     witness,
 )
 from egretthread.blackboard import EntryBoard, HandOut, JobState, Phase
-from egretthread.controllers import answers
+from egretthread.controllers import answers, dispatch, wants
 from egretthread.jobkey import JobRef, make_key
 from egretthread.message import Ballot, Registration
 from egretthread_bench.deployment import Deployment, Site, read_usage
@@ -601,6 +601,26 @@
     return Slope("work of a second, 1024 shards", "agents", "ms", sizes, values)
 
 
+def wish_times() -> Slope:
+    """Time to look for agents to ask for slots while tasks wait."""
+
+    def update_us(agents: int) -> float:
+        board = new_entry(agents, 64)
+        queue = dispatch.queue_for(board, SERVICE)
+        queue.push("organisation-000", 1.0, job_ref(1), range(100), 100.0)
+        wants.update(board, SERVICE)
+
+        def update() -> None:
+            wants.update(board, SERVICE)
+            board.outbox.clear()
+
+        return 1e6 * seconds_of(update)
+
+    sizes = (100, 400, 1600)
+    values = tuple(update_us(count) for count in sizes)
+    return Slope("wishes looked through", "agents", "us", sizes, values)
+
+
 def verification_times() -> Slope:
     """Time to check an access key by the organisations configured."""
 
@@ -700,6 +720,7 @@
         submission_times(),
         configuration_times(),
         second_times(),
+        wish_times(),
         verification_times(),
         *asyncio.run(connected_agents()),
     ]
