--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -1,16 +1,31 @@
-"""Focused histories of the entries' list."""
+"""Tests of the entries' list and of what an entry tells its agents."""
 
 import dataclasses
 import json
 
 import testtools
 
-from egretthread import witness
+from egretthread import config, entry, members, message, settings, witness
 from egretthread.controllers import entry_members
 from tests import world
 
 SETTLE_S = 5.0 + witness.SETTLE_S
 ABSENT_S = entry_members.REMOVE_ENTRY_AFTER_S + 20.0
+SETTINGS = settings.EntrySettings(
+    name="entry-1",
+    region="eire-east",
+    zone="a",
+    http_address="127.0.0.1:0",
+    admin_address="127.0.0.1:0",
+    peer_address="127.0.0.1:0",
+    log_url="http://127.0.0.1:1",
+    shared_key="0123456789abcdef",
+)
+BEAT = message.Heartbeat(
+    "agent-1#1", "a", "match", 1, 1, 8, 8, True, False, 0.0, 0.0, 0
+)
+ADOPTED = dataclasses.replace(BEAT, shard_epochs=((0, 2),))
+MEMBER = members.EntryMember("entry-1", 1, "10.0.0.1:7000")
 
 
 def _removed(region: world.World) -> list[str]:
@@ -54,3 +69,59 @@
         region.run(SETTLE_S + 10.0)
         for name in ("e2", "e3"):
             self.assertFalse(region.processes[name].board.lease_open)
+
+
+class NewsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.board = entry.new_board(SETTINGS, 1, 0.0, 1)
+        configuration = config.Configuration(
+            zones=(config.AvailabilityZone("a", "eire-east"),)
+        )
+        entry.on_configuration(self.board, 1, configuration)
+        up = members.entry_up_record(MEMBER)
+        entry.on_members_record(self.board, 1, up)
+        self.give_shard(2)
+
+    def give_shard(self, offset, name="agent-1"):
+        record = members.shards_record(1, {0: (name,)})
+        entry.on_members_record(self.board, offset, record)
+
+    def reply_to(self, beat):
+        self.board.outbox.clear()
+        entry.on_message(self.board, beat.agent, beat)
+        return self.board.outbox[-1][1]
+
+    def test_what_did_not_change_is_told_once(self):
+        first = self.reply_to(BEAT)
+        self.assertEqual((MEMBER.address,), first.entries)
+        self.assertEqual([0], [view.shard for view in first.shards])
+        second = self.reply_to(ADOPTED)
+        self.assertEqual(((), ()), (second.entries, second.shards))
+
+    def test_a_shard_is_told_again_until_it_is_adopted(self):
+        self.reply_to(BEAT)
+        self.assertEqual([0], [v.shard for v in self.reply_to(BEAT).shards])
+
+    def test_a_fresh_link_is_told_all(self):
+        self.reply_to(BEAT)
+        entry.on_agent_link_closed(self.board, BEAT.agent)
+        entry.on_agent_link(self.board, BEAT.agent)
+        again = self.reply_to(ADOPTED)
+        self.assertEqual((MEMBER.address,), again.entries)
+        self.assertEqual([0], [view.shard for view in again.shards])
+
+    def test_a_newer_epoch_is_news(self):
+        self.reply_to(BEAT)
+        self.reply_to(ADOPTED)
+        self.give_shard(5)
+        (view,) = self.reply_to(ADOPTED).shards
+        self.assertEqual(5, view.epoch)
+
+    def test_a_shard_that_moved_away_is_told_while_it_is_believed(self):
+        self.reply_to(BEAT)
+        self.give_shard(5, "agent-2")
+        for _ in range(2):
+            (view,) = self.reply_to(ADOPTED).shards
+            self.assertEqual(("agent-2",), view.members)
+        self.assertEqual((), self.reply_to(BEAT).shards)
