--- a/egretthread_bench/processes.py
+++ b/egretthread_bench/processes.py
@@ -69,6 +69,7 @@
         failed: Jobs with a failed answer.
         errors: Jobs without an answer, by kind of error.
         tasks_by_outcome: Tasks of answered jobs, by outcome.
+        reasons: Tasks that are not done, by the reason given.
         started: Tasks that started.
         doubled: Tasks that started more than once.
         round_trip_s: Time of an empty HTTP request, unloaded.
@@ -98,6 +99,7 @@
     failed: int
     errors: dict[str, int]
     tasks_by_outcome: dict[str, int]
+    reasons: dict[str, int]
     started: int
     doubled: int
     round_trip_s: float
@@ -281,6 +283,7 @@
         failed=sum(1 for j in jobs if j.answer and not j.answer.complete),
         errors=dict(collections.Counter(j.error for j in jobs if j.error)),
         tasks_by_outcome=_tasks_by_outcome(jobs),
+        reasons=_reasons(jobs),
         started=len(starts),
         doubled=len(starts) - len({(s.key, s.index) for s in starts}),
         round_trip_s=round_trip_s,
@@ -322,6 +325,19 @@
     return {kind.value: counts[kind] for kind in OutcomeKind}
 
 
+def _reasons(jobs: list[Submitted]) -> dict[str, int]:
+    """Counts the reasons of tasks that are not done."""
+    return dict(
+        collections.Counter(
+            item.reason
+            for job in jobs
+            if job.answer
+            for item in job.answer.outcomes
+            if item.reason
+        )
+    )
+
+
 def ideal_s(run_s: tuple[float, ...], round_trip_s: float) -> float:
     """Returns the least response time of a job.
 
--- a/egretthread_bench/processreport.py
+++ b/egretthread_bench/processreport.py
@@ -124,6 +124,7 @@
     lines += [f"- {line}" for line in outcome.log]
     tasks = ", ".join(f"{n} {k}" for k, n in outcome.tasks_by_outcome.items())
     lines.append(f"- tasks of answered jobs: {tasks}")
+    lines += [f"- {n} tasks: {text}" for text, n in outcome.reasons.items()]
     if outcome.errors:
         lines.append(f"- errors: {outcome.errors}")
     if len(outcome.tenant_p99) > 1:
