Pass seals on through entries that have a link with the agent

The entry now asks the others to pass the seal on; an agent sealed by an entry without a link dials all entries for as long as the job may take.

--- a/egretthread/agentserver.py
+++ b/egretthread/agentserver.py
@@ -188,10 +188,12 @@
     def _wanted_entries(self) -> set[str]:
         """Returns the addresses of the entries to keep links with.
 
-        A witness is reached by every entry; another agent by a few.
+        A witness is reached by every entry; another agent by a few, and by
+        all while an entry without a link coordinates a job it may hold.
         """
         addresses = self.board.entries or self.settings.entries
-        if self.board.witness.shards:
+        called = self.board.now_s < self.board.dial_all_until_s
+        if called or self.board.witness.shards:
             return set(addresses)
         ranked = sorted(addresses, key=self._rank)
         return set(ranked[: self.settings.entry_fanout])
--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -504,6 +504,8 @@
         granted_s: Monotonic time of the last grant, by entry node id.
         healthy: Whether the backend server answers.
         draining: Whether the process is shutting down.
+        dial_all_until_s: Monotonic time until which links with all entries
+            are kept, since one without a link has taken over a job.
         recent: Whether recent tasks failed, newest last.
         links: Tasks received over the present link, by entry node id.
         outbox: (node id, message) pairs to be sent.
@@ -532,6 +534,7 @@
     wishes: dict[str, credit.Wish] = dataclasses.field(default_factory=dict)
     healthy: bool = True
     draining: bool = False
+    dial_all_until_s: float = float("-inf")
     recent: collections.deque = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=50)
     )
--- a/egretthread/controllers/agent_tasks.py
+++ b/egretthread/controllers/agent_tasks.py
@@ -10,6 +10,10 @@
 from egretthread.message import Ballot, Refusal, TaskReport, TaskState
 from egretthread.outcome import Outcome, OutcomeKind
 
+# How long an agent keeps links with all entries once an entry without a link
+# has taken over a job: as long as the job may take.
+DIAL_ALL_S = 120.0
+
 
 def _is_expired(board: AgentBoard, job: JobRef) -> bool:
     return job.issued_s < board.horizon_s
@@ -315,6 +319,8 @@
     if _is_expired(board, seal.job) and seal.job not in board.ledger.jobs:
         board.counters["seals_after_retention"] += 1
         return
+    if seal.ballot.coordinator not in board.links:
+        board.dial_all_until_s = board.now_s + DIAL_ALL_S
     if seal.agent == board.node:
         entry = ledger.job_entry(board.ledger, seal.job)
         _raise_ballot(board, seal.job, entry, seal.ballot)
--- a/egretthread/controllers/recovery.py
+++ b/egretthread/controllers/recovery.py
@@ -58,6 +58,26 @@
             board.send(node, message.Seal(state.job, state.ballot, node))
         elif _is_replaced(board, node):
             state.vanished.add(node)
+        else:
+            _call_through_others(board, state, node)
+
+
+def _call_through_others(board: EntryBoard, state: JobState, node: str) -> None:
+    """Lets the other entries pass a seal on to an agent without a link here.
+
+    The agent then dials this entry, which seals it over its own link.
+    """
+    seal = message.Seal(state.job, state.ballot, node)
+    for peer in board.entry_links:
+        board.send(peer, seal)
+
+
+def on_seal(board: EntryBoard, node: str, seal: message.Seal) -> None:
+    """Passes another entry's seal on to an agent that is linked here."""
+    agent = board.agents.get(seal.agent)
+    if agent is not None and agent.connected:
+        board.counters["seals_passed_on"] += 1
+        board.send(seal.agent, seal)
 
 
 def _unsealed(state: JobState) -> list[str]:
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -27,6 +27,7 @@
 HANDLERS = {
     message.WitnessReply: claims.on_witness_reply,
     message.AskReply: claims.on_ask_reply,
+    message.Seal: recovery.on_seal,
     message.SealReply: recovery.on_seal_reply,
     message.Report: reports.on_report,
     message.Credit: reports.on_credit,
--- a/tests/test_agent_tasks.py
+++ b/tests/test_agent_tasks.py
@@ -96,3 +96,16 @@
             [(1, TaskState.REFUSED), (0, TaskState.FINISHED)],
             [(task.index, task.state) for task in report.tasks],
         )
+
+    def test_seal_of_an_entry_without_a_link_makes_the_agent_dial_all(self):
+        third = Ballot(3, "entry-3#1")
+        seal = message.Seal(JOB, third, self.board.node)
+        agent.on_message(self.board, SECOND.coordinator, seal)
+        self.assertTrue(self.board.dial_all_until_s > self.board.now_s)
+        self.assign(SECOND, 0)
+        (report,) = self.reports(SECOND.coordinator)
+        self.assertEqual(Refusal.SEALED, report.tasks[0].refusal)
+
+    def test_seal_over_a_link_needs_no_others(self):
+        self.seal(SECOND)
+        self.assertTrue(self.board.dial_all_until_s < self.board.now_s)
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -5,7 +5,15 @@
 
 import testtools
 
-from egretthread import config, entry, members, message, settings, witness
+from egretthread import (
+    config,
+    entry,
+    jobkey,
+    members,
+    message,
+    settings,
+    witness,
+)
 from egretthread.controllers import entry_members
 from tests import world
 
@@ -125,3 +133,11 @@
             (view,) = self.reply_to(ADOPTED).shards
             self.assertEqual(("agent-2",), view.members)
         self.assertEqual((), self.reply_to(BEAT).shards)
+
+    def test_seal_of_another_entry_is_passed_on(self):
+        self.reply_to(BEAT)
+        self.board.outbox.clear()
+        job = jobkey.JobRef("dublin", "1796337912517-a")
+        seal = message.Seal(job, message.Ballot(2, "entry-2#1"), BEAT.agent)
+        entry.on_message(self.board, "entry-2#1", seal)
+        self.assertEqual([(BEAT.agent, seal)], self.board.outbox)
