--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -21,6 +21,7 @@
     "tests/test_entry_members.py",
     "tests/test_lease.py",
     "tests/test_recovery.py",
+    "tests/test_reports.py",
     "tests/test_rounds.py",
     "tests/test_world.py",
 )
