--- a/egretthread/agentserver.py
+++ b/egretthread/agentserver.py
@@ -167,7 +167,10 @@
         for address in wanted:
             if address not in self.clients:
                 self._open_link(address)
-        for address in set(self.clients) - wanted:
+        # An entry that is still listed may coordinate jobs that this agent
+        # holds tasks of, even when another one is preferred by now.
+        listed = set(self.board.entries or self.settings.entries)
+        for address in set(self.clients) - wanted - listed:
             client = self.clients.pop(address)
             self._spawn(client.close())
 
