--- a/egretthread/agent.py
+++ b/egretthread/agent.py
@@ -1,7 +1,7 @@
 """The agent's engine: hands each event to its controllers."""
 
 from egretthread import message, settings, witness
-from egretthread.blackboard import AgentBoard, StartOrder
+from egretthread.agentboard import AgentBoard, StartOrder
 from egretthread.controllers import agent_leases, agent_tasks, agent_witness
 from egretthread.outcome import Outcome
 
--- /dev/null
+++ b/egretthread/agentboard.py
@@ -0,0 +1,109 @@
+"""The mutable state of an agent, in one object."""
+
+import collections
+import dataclasses
+
+from egretthread import (
+    credit,
+    message,
+)
+from egretthread.jobkey import JobRef
+from egretthread.lease import NO_LEASE, AgentLease
+from egretthread.ledger import Ledger
+from egretthread.message import Message
+from egretthread.settings import AgentSettings
+from egretthread.witness import WitnessRegister
+
+
+@dataclasses.dataclass(frozen=True)
+class StartOrder:
+    """A task the shell is to run on the backend server.
+
+    Attributes:
+        job: The task's job.
+        service: The service.
+        index: The task's index.
+        attempt: Which hand-out it is.
+        payload: JSON text for the backend server.
+        timeout_s: Longest run time.
+        accepted_s: Monotonic time since when it holds its slot.
+    """
+
+    job: JobRef
+    service: str
+    index: int
+    attempt: int
+    payload: str
+    timeout_s: float
+    accepted_s: float = 0.0
+
+
+@dataclasses.dataclass
+class AgentBoard:
+    """All state of one agent; controllers read and write it.
+
+    Attributes:
+        settings: The process's settings.
+        node: Its node id.
+        now_s: Monotonic time of the event being handled.
+        unix_s: Wall clock of the event being handled.
+        horizon_s: Keys issued before this Unix time are refused; it never
+            goes back, whatever becomes of the retention.
+        lease: Permission to start tasks.
+        view: The heartbeat reply that the lease's configuration came from.
+        entries: Addresses of all entries, as last told.
+        ledger: Tasks handed to this agent.
+        witness: Job keys this agent is a witness of.
+        slots: Slots in force.
+        running: Tasks running now.
+        waiting: Accepted tasks that wait for a slot, next first.
+        held: Slots held for entries: (until_s, entry node id, count).
+        wishes: Wishes for free slots, by entry node id.
+        granted_s: Monotonic time of the last grant, by entry node id.
+        healthy: Whether the backend server answers.
+        draining: Whether the process is shutting down.
+        dial_all_until_s: Monotonic time until which links with all entries
+            are kept, since one without a link has taken over a job.
+        recent: Whether recent tasks failed, newest last.
+        links: Tasks received over the present link, by entry node id.
+        outbox: (node id, message) pairs to be sent.
+        to_start: Tasks for the shell to run.
+        counters: Event counts for the metrics.
+        samples: (histogram name, seconds) pairs for the metrics.
+    """
+
+    settings: AgentSettings
+    node: str
+    now_s: float = 0.0
+    unix_s: float = 0.0
+    horizon_s: float = 0.0
+    lease: AgentLease = NO_LEASE
+    view: message.HeartbeatReply | None = None
+    entries: tuple[str, ...] = ()
+    ledger: Ledger = dataclasses.field(default_factory=Ledger)
+    witness: WitnessRegister | None = None
+    slots: int = 0
+    running: int = 0
+    waiting: collections.deque[StartOrder] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    held: list[tuple[float, str, int]] = dataclasses.field(default_factory=list)
+    granted_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    wishes: dict[str, credit.Wish] = dataclasses.field(default_factory=dict)
+    healthy: bool = True
+    draining: bool = False
+    dial_all_until_s: float = float("-inf")
+    recent: collections.deque = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=50)
+    )
+    links: dict[str, int] = dataclasses.field(default_factory=dict)
+    outbox: list[tuple[str, Message]] = dataclasses.field(default_factory=list)
+    to_start: list[StartOrder] = dataclasses.field(default_factory=list)
+    counters: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    samples: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+
+    def send(self, node: str, item: Message) -> None:
+        """Puts a message for a node into the outbox."""
+        self.outbox.append((node, item))
--- a/egretthread/agentserver.py
+++ b/egretthread/agentserver.py
@@ -14,7 +14,7 @@
     message,
     metrics,
 )
-from egretthread.blackboard import AgentBoard, StartOrder
+from egretthread.agentboard import AgentBoard, StartOrder
 from egretthread.controllers import agent_tasks
 from egretthread.message import Refusal
 from egretthread.settings import AgentSettings
--- a/egretthread/backendclient.py
+++ b/egretthread/backendclient.py
@@ -8,7 +8,7 @@
 from tornado import iostream
 
 from egretthread import backendpool, outcome, util
-from egretthread.blackboard import StartOrder
+from egretthread.agentboard import StartOrder
 from egretthread.outcome import Outcome
 from egretthread.settings import AgentSettings
 
--- a/egretthread/callerapi.py
+++ b/egretthread/callerapi.py
@@ -7,10 +7,10 @@
 import tornado.web
 
 from egretthread import accesskey, jobform, jobkey, util
-from egretthread.blackboard import Refusal
 from egretthread.config import Organisation
 from egretthread.jobkey import JobRef
 from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
+from egretthread.submission import Refusal
 
 BEARER = "Bearer "
 # HTTP status of each kind of refusal; the rest are 503.
--- a/egretthread/controllers/admission.py
+++ b/egretthread/controllers/admission.py
@@ -7,16 +7,12 @@
 import dataclasses
 
 from egretthread import runtimes
-from egretthread.blackboard import (
-    Capacity,
-    EntryBoard,
-    JobState,
-    Refusal,
-    Submission,
-)
+from egretthread.blackboard import Capacity, EntryBoard
 from egretthread.config import Service
 from egretthread.controllers import dispatch, pool
 from egretthread.fairqueue import FairQueue
+from egretthread.jobstate import JobState
+from egretthread.submission import Refusal, Submission
 
 # Fewer run times than this say nothing yet.
 MIN_LEARNED = 20
--- a/egretthread/controllers/agent_leases.py
+++ b/egretthread/controllers/agent_leases.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from egretthread import credit, lease, message, witness
-from egretthread.blackboard import AgentBoard
+from egretthread.agentboard import AgentBoard
 
 
 def is_open(board: AgentBoard) -> bool:
--- a/egretthread/controllers/agent_tasks.py
+++ b/egretthread/controllers/agent_tasks.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from egretthread import credit, ledger, message
-from egretthread.blackboard import AgentBoard, StartOrder
+from egretthread.agentboard import AgentBoard, StartOrder
 from egretthread.controllers import agent_leases
 from egretthread.jobkey import JobRef
 from egretthread.message import Ballot, Refusal, TaskReport, TaskState
--- a/egretthread/controllers/agent_witness.py
+++ b/egretthread/controllers/agent_witness.py
@@ -1,7 +1,7 @@
 """Agent: answers for the job keys it is a witness of."""
 
 from egretthread import ledger, witness
-from egretthread.blackboard import AgentBoard
+from egretthread.agentboard import AgentBoard
 
 
 def on_request(board: AgentBoard, node: str, request: witness.Request) -> None:
--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -3,10 +3,12 @@
 import dataclasses
 
 from egretthread import message, outcome
-from egretthread.blackboard import EntryBoard, JobState, Phase, Refusal
+from egretthread.blackboard import EntryBoard
 from egretthread.controllers import dispatch, requests, rounds
 from egretthread.jobkey import JobRef
+from egretthread.jobstate import JobState, Phase
 from egretthread.outcome import JobAnswer, OutcomeKind
+from egretthread.submission import Refusal
 
 # Why a cancelled job's tasks are not run.
 CANCELLED = "cancelled by its caller"
--- a/egretthread/controllers/claims.py
+++ b/egretthread/controllers/claims.py
@@ -1,7 +1,7 @@
 """Entry: becoming a job's coordinator, or finding who is."""
 
 from egretthread import message
-from egretthread.blackboard import EntryBoard, JobState, Phase, Refusal
+from egretthread.blackboard import EntryBoard
 from egretthread.controllers import (
     admission,
     answers,
@@ -13,7 +13,9 @@
     submissions,
 )
 from egretthread.controllers.rounds import Tally
+from egretthread.jobstate import JobState, Phase
 from egretthread.message import Ballot, Registration
+from egretthread.submission import Refusal
 
 # Two entries that outbid each other wait up to this long between tries.
 BACKOFF_S = 0.2
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -10,15 +10,10 @@
     placement,
     placements,
 )
-from egretthread.blackboard import (
-    AgentState,
-    EntryBoard,
-    HandOut,
-    JobState,
-    Phase,
-)
+from egretthread.blackboard import AgentState, EntryBoard
 from egretthread.controllers import answers, claims, pool, rounds, wants
 from egretthread.controllers.rounds import Tally
+from egretthread.jobstate import HandOut, JobState, Phase
 
 # A hand-out without news is sent again after this time.
 RESEND_S = 10.0
--- a/egretthread/controllers/lookups.py
+++ b/egretthread/controllers/lookups.py
@@ -1,16 +1,13 @@
 """Entry: answers callers who ask about a job by its key alone."""
 
 from egretthread import message
-from egretthread.blackboard import (
-    EntryBoard,
-    JobStatus,
-    LookUp,
-    Refusal,
-)
+from egretthread.blackboard import EntryBoard
 from egretthread.controllers import answers, entry_members, rounds
 from egretthread.controllers.rounds import Tally
 from egretthread.jobkey import JobRef
+from egretthread.jobstate import JobStatus, LookUp
 from egretthread.outcome import JobAnswer
+from egretthread.submission import Refusal
 
 # A search without a result for this long is given up.
 GIVE_UP_S = 5.0
--- a/egretthread/controllers/recovery.py
+++ b/egretthread/controllers/recovery.py
@@ -1,8 +1,9 @@
 """Entry: taking over a job whose coordinator is gone."""
 
 from egretthread import message, outcome
-from egretthread.blackboard import EntryBoard, HandOut, JobState, Phase
+from egretthread.blackboard import EntryBoard
 from egretthread.controllers import answers, claims, pool, rounds
+from egretthread.jobstate import HandOut, JobState, Phase
 from egretthread.message import NO_BALLOT, Registration, TaskState
 
 # An agent that has not answered a seal is asked again after this time.
--- a/egretthread/controllers/reports.py
+++ b/egretthread/controllers/reports.py
@@ -1,7 +1,7 @@
 """Entry: takes in what agents report of the tasks they hold."""
 
 from egretthread import message, outcome
-from egretthread.blackboard import AgentState, EntryBoard, JobState, Phase
+from egretthread.blackboard import AgentState, EntryBoard
 from egretthread.controllers import (
     admission,
     answers,
@@ -10,6 +10,7 @@
     pool,
     wants,
 )
+from egretthread.jobstate import JobState, Phase
 from egretthread.message import Refusal, TaskReport, TaskState
 
 # Refusals of agents that go on offering their slots.
--- a/egretthread/controllers/requests.py
+++ b/egretthread/controllers/requests.py
@@ -8,16 +8,12 @@
 import dataclasses
 
 from egretthread import jobform, jobkey, message, retry
-from egretthread.blackboard import (
-    EntryBoard,
-    Refusal,
-    RequestState,
-    SingleRequest,
-    Submission,
-)
+from egretthread.blackboard import EntryBoard
 from egretthread.controllers import submissions
 from egretthread.jobkey import JobRef
+from egretthread.jobstate import RequestState
 from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
+from egretthread.submission import Refusal, SingleRequest, Submission
 
 # Attempts of one idempotent request at most.
 MAX_ATTEMPTS = 3
--- a/egretthread/controllers/rounds.py
+++ b/egretthread/controllers/rounds.py
@@ -4,8 +4,9 @@
 import enum
 
 from egretthread import members, message, witness
-from egretthread.blackboard import EntryBoard, Round
+from egretthread.blackboard import EntryBoard
 from egretthread.jobkey import JobRef
+from egretthread.jobstate import Round
 from egretthread.message import Verdict
 
 # An unanswered request is sent again after this time.
--- a/egretthread/controllers/submissions.py
+++ b/egretthread/controllers/submissions.py
@@ -1,12 +1,6 @@
 """Entry: takes submissions from callers or refuses them."""
 
-from egretthread.blackboard import (
-    EntryBoard,
-    JobState,
-    Phase,
-    Refusal,
-    Submission,
-)
+from egretthread.blackboard import EntryBoard
 from egretthread.controllers import (
     admission,
     answers,
@@ -14,7 +8,9 @@
     entry_members,
     pool,
 )
+from egretthread.jobstate import JobState, Phase
 from egretthread.message import Ballot, Registration
+from egretthread.submission import Refusal, Submission
 
 
 def submit(board: EntryBoard, submission: Submission) -> Refusal | None:
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -3,13 +3,7 @@
 import random
 
 from egretthread import config, members, message, settings
-from egretthread.blackboard import (
-    EntryBoard,
-    Phase,
-    Refusal,
-    SingleRequest,
-    Submission,
-)
+from egretthread.blackboard import EntryBoard
 from egretthread.controllers import (
     answers,
     claims,
@@ -23,6 +17,8 @@
     submissions,
 )
 from egretthread.jobkey import JobRef
+from egretthread.jobstate import Phase
+from egretthread.submission import Refusal, SingleRequest, Submission
 
 HANDLERS = {
     message.WitnessReply: claims.on_witness_reply,
--- a/egretthread/entryserver.py
+++ b/egretthread/entryserver.py
@@ -16,14 +16,10 @@
     message,
     metrics,
 )
-from egretthread.blackboard import (
-    EntryBoard,
-    Refusal,
-    SingleRequest,
-    Submission,
-)
+from egretthread.blackboard import EntryBoard
 from egretthread.jobkey import JobRef
 from egretthread.settings import EntrySettings, join_address, split_address
+from egretthread.submission import Refusal, SingleRequest, Submission
 
 TICK_S = 0.05
 SHUTDOWN_CHECK_S = 0.05
--- a/egretthread/jobform.py
+++ b/egretthread/jobform.py
@@ -5,7 +5,7 @@
 import orjson
 
 from egretthread import config, jobkey, util
-from egretthread.blackboard import SingleRequest, Submission, TaskSpec
+from egretthread.submission import SingleRequest, Submission, TaskSpec
 
 JOB_KEYS = ("key", "service", "deadline_s", "tasks")
 TASK_KEYS = ("payload", "memory_bytes", "run_s")
--- a/egretthread_bench/engines.py
+++ b/egretthread_bench/engines.py
@@ -9,16 +9,12 @@
 from egretthread import agent as agent_engine
 from egretthread import config, ejection, lease, message, settings
 from egretthread import entry as entry_engine
-from egretthread.blackboard import (
-    AgentState,
-    JobState,
-    Phase,
-    StartOrder,
-    Submission,
-    TaskSpec,
-)
+from egretthread.agentboard import StartOrder
+from egretthread.blackboard import AgentState
 from egretthread.controllers import agent_leases, dispatch, pool, reports
+from egretthread.jobstate import JobState, Phase
 from egretthread.outcome import done, failed
+from egretthread.submission import Submission, TaskSpec
 from egretthread_bench.benchentry import Belief, OpenJob
 from egretthread_bench.experiment import Experiment
 from egretthread_bench.fakeagent import FAILING_RUN_S
--- a/egretthread_bench/scale.py
+++ b/egretthread_bench/scale.py
@@ -29,9 +29,10 @@
     wire,
     witness,
 )
-from egretthread.blackboard import EntryBoard, HandOut, JobState, Phase
+from egretthread.blackboard import EntryBoard
 from egretthread.controllers import answers, dispatch, wants
 from egretthread.jobkey import JobRef, make_key
+from egretthread.jobstate import HandOut, JobState, Phase
 from egretthread.message import Ballot, Registration
 from egretthread_bench.deployment import Deployment, Site, read_usage
 
--- a/egretthread_standins/sink.py
+++ b/egretthread_standins/sink.py
@@ -15,7 +15,7 @@
 import orjson
 
 from egretthread import agentserver, backendclient, logs, outcome
-from egretthread.blackboard import StartOrder
+from egretthread.agentboard import StartOrder
 from egretthread.outcome import Outcome
 from egretthread.settings import AgentSettings
 
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from egretthread import config
-from egretthread.blackboard import Refusal, Submission
 from egretthread.jobkey import JobRef
 from egretthread.outcome import JobAnswer, Outcome, not_run
+from egretthread.submission import Refusal, Submission
 
 
 class NaiveDispatcher:
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -8,9 +8,10 @@
 import dataclasses
 
 from egretthread import config
-from egretthread.blackboard import Refusal, StartOrder, Submission
+from egretthread.agentboard import StartOrder
 from egretthread.jobkey import JobRef
 from egretthread.outcome import JobAnswer, Outcome, OutcomeKind
+from egretthread.submission import Refusal, Submission
 
 # A withdrawn zone or a draining backend server starts nothing after this.
 STOP_WITHIN_S = 4.0
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,7 @@
 import testtools
 
 from egretthread import witness
-from egretthread.blackboard import Refusal
+from egretthread.submission import Refusal
 from tests import world
 
 SETTLE_S = 5.0 + witness.SETTLE_S
--- a/tests/test_backendclient.py
+++ b/tests/test_backendclient.py
@@ -5,7 +5,7 @@
 import testtools
 
 from egretthread import backendclient, settings
-from egretthread.blackboard import StartOrder
+from egretthread.agentboard import StartOrder
 from egretthread.jobkey import JobRef
 from egretthread.outcome import OutcomeKind
 from egretthread_standins import backend
--- a/tests/test_callerapi.py
+++ b/tests/test_callerapi.py
@@ -9,11 +9,11 @@
 import tornado.httpserver
 import tornado.netutil
 
-from egretthread import accesskey, blackboard, callerapi, outcome
+from egretthread import accesskey, callerapi, outcome, submission
 from tests import world
 from tests.aio import run_async
 
-OVERLOADED = blackboard.Refusal(
+OVERLOADED = submission.Refusal(
     "overloaded", "too much waits", "come back", retry_after_s=1.5
 )
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,9 +5,9 @@
 import testtools
 
 from egretthread import message, witness
-from egretthread.blackboard import Refusal
 from egretthread.controllers import answers
 from egretthread.message import AskStatus
+from egretthread.submission import Refusal
 from tests import world
 
 SETTLE_S = 5.0 + witness.SETTLE_S
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -5,7 +5,7 @@
 import testtools
 
 from egretthread import quota, witness
-from egretthread.blackboard import Refusal
+from egretthread.submission import Refusal
 from tests import world
 
 SETTLE_S = 5.0 + witness.SETTLE_S
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -227,7 +227,7 @@
         server = await self.start_server()
         path = await self.start_relay(server)
         client = self.start_client(f"127.0.0.1:{path.port}", liveness_s=SHORT_S)
-        await until(lambda: self.far.opened)
+        await until(lambda: self.far.opened and self.near.opened)
         path.silence()
         await until(lambda: len(self.far.opened) >= 2)
         self.assertEqual("silent", self.near.closed[0].close_reason)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -3,9 +3,9 @@
 import testtools
 
 from egretthread import jobform, util, witness
-from egretthread.blackboard import Refusal
 from egretthread.controllers import requests
 from egretthread.outcome import OutcomeKind
+from egretthread.submission import Refusal
 from tests import world
 
 SETTLE_S = 5.0 + witness.SETTLE_S
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -5,9 +5,9 @@
 import testtools
 
 from egretthread import message
-from egretthread.blackboard import Round
 from egretthread.controllers import rounds
 from egretthread.jobkey import JobRef
+from egretthread.jobstate import Round
 from egretthread.message import Ballot, Registration, Verdict
 
 JOB = JobRef("dublin", "1750000000000-job")
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -3,8 +3,8 @@
 import testtools
 
 from egretthread import witness
-from egretthread.blackboard import Refusal
 from egretthread.outcome import OutcomeKind
+from egretthread.submission import Refusal
 from tests import world
 
 SETTLE_S = 5.0 + witness.SETTLE_S
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,14 +23,9 @@
     outcome,
     settings,
 )
-from egretthread.blackboard import (
-    Refusal,
-    SingleRequest,
-    StartOrder,
-    Submission,
-    TaskSpec,
-)
+from egretthread.agentboard import StartOrder
 from egretthread.controllers import agent_tasks
+from egretthread.submission import Refusal, SingleRequest, Submission, TaskSpec
 from tests import oracle
 
 UNIX_START_S = 1_750_000_000.0
