--- a/tests/test_callerapi.py
+++ b/tests/test_callerapi.py
@@ -61,7 +61,7 @@
         self.stack.callback(http.close)
         url = f"http://127.0.0.1:{socket.getsockname()[1]}"
 
-        async def post(path, body):
+        async def post(path, body, token=token):
             response = await http.fetch(
                 url + path,
                 method="POST",
@@ -108,3 +108,11 @@
             self.assertEqual((400, "bad_request"), (status, answer["kind"]))
             self.assertTrue(len(answer["faults"]) >= 2)
         self.assertEqual([], entry.taken)
+
+    @run_async
+    async def test_wrong_keys_are_refused_alike(self):
+        entry, post = self.start(OVERLOADED)
+        for token in ("", "dublin", "dublin.wrong", "nobody.wrong"):
+            status, answer = await post("/v1/jobs", {}, token)
+            self.assertEqual((401, "unauthorised"), (status, answer["kind"]))
+        self.assertEqual([], entry.taken)
