--- a/egretthread/blackboard.py
+++ b/egretthread/blackboard.py
@@ -119,6 +119,8 @@
         jobs: Jobs, by reference, kept until past retention.
         open_jobs: The jobs among them that have no answer yet.
         generations: Highest generation used by this entry, by job.
+        handed_out: Jobs of which this entry ever handed out tasks, kept until
+            past retention.
         queues: Fair queue of waiting tasks, by service.
         eligible_counts: Agents that may get tasks, by service, as last
             counted.
@@ -170,6 +172,7 @@
     jobs: dict[JobRef, JobState] = dataclasses.field(default_factory=dict)
     open_jobs: dict[JobRef, JobState] = dataclasses.field(default_factory=dict)
     generations: dict[JobRef, int] = dataclasses.field(default_factory=dict)
+    handed_out: set[JobRef] = dataclasses.field(default_factory=set)
     queues: dict[str, fairqueue.FairQueue] = dataclasses.field(
         default_factory=dict
     )
--- a/egretthread/controllers/answers.py
+++ b/egretthread/controllers/answers.py
@@ -48,7 +48,8 @@
 
     An entry that was superseded may have handed out tasks before.
     """
-    started = any(state.attempts.values())
+    # Tasks that an earlier submission handed out may start even now.
+    started = state.job in board.handed_out
     refusal = dataclasses.replace(refusal, started=started)
     del board.jobs[state.job]
     _free_quota(board, state)
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -196,6 +196,7 @@
         state.hand_outs[index] = HandOut(
             agent.node, state.attempts[index], board.now_s
         )
+    board.handed_out.add(state.job)
     agent.free -= len(indices)
     pool.note_hand_out(board, agent)
     pool.probation(board, agent.heartbeat.service).pushed(
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -220,6 +220,9 @@
         del board.jobs[job]
     for job in [j for j in board.generations if j.issued_s < board.horizon_s]:
         del board.generations[job]
+    board.handed_out = {
+        job for job in board.handed_out if job.issued_s >= board.horizon_s
+    }
 
 
 def begin_shutdown(board: EntryBoard) -> None:
