Keep one list of unsettled tasks and one rule for the next bid

Cause: dispatch and recovery each had their own list of the tasks that have no outcome and no holder, and two places in claims raised a job's known generation in the same words. Each stands once now; behaviour is unchanged.

--- a/egretthread/controllers/claims.py
+++ b/egretthread/controllers/claims.py
@@ -110,15 +110,21 @@
     if _conflicts(board, state, current):
         return
     holder = rounds.holding_promise(current)
-    board.generations[state.job] = max(
-        board.generations.get(state.job, 0), holder.generation
-    )
+    _note_generation(board, state, holder)
     if entry_members.is_alive(board, holder.coordinator):
         _ask(board, state, holder.coordinator)
     else:
         begin_prepare(board, state)
 
 
+def _note_generation(
+    board: EntryBoard, state: JobState, ballot: Ballot
+) -> None:
+    """Makes this entry's next bid for a job higher than a ballot."""
+    known = board.generations.get(state.job, 0)
+    board.generations[state.job] = max(known, ballot.generation)
+
+
 def _conflicts(board: EntryBoard, state: JobState, current) -> bool:
     for registration in rounds.registrations(current):
         if registration.digest != state.submission.digest:
@@ -148,9 +154,7 @@
     dispatch.stop_running(board, state)
     state.round = None
     state.extension = None
-    board.generations[state.job] = max(
-        board.generations.get(state.job, 0), ballot.generation
-    )
+    _note_generation(board, state, ballot)
     if entry_members.is_alive(board, ballot.coordinator):
         _ask(board, state, ballot.coordinator)
     else:
--- a/egretthread/controllers/dispatch.py
+++ b/egretthread/controllers/dispatch.py
@@ -27,21 +27,13 @@
 def begin_running(board: EntryBoard, state: JobState) -> None:
     """Queues the tasks of a job that nobody has started."""
     state.phase = Phase.RUNNING
-    enqueue(board, state, _unsettled(state))
+    enqueue(board, state, state.unsettled())
     if state.cancel_reason:
         give_up_queued(board, state)
     answers.check_over(board, state)
     _run_job(board, state)
 
 
-def _unsettled(state: JobState) -> list[int]:
-    return [
-        index
-        for index in range(len(state.submission.tasks))
-        if index not in state.outcomes and index not in state.hand_outs
-    ]
-
-
 def enqueue(board: EntryBoard, state: JobState, indices: list[int]) -> None:
     """Queues tasks of a job behind its organisation's others."""
     if not indices:
@@ -67,7 +59,7 @@
     stop_running(board, state)
     if state.phase is not Phase.RUNNING:
         return
-    for index in _unsettled(state):
+    for index in state.unsettled():
         state.outcomes[index] = outcome.not_run(state.cancel_reason)
 
 
@@ -314,7 +306,7 @@
         rounds.refresh(board, state.extension)
         advance_extension(board, state)
         return
-    if state.registration.closed or not _unsettled(state):
+    if state.registration.closed or not state.unsettled():
         return
     # Each list holds the one before, so that the longest is the newest word.
     known = state.proposed_agents or state.agents
--- a/egretthread/controllers/recovery.py
+++ b/egretthread/controllers/recovery.py
@@ -161,17 +161,9 @@
                 )
 
 
-def _unsettled(state: JobState) -> list[int]:
-    return [
-        index
-        for index in range(len(state.submission.tasks))
-        if index not in state.outcomes and index not in state.hand_outs
-    ]
-
-
 def _settle_vanished(state: JobState) -> None:
     """Nobody knows whether the agents that are gone started the rest."""
-    for index in _unsettled(state):
+    for index in state.unsettled():
         state.outcomes[index] = outcome.unknown(
             "the agent that may have started it is gone"
         )
@@ -182,7 +174,7 @@
 
     What no agent has started is not run for good once all are sealed.
     """
-    for index in _unsettled(state):
+    for index in state.unsettled():
         if index in state.registration.not_run or not state.vanished:
             state.outcomes[index] = outcome.not_run("the job was closed")
         else:
--- a/egretthread/jobstate.py
+++ b/egretthread/jobstate.py
@@ -144,6 +144,14 @@
         """The job's organisation and key."""
         return self.submission.job
 
+    def unsettled(self) -> list[int]:
+        """Returns the tasks that have no outcome and that no agent holds."""
+        return [
+            index
+            for index in range(len(self.submission.tasks))
+            if index not in self.outcomes and index not in self.hand_outs
+        ]
+
 
 @dataclasses.dataclass
 class RequestState:
