--- a/egretthread/backendpool.py
+++ b/egretthread/backendpool.py
@@ -4,6 +4,7 @@
 import dataclasses
 import ssl
 import urllib.parse
+from collections.abc import Mapping
 
 from tornado import http1connection, httputil, iostream, tcpclient
 
@@ -47,12 +48,20 @@
     Attributes:
         parts: The URL, split.
         max_body_bytes: Longest body of a response.
+        max_idle_s: Time after which an idle connection is not used again.
         idle: The connections without a request, the latest used last.
     """
 
-    def __init__(self, url: str, max_connections: int, max_body_bytes: int):
+    def __init__(
+        self,
+        url: str,
+        max_connections: int,
+        max_body_bytes: int,
+        max_idle_s: float = MAX_IDLE_S,
+    ):
         self.parts = urllib.parse.urlsplit(url)
         self.max_body_bytes = max_body_bytes
+        self.max_idle_s = max_idle_s
         self.idle: list[IdleConnection] = []
         self.room = asyncio.Semaphore(max_connections)
         self.client = tcpclient.TCPClient()
@@ -99,29 +108,67 @@
         self.idle = [c for c in self.idle if not c.stream.closed()]
 
     def _drop_old(self) -> None:
-        oldest_s = clock.monotonic_s() - MAX_IDLE_S
+        oldest_s = clock.monotonic_s() - self.max_idle_s
         while self.idle and self.idle[0].since_s < oldest_s:
             self.idle.pop(0).stream.close()
 
+    async def request(
+        self,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        method: str = "POST",
+        headers: Mapping[str, str] | None = None,
+    ) -> Response:
+        """Sends one request and returns its response.
+
+        Raises:
+            OSError: The server was not reached.
+            iostream.StreamClosedError: The connection was lost.
+            TimeoutError: No whole response came in time.
+        """
+        async with asyncio.timeout(timeout_s), self.room:
+            stream = await self.connect()
+            try:
+                connection = self.write(stream, path, body, method, headers)
+                return await self.read(connection)
+            except asyncio.CancelledError:
+                stream.close()
+                raise
+
     def write(
-        self, stream: iostream.IOStream, path: str, body: bytes
+        self,
+        stream: iostream.IOStream,
+        path: str,
+        body: bytes,
+        method: str = "POST",
+        headers: Mapping[str, str] | None = None,
     ) -> http1connection.HTTP1Connection:
-        """Writes a POST of JSON text in one piece, without any wait."""
+        """Writes a request in one piece, without any wait.
+
+        Args:
+            stream: The connection.
+            path: Path and query.
+            body: The body; JSON text unless the headers say otherwise.
+            method: HTTP method.
+            headers: Headers besides those that every request has.
+        """
         # Idle connections alone are watched for their end.
         stream.set_close_callback(None)
         parameters = http1connection.HTTP1ConnectionParameters(
             max_body_size=self.max_body_bytes
         )
         connection = http1connection.HTTP1Connection(stream, True, parameters)
-        headers = httputil.HTTPHeaders(
+        fields = httputil.HTTPHeaders(
             {
                 "Host": self.parts.netloc,
                 "Content-Type": "application/json",
                 "Content-Length": str(len(body)),
+                **(headers or {}),
             }
         )
-        line = httputil.RequestStartLine("POST", self.parts.path + path, "")
-        connection.write_headers(line, headers, body)
+        line = httputil.RequestStartLine(method, self.parts.path + path, "")
+        connection.write_headers(line, fields, body)
         connection.finish()
         return connection
 
--- a/egretthread/daemon.py
+++ b/egretthread/daemon.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import dataclasses
 import signal
 import sys
 from collections.abc import Callable
@@ -27,12 +28,7 @@
         addresses: Returns the addresses that a started server listens on.
     """
     options = _arguments(program)
-    try:
-        settings = load(options.settings)
-    except util.OptionError as error:
-        for fault in error.faults:
-            print(f"{program}: {fault}", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
+    settings = _load(program, options.settings, load)
     if options.check:
         print(f"{options.settings}: no faults")
         sys.exit(EXIT_OK)
@@ -40,6 +36,69 @@
     asyncio.run(_serve(make_server(settings), addresses))
 
 
+def run(program: str, path: str, load: Callable, make_server: Callable) -> None:
+    """Serves with the settings in a file until SIGTERM or SIGINT.
+
+    Logs go to standard output. On SIGHUP the settings are checked again, and
+    what changed is logged; it takes effect at the next start.
+
+    Args:
+        program: Name of the program.
+        path: The settings file.
+        load: Reads settings from a path.
+        make_server: Makes a server, with start and close, from settings.
+    """
+    settings = _load(program, path, load)
+    logs.setup(settings.log_level, program, sys.stdout)
+    logs.info("started", **_shown(settings))
+
+    def reload() -> None:
+        nonlocal settings
+        settings = _reload(settings, path, load)
+
+    async def serve() -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, reload)
+        await _serve(make_server(settings), lambda server: {})
+
+    asyncio.run(serve())
+
+
+def _load(program: str, path: str, load: Callable):
+    try:
+        return load(path)
+    except util.OptionError as error:
+        for fault in error.faults:
+            print(f"{program}: {fault}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+
+
+def _shown(settings) -> dict:
+    """Returns the settings that may be logged."""
+    return {
+        field.name: getattr(settings, field.name)
+        for field in dataclasses.fields(settings)
+        if field.repr
+    }
+
+
+def _reload(settings, path: str, load: Callable):
+    """Returns the settings in the file; the former ones if it has faults."""
+    try:
+        newer = load(path)
+    except util.OptionError as error:
+        logs.error("settings_rejected", faults=len(error.faults), error=error)
+        return settings
+    before = _shown(settings)
+    changed = {
+        name: value
+        for name, value in _shown(newer).items()
+        if value != before[name]
+    }
+    logs.info("settings_reloaded", **changed)
+    return newer
+
+
 def _arguments(program: str) -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog=program)
     parser.add_argument(
--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -10,6 +10,7 @@
 
 from egretthread.jobkey import JobRef
 from egretthread.outcome import Outcome
+from egretthread.scheduling import runmessage
 
 
 def node_id(name: str, incarnation: int) -> str:
@@ -481,4 +482,13 @@
     | Ask
     | AskReply
     | CancelJob
+    | runmessage.ServerFacts
+    | runmessage.AgentBeat
+    | runmessage.EntryBeat
+    | runmessage.StartRuns
+    | runmessage.StopRuns
+    | runmessage.RunReports
+    | runmessage.LiveRuns
+    | runmessage.EntryHello
+    | runmessage.OperatorRecord
 )
--- /dev/null
+++ b/egretthread/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the operators' platform: decodes its names, decides nothing."""
--- /dev/null
+++ b/egretthread/platform/__main__.py
@@ -0,0 +1,34 @@
+"""Runs `entry` or `agent` on the operators' platform."""
+
+import os
+import sys
+
+from egretthread import daemon
+from egretthread.platform import programs
+from egretthread.scheduling import nodesettings
+
+# Holds the path of the settings file.
+SETTINGS_VARIABLE = "EGRETTHREAD_BOOT"
+ROLES = {
+    "entry": (nodesettings.load_entry, programs.Entry),
+    "agent": (nodesettings.load_agent, programs.Agent),
+}
+
+
+def main() -> None:
+    """Runs a role until it is told to stop."""
+    role = sys.argv[1] if len(sys.argv) == 2 else ""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if role not in ROLES or not path:
+        print(
+            f"usage: {SETTINGS_VARIABLE}=FILE python3 -m egretthread.platform"
+            f" {'|'.join(ROLES)}",
+            file=sys.stderr,
+        )
+        sys.exit(daemon.EXIT_BAD_SETTINGS)
+    load, make_server = ROLES[role]
+    daemon.run(f"egretthread-{role}", path, load, make_server)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/egretthread/platform/programs.py
@@ -0,0 +1,99 @@
+"""The entry and the agent on the operators' platform."""
+
+from egretthread.platform import callers, directory, operators, servers
+from egretthread.platform.store import Store
+from egretthread.scheduling.agentserver import AgentServer
+from egretthread.scheduling.entryserver import EntryServer
+from egretthread.scheduling.nodesettings import NodeSettings
+
+
+class Entry:
+    """An entry with everything that meets the platform.
+
+    Attributes:
+        settings: Its settings.
+        store: Client of the store.
+        server: The entry itself.
+        feed: Follows what operators publish.
+        announcer: Announces the entry.
+        https: HTTP servers, once started.
+    """
+
+    def __init__(self, settings: NodeSettings):
+        self.settings = settings
+        self.store = Store(settings.store_address)
+        self.server = EntryServer(settings, operators.decode_relay)
+        self.feed = operators.OperatorFeed(
+            self.store, self.server.take_operators
+        )
+        self.announcer = directory.Announcer(
+            self.store,
+            settings.name,
+            settings.peer_address,
+            self.server.add_entries,
+        )
+        self.https = []
+
+    async def start(self) -> None:
+        """Starts to serve."""
+        self.https = [
+            callers.listen(address, handler, self.server)
+            for address, handler in (
+                (self.settings.callers_address, callers.CallerHandler),
+                (self.settings.ready_address, callers.ReadyHandler),
+            )
+        ]
+        await self.server.start()
+        self.feed.start()
+        self.announcer.start()
+
+    async def close(self) -> None:
+        """Shuts down: what was taken is answered."""
+        await self.server.close()
+        await self.announcer.close()
+        await self.feed.close()
+        for http in self.https:
+            http.stop()
+            await http.close_all_connections()
+        self.store.close()
+
+
+class Agent:
+    """An agent with everything that meets the platform.
+
+    Attributes:
+        settings: Its settings.
+        store: Client of the store.
+        server: The agent itself.
+        http: HTTP server for the backend server's calls, once started.
+    """
+
+    def __init__(self, settings: NodeSettings):
+        self.settings = settings
+        self.store = Store(settings.store_address)
+        self.server = AgentServer(
+            settings,
+            servers.BackendServerClient(settings.server_address),
+            self.find_entries,
+        )
+        self.http = None
+
+    async def find_entries(self) -> tuple[str, ...]:
+        """Returns the addresses of entries that the store knows."""
+        return await directory.find(self.store)
+
+    async def start(self) -> None:
+        """Starts to serve."""
+        self.http = servers.listen(
+            self.settings.heartbeat_address,
+            self.server.on_heartbeat,
+            self.server.on_leave,
+        )
+        await self.server.start()
+
+    async def close(self) -> None:
+        """Shuts down: what runs ends or is stopped."""
+        await self.server.close()
+        self.http.stop()
+        await self.http.close_all_connections()
+        self.store.close()
--- /dev/null
+++ b/egretthread/routes.py
@@ -0,0 +1,37 @@
+"""Open links by node, the newest of a node in use."""
+
+from egretthread import link, message
+
+
+class Routes:
+    """The open links of one process.
+
+    Attributes:
+        peers: Open links by node id, the newest last.
+    """
+
+    def __init__(self):
+        self.peers: dict[str, list[link.Peer]] = {}
+
+    def add(self, peer: link.Peer) -> None:
+        """Adds a link that has opened."""
+        self.peers.setdefault(peer.node, []).append(peer)
+
+    def remove(self, peer: link.Peer) -> bool:
+        """Removes a link; returns whether it was the node's last one."""
+        peers = self.peers.get(peer.node, [])
+        if peer not in peers:
+            return False
+        peers.remove(peer)
+        if peers:
+            return False
+        del self.peers[peer.node]
+        return True
+
+    def send(self, node: str, item: message.Message) -> bool:
+        """Sends a message; returns whether there was a link."""
+        peers = self.peers.get(node)
+        if not peers:
+            return False
+        peers[-1].send(item)
+        return True
--- /dev/null
+++ b/egretthread/scheduling/agentboard.py
@@ -0,0 +1,261 @@
+"""The blackboard of an agent: its backend server, runs and coordinators."""
+
+import collections
+import dataclasses
+import enum
+
+from egretthread.scheduling import serverhealth
+from egretthread.scheduling.room import NO_ROOM, Room
+from egretthread.scheduling.runmessage import RunEnd, RunReport, ServerState
+
+
+@dataclasses.dataclass(frozen=True)
+class TaskName:
+    """Names one task.
+
+    Attributes:
+        job: Id of the job.
+        step: Number of the step.
+        index: Index of the task in its step.
+        occurrence: Number of the recurrence; 0 for a job that runs once.
+    """
+
+    job: str
+    step: int
+    index: int
+    occurrence: int = 0
+
+
+class RunPhase(enum.StrEnum):
+    """Where a run is."""
+
+    QUEUED = "queued"
+    # Ordered; the backend server has not confirmed it.
+    STARTING = "starting"
+    RUNNING = "running"
+    # Told to stop; the backend server has not confirmed it.
+    STOPPING = "stopping"
+
+
+@dataclasses.dataclass
+class Run:
+    """One run that this agent holds.
+
+    Attributes:
+        entry: Node id of the coordinating entry.
+        name: Its task.
+        attempt: The coordinator's number of the attempt.
+        payload: What the task is told.
+        room: What it takes.
+        expected_s: Run time expected on a backend server of speed 1.
+        priority: 0 goes first.
+        accepted_s: When it was accepted.
+        phase: Where it is.
+        number: Number of the run at the backend server.
+        tries: Calls made in the present phase.
+        started_s: When its start was confirmed.
+        percent: Share of its work done, as last seen.
+        moved_s: When that share last changed.
+        slow_reported_s: When it was last reported as slow.
+        end: What to report once it has been stopped.
+        stopped_s: When the backend server confirmed a stop; 0 before.
+    """
+
+    entry: str
+    name: TaskName
+    attempt: int
+    payload: str
+    room: Room
+    expected_s: float
+    priority: int
+    accepted_s: float
+    phase: RunPhase = RunPhase.QUEUED
+    number: int = 0
+    tries: int = 0
+    started_s: float = 0.0
+    percent: int = 0
+    moved_s: float = 0.0
+    slow_reported_s: float = 0.0
+    end: RunEnd = RunEnd.STOPPED
+    stopped_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerRecord:
+    """What a backend server says of itself in a heartbeat.
+
+    Attributes:
+        server: Its id.
+        born: Start of this incarnation, in Unix ms; 0 when not told.
+        service: Service it runs.
+        zone: Availability zone.
+        labels: Its labels, its kind and its rack among them.
+        capacity: Its room when empty.
+        is_draining: Whether it will leave.
+        drain_s: Least time until then, in seconds.
+        sequence: Rises with each heartbeat of an incarnation.
+    """
+
+    server: str
+    born: int
+    service: str
+    zone: str
+    labels: tuple[str, ...]
+    capacity: Room
+    is_draining: bool
+    drain_s: float
+    sequence: int
+
+
+@dataclasses.dataclass
+class Coordinator:
+    """What an agent knows of one entry.
+
+    Attributes:
+        node: Its node id.
+        is_connected: Whether a link to it is open.
+        echo_ms: Own clock reading that it has last returned.
+        lease_s: When its runs are stopped unless it is heard of again.
+        heard_s: When it was last heard.
+        beat_s: When it was last sent a heartbeat.
+        received: Runs it ordered over the present link.
+        told_facts: Whether it knows the present backend server.
+    """
+
+    node: str
+    is_connected: bool = False
+    echo_ms: int = 0
+    lease_s: float = 0.0
+    heard_s: float = 0.0
+    beat_s: float = 0.0
+    received: int = 0
+    told_facts: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class StartCall:
+    """Order to the backend server: start a run.
+
+    Attributes:
+        run: The run.
+        number: Number of the run.
+        server: Id of the incarnation meant.
+        until_ms: End of the lease, on the backend server's clock.
+        token: Fencing token.
+    """
+
+    run: Run
+    number: int
+    server: str
+    until_ms: int
+    token: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StopCall:
+    """Order to the backend server: stop a run, or bar one not there yet."""
+
+    name: TaskName
+    number: int
+    server: str
+    token: int
+
+
+@dataclasses.dataclass
+class AgentBoard:
+    """State of an agent.
+
+    Attributes:
+        node: Its node id.
+        now_s: Time of the event being handled, on the monotonic clock.
+        token: Fencing token of its orders.
+        server: Its backend server; None before the first heartbeat.
+        server_heard_s: When the backend server last answered or called.
+        state: What it says of the backend server.
+        is_closing: Whether the agent shuts down.
+        drain_end_s: When a draining backend server may leave.
+        clock_offset_ms: Backend server's clock less the own one.
+        lease_end_s: When the backend server drops runs unless told more.
+        last_seen: Ends of this incarnation up to this number are known.
+        runs: Runs held, by attempt and coordinator.
+        by_name: The live run of each task.
+        numbers: Highest run number used for a task, and when.
+        barred: Runs to bar before the lease may be renewed: they may still
+            arrive at the backend server.
+        coordinators: Entries by node id.
+        operator_offset: Highest offset of operators' records heard of.
+        is_withdrawn: Whether the zone was withdrawn as of that offset.
+        health: How the backend server has been doing.
+        calls: Orders to be sent.
+        outbox: Messages to be sent, by entry.
+        reports: Ends to be reported, by entry.
+        counters: Events counted by name.
+        samples: Durations measured, by name.
+        is_free_changed: Whether the room changed since the last heartbeats.
+    """
+
+    node: str
+    token: int
+    now_s: float
+    server: ServerRecord | None = None
+    server_heard_s: float = 0.0
+    state: ServerState = ServerState.ABSENT
+    is_closing: bool = False
+    drain_end_s: float = 0.0
+    clock_offset_ms: int = 0
+    lease_end_s: float = 0.0
+    last_seen: int = 0
+    runs: dict[tuple[str, int], Run] = dataclasses.field(default_factory=dict)
+    by_name: dict[TaskName, Run] = dataclasses.field(default_factory=dict)
+    numbers: dict[TaskName, tuple[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    barred: list[StopCall] = dataclasses.field(default_factory=list)
+    coordinators: dict[str, Coordinator] = dataclasses.field(
+        default_factory=dict
+    )
+    operator_offset: int = -1
+    is_withdrawn: bool = False
+    health: serverhealth.ServerHealth = dataclasses.field(
+        default_factory=serverhealth.ServerHealth
+    )
+    calls: list[StartCall | StopCall] = dataclasses.field(default_factory=list)
+    outbox: list[tuple[str, object]] = dataclasses.field(default_factory=list)
+    reports: dict[str, list[RunReport]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    counters: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    samples: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    is_free_changed: bool = False
+
+    @property
+    def clock_ms(self) -> int:
+        """The agent's clock, in milliseconds."""
+        return int(self.now_s * 1000)
+
+    @property
+    def used(self) -> Room:
+        """Room taken by runs that are or may be at the backend server."""
+        return _total(
+            run
+            for run in self.runs.values()
+            if run.phase is not RunPhase.QUEUED
+        )
+
+    @property
+    def free(self) -> Room:
+        """Room left once the queued runs have started."""
+        if self.server is None:
+            return NO_ROOM
+        return self.server.capacity - _total(self.runs.values())
+
+
+def _total(runs) -> Room:
+    cpu = memory_mb = gpu = 0
+    for run in runs:
+        cpu += run.room.cpu
+        memory_mb += run.room.memory_mb
+        gpu += run.room.gpu
+    return Room(cpu, memory_mb, gpu)
--- /dev/null
+++ b/egretthread/scheduling/agentengine.py
@@ -0,0 +1,347 @@
+"""The agent's engine: each event, and the controller that handles it."""
+
+from egretthread import logs
+from egretthread.scheduling import (
+    leaserule,
+    runlooks,
+    runorders,
+    runs,
+)
+from egretthread.scheduling.agentboard import (
+    AgentBoard,
+    Coordinator,
+    RunPhase,
+    ServerRecord,
+    StartCall,
+    StopCall,
+)
+from egretthread.scheduling.room import NO_ROOM
+from egretthread.scheduling.runmessage import (
+    AgentBeat,
+    EntryBeat,
+    LiveRun,
+    LiveRuns,
+    RunEnd,
+    RunReports,
+    ServerFacts,
+    ServerState,
+    StartRuns,
+    StopRuns,
+)
+
+# Time between two heartbeats to an entry with runs here, and without.
+BUSY_BEAT_S = 0.2
+IDLE_BEAT_S = 1.0
+# Time after an order during which the entry counts as one with runs here.
+BUSY_AFTER_S = 1.0
+# Silence of an entry with runs here after which its link is opened afresh.
+SILENT_LINK_S = 0.5
+# A run number is remembered this long; late orders come within 12 s.
+NUMBER_KEPT_S = 60.0
+
+
+def new_board(node: str, token: int, now_s: float) -> AgentBoard:
+    """Returns the blackboard of a freshly started agent."""
+    return AgentBoard(node=node, token=token, now_s=now_s)
+
+
+def on_message(board: AgentBoard, node: str, item: object) -> None:
+    """Handles one message of an entry."""
+    handler = HANDLERS.get(type(item))
+    if handler is None:
+        board.counters["unexpected_messages"] += 1
+        return
+    coordinator = board.coordinators.setdefault(node, Coordinator(node))
+    coordinator.heard_s = board.now_s
+    handler(board, coordinator, item)
+
+
+def on_entry_beat(
+    board: AgentBoard, coordinator: Coordinator, beat: EntryBeat
+) -> None:
+    """Renews an entry's lease and takes over what operators have in force."""
+    coordinator.echo_ms = max(coordinator.echo_ms, beat.echo_ms)
+    coordinator.lease_s = max(
+        coordinator.lease_s, leaserule.lease_end_s(beat.echo_ms)
+    )
+    if beat.operator_offset >= board.operator_offset:
+        if beat.withdrawn != board.is_withdrawn:
+            logs.info(
+                "zone_withdrawn" if beat.withdrawn else "zone_returned",
+                offset=beat.operator_offset,
+                entry=coordinator.node,
+            )
+        board.operator_offset = beat.operator_offset
+        board.is_withdrawn = beat.withdrawn
+
+
+HANDLERS = {
+    EntryBeat: on_entry_beat,
+    StartRuns: runorders.on_start_runs,
+    StopRuns: runorders.on_stop_runs,
+}
+
+
+def on_link(board: AgentBoard, node: str) -> None:
+    """Tells an entry on a new link what this agent holds of it."""
+    coordinator = board.coordinators.setdefault(node, Coordinator(node))
+    coordinator.is_connected = True
+    coordinator.received = 0
+    coordinator.told_facts = False
+    coordinator.heard_s = board.now_s
+    rows = [
+        LiveRun(run.name.job, run.attempt)
+        for run in board.runs.values()
+        if run.entry == node
+    ]
+    board.outbox.append((node, LiveRuns(tuple(rows))))
+    send_beat(board, coordinator)
+
+
+def on_link_closed(board: AgentBoard, node: str) -> None:
+    """Notes that an entry is out of reach; its lease runs on."""
+    coordinator = board.coordinators.get(node)
+    if coordinator is not None:
+        coordinator.is_connected = False
+
+
+def on_heartbeat(
+    board: AgentBoard, record: ServerRecord, clock_ms: int
+) -> None:
+    """Takes in what the backend server says of itself."""
+    known = board.server
+    if known is not None and _is_older(record, known):
+        logs.info("heartbeat_outdated", server=record.server)
+        return
+    if known is None or _is_other(record, known):
+        _replace_server(board, record, clock_ms)
+    elif record.capacity != known.capacity or record.labels != known.labels:
+        _forget_told(board)
+    board.server = record
+    board.server_heard_s = board.now_s
+    if record.is_draining:
+        _begin_drain(board, record)
+    elif board.state in (ServerState.ABSENT, ServerState.DRAINING):
+        _set_state(board, ServerState.READY, "heartbeat")
+
+
+def on_leave(board: AgentBoard, server: str) -> None:
+    """Notes that the backend server has left."""
+    if board.server is not None and board.server.server == server:
+        logs.info("server_left", server=server, runs=len(board.runs))
+        runs.lose_all(board, RunEnd.STOPPED)
+        board.server = None
+        _forget_told(board)
+        _set_state(board, ServerState.ABSENT, "left")
+
+
+def on_call_result(board, call: StartCall | StopCall, result) -> None:
+    """Takes in the backend server's answer to an order."""
+    if isinstance(call, StartCall):
+        runorders.on_start_result(board, call, result)
+    else:
+        runorders.on_stop_result(board, call, result)
+    after_event(board)
+
+
+def on_look(board: AgentBoard, call, look) -> None:
+    """Takes in the backend server's answer to a look."""
+    runlooks.on_look(board, call, look)
+    after_event(board)
+
+
+def on_tick(board: AgentBoard) -> None:
+    """Does what is due by time; called many times a second."""
+    runorders.stop_lapsed(board)
+    runorders.refuse_overdue(board)
+    runorders.retry_stops(board)
+    runlooks.check_server(board)
+    for coordinator in board.coordinators.values():
+        if coordinator.is_connected and _beat_due(board, coordinator):
+            send_beat(board, coordinator)
+    _forget_old(board)
+    after_event(board)
+
+
+def after_event(board: AgentBoard) -> None:
+    """Starts what fits by now and sends what there is to report."""
+    runorders.start_queued(board)
+    for node, rows in board.reports.items():
+        coordinator = board.coordinators.get(node)
+        if coordinator is None or not coordinator.is_connected:
+            board.counters["reports_dropped"] += len(rows)
+            continue
+        board.outbox.append((node, RunReports(tuple(rows))))
+        send_beat(board, coordinator)
+    board.reports.clear()
+
+
+def silent_entries(board: AgentBoard) -> list[str]:
+    """Returns the entries with runs here whose link has gone silent."""
+    busy = {run.entry for run in board.runs.values()}
+    return [
+        node
+        for node in busy
+        if (entry := board.coordinators.get(node))
+        and entry.is_connected
+        and board.now_s - entry.heard_s > SILENT_LINK_S
+    ]
+
+
+def begin_shutdown(board: AgentBoard) -> None:
+    """Takes no more runs; those under way go on."""
+    board.is_closing = True
+    _set_state(board, ServerState.DRAINING, "shutdown")
+    runorders.refuse_queued(board)
+    after_event(board)
+
+
+def send_beat(board: AgentBoard, coordinator: Coordinator) -> None:
+    """Queues a heartbeat to one entry."""
+    server = board.server
+    if not coordinator.told_facts:
+        coordinator.told_facts = True
+        facts = ServerFacts(board.node, "", "", "", (), NO_ROOM)
+        if server is not None:
+            facts = ServerFacts(
+                board.node,
+                server.server,
+                server.service,
+                server.zone,
+                server.labels,
+                server.capacity,
+            )
+        board.outbox.append((coordinator.node, facts))
+    free = board.free
+    coordinator.beat_s = board.now_s
+    beat = AgentBeat(
+        board.clock_ms,
+        shown_state(board),
+        free.cpu,
+        free.memory_mb,
+        free.gpu,
+        board.health.speed(board.now_s),
+        coordinator.received,
+    )
+    board.outbox.append((coordinator.node, beat))
+
+
+def shown_state(board: AgentBoard) -> ServerState:
+    """Returns the state that entries are told."""
+    if board.state is ServerState.READY:
+        if board.health.is_sick(board.now_s):
+            return ServerState.SICK
+        if board.health.is_on_trial(board.now_s) and board.runs:
+            return ServerState.SICK
+    return board.state
+
+
+def _beat_due(board: AgentBoard, coordinator: Coordinator) -> bool:
+    since_s = board.now_s - coordinator.beat_s
+    if since_s < BUSY_BEAT_S:
+        return False
+    return since_s >= IDLE_BEAT_S or _is_busy(board, coordinator)
+
+
+def _is_busy(board: AgentBoard, coordinator: Coordinator) -> bool:
+    return any(run.entry == coordinator.node for run in board.runs.values())
+
+
+def _is_older(record: ServerRecord, known: ServerRecord) -> bool:
+    if record.born and known.born and record.born != known.born:
+        return record.born < known.born
+    same = record.server == known.server
+    return same and record.sequence < known.sequence
+
+
+def _is_other(record: ServerRecord, known: ServerRecord) -> bool:
+    return (record.server, record.born) != (known.server, known.born)
+
+
+def _replace_server(board: AgentBoard, record: ServerRecord, clock_ms) -> None:
+    logs.info(
+        "server_found",
+        server=record.server,
+        born=record.born,
+        cpu=record.capacity.cpu,
+        before=board.server.server if board.server else "",
+    )
+    if board.server is not None:
+        runs.lose_all(board, RunEnd.STOPPED)
+    board.barred.clear()
+    board.last_seen = 0
+    board.clock_offset_ms = clock_ms - board.clock_ms
+    board.lease_end_s = 0.0
+    board.health.clear()
+    board.server = record
+    _forget_told(board)
+    if not board.is_closing:
+        _set_state(board, ServerState.READY, "new server")
+
+
+def _begin_drain(board: AgentBoard, record: ServerRecord) -> None:
+    board.drain_end_s = board.now_s + record.drain_s
+    if board.state is not ServerState.DRAINING:
+        _set_state(board, ServerState.DRAINING, "heartbeat")
+        runorders.refuse_queued(board)
+
+
+def _set_state(board: AgentBoard, state: ServerState, why: str) -> None:
+    if board.is_closing and state is not ServerState.DRAINING:
+        return
+    if board.state is state:
+        return
+    logs.info(
+        "server_state",
+        state=state,
+        before=board.state,
+        why=why,
+        runs=len(board.runs),
+    )
+    board.state = state
+    for coordinator in board.coordinators.values():
+        if coordinator.is_connected:
+            send_beat(board, coordinator)
+
+
+def _forget_told(board: AgentBoard) -> None:
+    for coordinator in board.coordinators.values():
+        coordinator.told_facts = False
+
+
+def _forget_old(board: AgentBoard) -> None:
+    """Drops run numbers and entries that nothing rests on any more."""
+    if len(board.numbers) > 5000:
+        oldest_s = board.now_s - NUMBER_KEPT_S
+        live = {run.name for run in board.runs.values()}
+        board.numbers = {
+            name: pair
+            for name, pair in board.numbers.items()
+            if pair[1] >= oldest_s or name in live
+        }
+    gone = [
+        node
+        for node, entry in board.coordinators.items()
+        if not entry.is_connected
+        and board.now_s - entry.heard_s > NUMBER_KEPT_S
+    ]
+    for node in gone:
+        del board.coordinators[node]
+
+
+def is_idle(board: AgentBoard) -> bool:
+    """Whether the agent holds no run."""
+    return not board.runs
+
+
+def needs_look(board: AgentBoard) -> bool:
+    """Whether the backend server has to be looked at."""
+    return bool(board.barred) or any(
+        run.phase is not RunPhase.QUEUED for run in board.runs.values()
+    )
+
+
+def stop_all(board: AgentBoard) -> None:
+    """Stops every run: the agent must end."""
+    for run in tuple(board.runs.values()):
+        runs.begin_stop(board, run, RunEnd.STOPPED)
--- /dev/null
+++ b/egretthread/scheduling/agentviews.py
@@ -0,0 +1,74 @@
+"""What an entry believes of its agents, and for how long."""
+
+from egretthread import logs
+from egretthread.message import node_name
+from egretthread.scheduling import leaserule
+from egretthread.scheduling.entryboard import AgentView, EntryBoard
+from egretthread.scheduling.room import Room
+from egretthread.scheduling.runmessage import (
+    AgentBeat,
+    EntryBeat,
+    ServerState,
+)
+
+# An agent that has runs of this entry and is silent for longer gets no more.
+# It sends a heartbeat every 0.2 s while it has some, else every second.
+SUSPECT_BUSY_S = 0.5
+SUSPECT_IDLE_S = 1.4
+
+agent_name = node_name
+
+
+def is_usable(board: EntryBoard, view: AgentView) -> bool:
+    """Whether an agent may be given runs."""
+    if not view.is_connected or view.facts is None:
+        return False
+    if view.state is not ServerState.READY:
+        return False
+    if view.facts.zone in board.operators.withdrawn:
+        return False
+    return not is_silent(board, view)
+
+
+def is_silent(board: EntryBoard, view: AgentView) -> bool:
+    """Whether a heartbeat of the agent is overdue."""
+    limit_s = SUSPECT_BUSY_S if view.tasks else SUSPECT_IDLE_S
+    return board.now_s - view.heard_s > limit_s
+
+
+def take_beat(board: EntryBoard, view: AgentView, beat: AgentBeat) -> None:
+    """Takes in a heartbeat."""
+    if beat.state is not view.state:
+        logs.info(
+            "agent_state",
+            agent=view.node,
+            state=beat.state,
+            before=view.state,
+            runs=len(view.tasks),
+        )
+    view.state = beat.state
+    view.free = Room(beat.free_cpu, beat.free_memory_mb, beat.free_gpu)
+    view.speed = beat.speed
+    view.heard_s = board.now_s
+    view.clock_ms = beat.clock_ms
+    while view.in_flight and view.in_flight[0][0] <= beat.received:
+        view.in_flight.popleft()
+
+
+def send_beat(board: EntryBoard, view: AgentView) -> None:
+    """Returns the agent's clock reading, which renews the entry's lease."""
+    entries = ()
+    if view.told_entries != board.entries:
+        entries = view.told_entries = board.entries
+    withdrawn = (
+        view.facts is not None and view.facts.zone in board.operators.withdrawn
+    )
+    beat = EntryBeat(view.clock_ms, board.operators.offset, withdrawn, entries)
+    board.outbox.append((view.node, beat))
+    extend_fence(view, ordered=False)
+
+
+def extend_fence(view: AgentView, ordered: bool) -> None:
+    """Notes that the agent was trusted anew with its last reading."""
+    fence_s = leaserule.fence_s(view.heard_s, ordered)
+    view.fence_s = max(view.fence_s, fence_s)
--- /dev/null
+++ b/egretthread/scheduling/entryboard.py
@@ -0,0 +1,228 @@
+"""The blackboard of an entry: agents, jobs and the tasks that wait."""
+
+import collections
+import dataclasses
+import enum
+
+from egretthread.scheduling import estimates
+from egretthread.scheduling.jobspec import (
+    JobSpec,
+    OperatorState,
+    Route,
+    StepSpec,
+)
+from egretthread.scheduling.room import NO_ROOM, Room
+from egretthread.scheduling.runmessage import ServerFacts, ServerState
+
+
+class TaskState(enum.StrEnum):
+    """Where a task is."""
+
+    # Its step waits for earlier ones.
+    BLOCKED = "blocked"
+    WAITING = "waiting"
+    # Handed to an agent; it may run.
+    ORDERED = "ordered"
+    # The agent was told to stop it; it may still run.
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+@dataclasses.dataclass
+class Task:
+    """One task of a job.
+
+    Attributes:
+        job: Its job.
+        step: Number of its step.
+        index: Its index in the step.
+        state: Where it is.
+        attempt: Number of the present or last attempt.
+        agent: Node id of the agent that has it.
+        waits_s: Since when it waits.
+        ordered_s: When it was handed to the agent.
+        failures: Runs that ended as failed.
+        moves: Times it was stopped for being slow.
+        avoided: Agents on which it failed or stood still.
+    """
+
+    job: "Job"
+    step: int
+    index: int
+    state: TaskState = TaskState.BLOCKED
+    attempt: int = 0
+    agent: str = ""
+    waits_s: float = 0.0
+    ordered_s: float = 0.0
+    failures: int = 0
+    moves: int = 0
+    avoided: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def spec(self) -> StepSpec:
+        """The step that it belongs to."""
+        return self.job.spec.steps[self.step]
+
+
+class Outcome(enum.StrEnum):
+    """How a job was answered."""
+
+    COMPLETED = "completed"
+    # A task failed as often as its route allows.
+    FAILED = "failed"
+    # Not taken: nothing of it has run or ever will.
+    REFUSED = "refused"
+    # Given up after it may have started; nothing of it runs any more.
+    GIVEN_UP = "given_up"
+    # The caller has left.
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """The answer to a submission.
+
+    Attributes:
+        job: Id of the job.
+        outcome: How it went.
+        reason: Why, for a job that was not completed.
+        retry_after_s: When the caller had better try again; 0 is unknown.
+    """
+
+    job: str
+    outcome: Outcome
+    reason: str = ""
+    retry_after_s: float = 0.0
+
+
+@dataclasses.dataclass
+class Job:
+    """One open job.
+
+    Attributes:
+        spec: As submitted.
+        route: Its queue, as configured when it came.
+        accepted_s: When it came.
+        deadline_s: When its caller stops waiting.
+        objective_s: When its latency objective ends.
+        expected_s: Expected run time of a task, by step.
+        tasks: Its tasks, by step.
+        may_have_started: Whether a run may have started.
+    """
+
+    spec: JobSpec
+    route: Route
+    accepted_s: float
+    deadline_s: float
+    objective_s: float
+    expected_s: tuple[float, ...]
+    tasks: tuple[list[Task], ...] = ()
+    may_have_started: bool = False
+
+    @property
+    def id(self) -> str:
+        """Its id."""
+        return self.spec.job
+
+
+@dataclasses.dataclass
+class AgentView:
+    """What an entry knows of an agent.
+
+    Attributes:
+        node: Its node id.
+        facts: Its backend server; None before it said so.
+        state: State of the backend server.
+        free: Room it last told.
+        speed: Speed it last told.
+        heard_s: When its last heartbeat came.
+        clock_ms: The clock in that heartbeat.
+        is_connected: Whether a link is open.
+        closed_s: When the last link closed.
+        ordered: Runs ordered over the present link.
+        in_flight: Orders that the agent had not received when it last told
+            its room: count of runs ordered up to then, and their room.
+        tasks: Tasks that it has, by attempt.
+        fence_s: When these are surely over unless it is heard of again.
+        told_offset: Operators' offset that it was last told.
+        told_entries: Addresses of entries that it was last told.
+        probed_s: When a sick one was last given a run.
+    """
+
+    node: str
+    facts: ServerFacts | None = None
+    state: ServerState = ServerState.ABSENT
+    free: Room = NO_ROOM
+    speed: float = 1.0
+    heard_s: float = 0.0
+    clock_ms: int = 0
+    is_connected: bool = True
+    closed_s: float = 0.0
+    ordered: int = 0
+    in_flight: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
+    tasks: dict[int, Task] = dataclasses.field(default_factory=dict)
+    fence_s: float = 0.0
+    told_entries: tuple[str, ...] = ()
+
+    @property
+    def room(self) -> Room:
+        """Room left, as far as is known here."""
+        free = self.free
+        for _, room in self.in_flight:
+            free -= room
+        return free
+
+
+@dataclasses.dataclass
+class EntryBoard:
+    """State of an entry.
+
+    Attributes:
+        node: Its node id.
+        zone: Its availability zone.
+        now_s: Time of the event being handled, on the monotonic clock.
+        operators: What operators have in force.
+        is_closing: Whether the entry shuts down.
+        closing_s: When it must have answered everything.
+        agents: Agents by node id.
+        jobs: Open jobs by id.
+        waiting: Tasks that wait for room.
+        leftovers: Attempts of jobs already answered that may still run:
+            agent and time at which each is surely over, by job id and attempt.
+        attempts: Attempts numbered so far.
+        entries: Addresses of the entries known, this one included.
+        run_times: What was learned of run times.
+        outbox: Messages to be sent, by agent.
+        answers: Answers to be given.
+        counters: Events counted by name.
+        samples: Durations measured, by name.
+        thawed_s: Until when nothing is handed out after a pause.
+    """
+
+    node: str
+    zone: str
+    now_s: float
+    operators: OperatorState = OperatorState()
+    is_closing: bool = False
+    closing_s: float = 0.0
+    agents: dict[str, AgentView] = dataclasses.field(default_factory=dict)
+    jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
+    waiting: list[Task] = dataclasses.field(default_factory=list)
+    leftovers: dict[str, dict[int, tuple[str, float]]] = dataclasses.field(
+        default_factory=dict
+    )
+    attempts: int = 0
+    entries: tuple[str, ...] = ()
+    run_times: estimates.RunTimes = dataclasses.field(
+        default_factory=estimates.RunTimes
+    )
+    outbox: list[tuple[str, object]] = dataclasses.field(default_factory=list)
+    answers: list[Answer] = dataclasses.field(default_factory=list)
+    counters: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    samples: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    thawed_s: float = 0.0
+    ticked_s: float = 0.0
--- /dev/null
+++ b/egretthread/scheduling/entryserver.py
@@ -0,0 +1,244 @@
+"""The entry of the scheduling path: links and timers around its engine."""
+
+import asyncio
+
+from egretthread import clock, link, logs, message, routes
+from egretthread.scheduling import entryengine
+from egretthread.scheduling.entryboard import EntryBoard
+from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
+from egretthread.scheduling.nodesettings import NodeSettings
+from egretthread.scheduling.runmessage import EntryHello, OperatorRecord
+
+TICK_S = 0.02
+# Time between two words to other entries, in seconds.
+HELLO_S = 1.0
+# An entry that can't be reached for this long is taken off the list.
+ENTRY_GONE_S = 30.0
+# Part of the shutdown's time that is left for answers on their way.
+SHUTDOWN_MARGIN_S = 0.6
+# Time for the balancer to notice that this entry is not ready.
+UNREADY_S = 2.5
+
+
+class EntryServer:
+    """One running entry.
+
+    Attributes:
+        settings: Its settings.
+        board: Its blackboard.
+        links: Accepts links of agents and other entries.
+        routes: Open links of agents by node id, the newest last.
+        clients: Links to other entries by address.
+        unreachable_s: Since when an entry could not be reached, by address.
+        waiters: Callers who wait for a job's answer.
+        relay_text: What operators have in force, encoded for other entries.
+        decode_relay: Decodes such a text.
+    """
+
+    def __init__(self, settings: NodeSettings, decode_relay):
+        self.settings = settings
+        incarnation = clock.new_incarnation()
+        self.board: EntryBoard = entryengine.new_board(
+            message.node_id(settings.name, incarnation),
+            settings.zone,
+            clock.monotonic_s(),
+        )
+        self.links = link.LinkServer(
+            settings,
+            self.board.node,
+            "entry",
+            self._on_messages,
+            self._on_open,
+            self._on_close,
+        )
+        self.routes = routes.Routes()
+        self.clients: dict[str, link.LinkClient] = {}
+        self.unreachable_s: dict[str, float] = {}
+        self.waiters: dict[str, list[asyncio.Future]] = {}
+        self.relay_text = ""
+        self.decode_relay = decode_relay
+        self.tasks: set[asyncio.Task] = set()
+        self.board.entries = (settings.peer_address,)
+
+    async def start(self) -> None:
+        """Starts to serve agents and other entries."""
+        self.links.start()
+        self.add_entries(self.settings.seed_peers)
+        for loop in (self._tick_loop, self._hello_loop):
+            self._spawn(loop())
+
+    async def close(self) -> None:
+        """Shuts down: what was taken is answered within shutdown_s."""
+        self._turn()
+        grace_s = self.settings.shutdown_s - SHUTDOWN_MARGIN_S
+        entryengine.begin_shutdown(self.board, grace_s)
+        end_s = clock.monotonic_s() + grace_s
+        await asyncio.sleep(min(UNREADY_S, grace_s))
+        while self.waiters and clock.monotonic_s() < end_s:
+            await asyncio.sleep(TICK_S)
+        for task in tuple(self.tasks):
+            task.cancel()
+        closing = [client.close() for client in self.clients.values()]
+        await asyncio.gather(*closing, self.links.close())
+
+    def submit(
+        self, spec: JobSpec, route: Route, patience_s: float
+    ) -> asyncio.Future:
+        """Takes a job; the future gives its answer."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._turn()
+        self.waiters.setdefault(spec.job, []).append(waiter)
+        refusal = entryengine.submit(self.board, spec, route, patience_s)
+        if refusal is not None:
+            self.board.answers.append(refusal)
+        self._pump()
+        return waiter
+
+    def leave(self, job: str, waiter: asyncio.Future) -> None:
+        """Notes that a caller has left; the last one cancels the job."""
+        waiters = self.waiters.get(job, [])
+        if waiter in waiters:
+            waiters.remove(waiter)
+        if not waiters:
+            self.waiters.pop(job, None)
+            self.cancel(job, "caller left")
+
+    def cancel(self, job: str, reason: str) -> None:
+        """Stops a job."""
+        self._turn()
+        entryengine.cancel(self.board, job, reason)
+        self._pump()
+
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        self._turn()
+        return entryengine.is_ready(self.board)
+
+    def take_operators(self, state: OperatorState, text: str) -> None:
+        """Puts what operators have published into force.
+
+        Args:
+            state: It.
+            text: The same, encoded for other entries.
+        """
+        self._turn()
+        if state.offset >= self.board.operators.offset:
+            self.relay_text = text
+        entryengine.on_operators(self.board, state)
+        self._pump()
+
+    def add_entries(self, addresses) -> None:
+        """Keeps a link to other entries."""
+        for address in addresses:
+            if address in self.board.entries:
+                continue
+            logs.info("entry_found", address=address)
+            self.board.entries += (address,)
+            client = link.LinkClient(
+                address,
+                self.settings,
+                self.board.node,
+                "entry",
+                self._on_messages,
+                self._on_entry_open,
+                self._on_entry_close,
+            )
+            self.clients[address] = client
+            self.unreachable_s[address] = clock.monotonic_s()
+            client.start()
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _turn(self) -> None:
+        entryengine.set_time(self.board, clock.monotonic_s())
+
+    def _pump(self) -> None:
+        """Sends the outbox and answers the callers whose jobs are over."""
+        outbox, self.board.outbox = self.board.outbox, []
+        for node, item in outbox:
+            self.routes.send(node, item)
+        answers, self.board.answers = self.board.answers, []
+        for answer in answers:
+            for waiter in self.waiters.pop(answer.job, ()):
+                if not waiter.done():
+                    waiter.set_result(answer)
+
+    def _on_messages(self, peer: link.Peer, items: tuple) -> None:
+        self._turn()
+        for item in items:
+            if isinstance(item, EntryHello):
+                self._on_hello(item)
+            elif isinstance(item, OperatorRecord):
+                self._on_operator_record(peer, item)
+            else:
+                entryengine.on_message(self.board, peer.node, item)
+        self._pump()
+
+    def _on_hello(self, hello: EntryHello) -> None:
+        self.add_entries((hello.address,))
+        client = self.clients.get(hello.address)
+        behind = hello.operator_offset < self.board.operators.offset
+        if behind and self.relay_text and client and client.peer:
+            offset = self.board.operators.offset
+            client.peer.send(OperatorRecord(offset, self.relay_text))
+
+    def _on_operator_record(self, peer, item: OperatorRecord) -> None:
+        if item.offset <= self.board.operators.offset:
+            return
+        logs.info("operators_relayed", offset=item.offset, peer=peer.node)
+        self.take_operators(self.decode_relay(item.text), item.text)
+
+    def _on_open(self, peer: link.Peer) -> None:
+        if peer.role != "agent":
+            return
+        self._turn()
+        self.routes.add(peer)
+        entryengine.on_link(self.board, peer.node)
+        self._pump()
+
+    def _on_close(self, peer: link.Peer) -> None:
+        if peer.role == "agent" and self.routes.remove(peer):
+            self._turn()
+            entryengine.on_link_closed(self.board, peer.node)
+
+    def _on_entry_open(self, peer: link.Peer) -> None:
+        self.unreachable_s.pop(peer.address, None)
+        peer.send(self._hello())
+
+    def _on_entry_close(self, peer: link.Peer) -> None:
+        self.unreachable_s[peer.address] = clock.monotonic_s()
+
+    def _hello(self) -> EntryHello:
+        return EntryHello(
+            self.settings.peer_address, self.board.operators.offset
+        )
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._turn()
+            entryengine.on_tick(self.board)
+            self._pump()
+
+    async def _hello_loop(self) -> None:
+        while True:
+            await asyncio.sleep(HELLO_S)
+            for client in self.clients.values():
+                if client.peer:
+                    client.peer.send(self._hello())
+            self._drop_gone()
+
+    def _drop_gone(self) -> None:
+        """Takes entries off the list that were out of reach for long."""
+        now_s = clock.monotonic_s()
+        for address, since_s in tuple(self.unreachable_s.items()):
+            if now_s - since_s > ENTRY_GONE_S:
+                logs.info("entry_gone", address=address)
+                del self.unreachable_s[address]
+                self._spawn(self.clients.pop(address).close())
+                self.board.entries = tuple(
+                    known for known in self.board.entries if known != address
+                )
--- /dev/null
+++ b/egretthread/scheduling/jobs.py
@@ -0,0 +1,242 @@
+"""A job's way from its submission to its answer."""
+
+from egretthread import logs
+from egretthread.scheduling import handout, intake
+from egretthread.scheduling.entryboard import (
+    AgentView,
+    Answer,
+    EntryBoard,
+    Job,
+    Outcome,
+    Task,
+    TaskState,
+)
+from egretthread.scheduling.jobspec import JobSpec, Route
+from egretthread.scheduling.runmessage import RunEnd, RunReport, StopRuns
+
+# Times that a task is stopped for being slow, at most.
+MAX_MOVES = 2
+# A slow run is moved when starting over is expected to end this much sooner.
+MOVE_GAIN = 1.5
+# What a move costs besides the work thrown away, in seconds.
+MOVE_S = 0.05
+# A caller that can't be served for lack of backend servers is told this.
+NO_SERVER_RETRY_S = 2.0
+
+
+def submit(
+    board: EntryBoard, spec: JobSpec, route: Route, patience_s: float
+) -> Answer | None:
+    """Takes a job; returns the answer when it is refused at once."""
+    known = board.jobs.get(spec.job)
+    if known is not None:
+        known.deadline_s = max(known.deadline_s, board.now_s + patience_s)
+        return None
+    expected_s = tuple(
+        board.run_times.expected_s(route.name, step.estimated_s)
+        for step in spec.steps
+    )
+    chain_s = chain_length_s(spec, expected_s)
+    refusal = _refusal(board, spec, route, chain_s, patience_s)
+    if refusal is not None:
+        _log_answer(board, refusal, None)
+        return refusal
+    job = Job(
+        spec,
+        route,
+        board.now_s,
+        board.now_s + patience_s,
+        board.now_s + route.stretch * chain_s + route.objective_s,
+        expected_s,
+    )
+    job.tasks = tuple(
+        [Task(job, number, index) for index in range(step.count)]
+        for number, step in enumerate(spec.steps)
+    )
+    board.jobs[spec.job] = job
+    _unblock(board, job)
+    handout.run(board)
+    return None
+
+
+def chain_length_s(spec: JobSpec, expected_s: tuple[float, ...]) -> float:
+    """Returns the run time of a job's longest chain of steps."""
+    ends: list[float] = []
+    for step, run_s in zip(spec.steps, expected_s, strict=True):
+        begin_s = max((ends[number] for number in step.after), default=0.0)
+        ends.append(begin_s + run_s)
+    return max(ends, default=0.0)
+
+
+def _refusal(
+    board: EntryBoard, spec: JobSpec, route: Route, chain_s, patience_s
+) -> Answer | None:
+    """Returns why a job is refused, None when it is taken."""
+    load = handout.load(board, route)
+    if load.usable_cpu <= 0:
+        return Answer(
+            spec.job, Outcome.REFUSED, "no backend server", NO_SERVER_RETRY_S
+        )
+    if board.is_closing:
+        patience_s = min(patience_s, board.closing_s - board.now_s)
+    first = [step for step in spec.steps if not step.after]
+    cpu = sum(step.count * step.room.cpu for step in first)
+    if intake.must_refuse(load, cpu, chain_s, patience_s):
+        retry_s = intake.retry_after_s(load, cpu, chain_s, patience_s)
+        return Answer(spec.job, Outcome.REFUSED, "overload", retry_s)
+    return None
+
+
+def _unblock(board: EntryBoard, job: Job) -> None:
+    """Makes the tasks wait whose earlier steps are done."""
+    done = [
+        all(task.state is TaskState.DONE for task in tasks)
+        for tasks in job.tasks
+    ]
+    for tasks, step in zip(job.tasks, job.spec.steps, strict=True):
+        if not all(done[number] for number in step.after):
+            continue
+        for task in tasks:
+            if task.state is TaskState.BLOCKED:
+                wait(board, task)
+
+
+def wait(board: EntryBoard, task: Task) -> None:
+    """Puts a task among those that wait for room."""
+    task.state = TaskState.WAITING
+    task.waits_s = board.now_s
+    board.waiting.append(task)
+
+
+def on_end(
+    board: EntryBoard, view: AgentView, task: Task, row: RunReport
+) -> None:
+    """Takes in the end of a run."""
+    job = task.job
+    if board.jobs.get(job.id) is not job or task.attempt != row.attempt:
+        return
+    if row.end is RunEnd.DONE:
+        _on_done(board, view, task, row)
+        return
+    if row.end is RunEnd.FAILED:
+        task.failures += 1
+        task.avoided.add(view.node)
+        logs.info(
+            "run_failed",
+            job=job.id,
+            attempt=row.attempt,
+            agent=view.node,
+            failures=task.failures,
+            allowed=job.route.max_attempts,
+        )
+        if task.failures >= job.route.max_attempts:
+            close(board, job, Answer(job.id, Outcome.FAILED, "task failed"))
+            return
+    wait(board, task)
+
+
+def _on_done(
+    board: EntryBoard, view: AgentView, task: Task, row: RunReport
+) -> None:
+    job = task.job
+    task.state = TaskState.DONE
+    estimated_s = task.spec.estimated_s
+    run_s = row.run_ms / 1000 * view.speed
+    board.run_times.note(job.route.name, estimated_s, run_s)
+    if all(t.state is TaskState.DONE for tasks in job.tasks for t in tasks):
+        close(board, job, Answer(job.id, Outcome.COMPLETED))
+    else:
+        _unblock(board, job)
+
+
+def on_slow(
+    board: EntryBoard, view: AgentView, task: Task, row: RunReport
+) -> None:
+    """Moves a run that would end much sooner if it started over elsewhere."""
+    job = task.job
+    if task.state is not TaskState.ORDERED or task.moves >= MAX_MOVES:
+        return
+    age_s = row.run_ms / 1000
+    left_s = age_s * (100 - row.percent) / max(1, row.percent)
+    again_s = job.expected_s[task.step] + MOVE_S
+    other = handout.has_room_elsewhere(board, task)
+    logs.info(
+        "slow_run",
+        job=job.id,
+        attempt=row.attempt,
+        agent=view.node,
+        percent=row.percent,
+        age_s=age_s,
+        left_s=left_s,
+        again_s=again_s,
+        room_elsewhere=other,
+    )
+    if not other or left_s < MOVE_GAIN * again_s:
+        return
+    task.moves += 1
+    task.state = TaskState.STOPPING
+    task.avoided.add(view.node)
+    board.outbox.append((view.node, StopRuns(job.id, (row.attempt,))))
+
+
+def expire(board: EntryBoard) -> None:
+    """Gives up the jobs that can't be answered in time any more."""
+    for job in tuple(board.jobs.values()):
+        limit_s = job.deadline_s
+        if board.is_closing:
+            limit_s = min(limit_s, board.closing_s)
+        if board.now_s >= limit_s:
+            give_up(board, job, "deadline")
+        elif not job.may_have_started and _is_hopeless(board, job, limit_s):
+            give_up(board, job, "no room in time")
+
+
+def _is_hopeless(board: EntryBoard, job: Job, limit_s: float) -> bool:
+    chain_s = chain_length_s(job.spec, job.expected_s)
+    return board.now_s + chain_s > limit_s
+
+
+def give_up(board: EntryBoard, job: Job, reason: str) -> None:
+    """Answers a job that is not completed."""
+    outcome = Outcome.REFUSED
+    if job.may_have_started:
+        outcome = Outcome.GIVEN_UP
+    load = handout.load(board, job.route)
+    retry_s = intake.retry_after_s(load, 0, 0.0, 0.0)
+    close(board, job, Answer(job.id, outcome, reason, retry_s))
+
+
+def close(board: EntryBoard, job: Job, answer: Answer) -> None:
+    """Answers a job and stops what still runs of it."""
+    del board.jobs[job.id]
+    board.waiting = [task for task in board.waiting if task.job is not job]
+    stops: dict[str, list[int]] = {}
+    for view in board.agents.values():
+        for attempt, task in tuple(view.tasks.items()):
+            if task.job is job:
+                del view.tasks[attempt]
+                stops.setdefault(view.node, []).append(attempt)
+                left = board.leftovers.setdefault(job.id, {})
+                left[attempt] = (view.node, view.fence_s)
+    for node, attempts in stops.items():
+        board.outbox.append((node, StopRuns(job.id, tuple(attempts))))
+    board.answers.append(answer)
+    board.samples.append(("job_seconds", board.now_s - job.accepted_s))
+    _log_answer(board, answer, job)
+
+
+def _log_answer(board: EntryBoard, answer: Answer, job: Job | None) -> None:
+    board.counters[f"jobs_{answer.outcome.value}"] += 1
+    fields = {}
+    if job is not None:
+        fields["took_s"] = board.now_s - job.accepted_s
+        fields["objective_left_s"] = job.objective_s - board.now_s
+        fields["route"] = job.route.name
+    logs.info(
+        "job_answered",
+        job=answer.job,
+        outcome=answer.outcome,
+        reason=answer.reason,
+        retry_after_s=answer.retry_after_s,
+        **fields,
+    )
--- /dev/null
+++ b/egretthread/scheduling/placing.py
@@ -0,0 +1,85 @@
+"""Where work goes: the agent that should get a task.
+
+A task goes to the agent where it is expected to end first. An agent of
+another zone must win by CROSS_ZONE_S, since traffic between zones is slow and
+dear. An agent without room is no candidate: the task waits here, where it can
+still go to whoever has room first.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from egretthread.scheduling.jobspec import StepSpec
+from egretthread.scheduling.room import Room
+
+# What an agent of another zone must be faster by, in seconds.
+CROSS_ZONE_S = 0.01
+# The same as a share of the run time.
+CROSS_ZONE_SHARE = 0.08
+# How much a full backend server counts against an empty one, as a share of
+# the run time: spreads tasks while all are alike.
+CROWDING_SHARE = 0.1
+
+
+@dataclasses.dataclass
+class Candidate:
+    """An agent that may get tasks of one step.
+
+    Attributes:
+        node: Its node id.
+        is_near: Whether it is in the entry's zone.
+        room: Room left; falls with each task that it is given.
+        capacity: Its room when empty.
+        speed: Speed of its backend server.
+        limit: Tasks of the step that it may still get.
+    """
+
+    node: str
+    is_near: bool
+    room: Room
+    capacity: Room
+    speed: float
+    limit: int
+
+
+def choose(
+    candidates: Iterable[Candidate],
+    spec: StepSpec,
+    expected_s: float,
+    avoided: set[str],
+) -> Candidate | None:
+    """Returns the agent for one task, None when none has room.
+
+    Args:
+        candidates: The agents.
+        spec: The task's step.
+        expected_s: Its run time on a backend server of speed 1.
+        avoided: Agents that are taken only when no other has room.
+    """
+    best = None
+    best_cost = None
+    for candidate in candidates:
+        if candidate.limit < 1 or not candidate.room.holds(spec.room):
+            continue
+        cost = (
+            candidate.node in avoided,
+            _cost_s(candidate, expected_s),
+        )
+        if best is None or cost < best_cost:
+            best, best_cost = candidate, cost
+    return best
+
+
+def take(candidate: Candidate, spec: StepSpec) -> None:
+    """Takes a task's room off a candidate."""
+    candidate.room -= spec.room
+    candidate.limit -= 1
+
+
+def _cost_s(candidate: Candidate, expected_s: float) -> float:
+    run_s = expected_s / candidate.speed
+    used = 1 - candidate.room.cpu / max(1, candidate.capacity.cpu)
+    cost_s = run_s * (1 + CROWDING_SHARE * used)
+    if not candidate.is_near:
+        cost_s += CROSS_ZONE_S + CROSS_ZONE_SHARE * run_s
+    return cost_s
--- /dev/null
+++ b/egretthread/scheduling/room.py
@@ -0,0 +1,43 @@
+"""Room on a backend server: processor, memory and accelerators."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Room:
+    """An amount of what tasks share on one backend server.
+
+    Attributes:
+        cpu: Processor, in thousandths of a core.
+        memory_mb: Memory, in MB.
+        gpu: Accelerators.
+    """
+
+    cpu: int = 0
+    memory_mb: int = 0
+    gpu: int = 0
+
+    def holds(self, other: "Room") -> bool:
+        """Whether another amount fits in this one."""
+        return (
+            other.cpu <= self.cpu
+            and other.memory_mb <= self.memory_mb
+            and other.gpu <= self.gpu
+        )
+
+    def __add__(self, other: "Room") -> "Room":
+        return Room(
+            self.cpu + other.cpu,
+            self.memory_mb + other.memory_mb,
+            self.gpu + other.gpu,
+        )
+
+    def __sub__(self, other: "Room") -> "Room":
+        return Room(
+            self.cpu - other.cpu,
+            self.memory_mb - other.memory_mb,
+            self.gpu - other.gpu,
+        )
+
+
+NO_ROOM = Room()
--- /dev/null
+++ b/egretthread/scheduling/runlooks.py
@@ -0,0 +1,192 @@
+"""Looks at the backend server: which runs are there, and how they ended."""
+
+from egretthread import logs
+from egretthread.scheduling import runorders, runs
+from egretthread.scheduling.agentboard import (
+    AgentBoard,
+    Run,
+    RunPhase,
+    StopCall,
+)
+from egretthread.scheduling.runmessage import RunEnd, ServerState
+from egretthread.scheduling.servercall import (
+    EndedRow,
+    Look,
+    LookCall,
+    ServerEnd,
+    Verdict,
+)
+
+# How long a look may wait for an end while runs go on, in milliseconds.
+WAIT_MS = 100
+# The same while a stop awaits its end.
+STOP_WAIT_MS = 15
+# Work that has not moved for this long stands still, or for this share of
+# the time expected, whichever is longer: progress is told in whole percents.
+STALL_S = 0.35
+STALL_SHARE = 0.05
+# A run is slow when it is headed for this many times the time expected.
+SLOW_FACTOR = 2.5
+# Time between two reports that a run is slow, and age before the first.
+SLOW_REPORT_S = 0.25
+SLOW_MIN_AGE_S = 0.25
+
+ENDS = {
+    ServerEnd.DONE: RunEnd.DONE,
+    ServerEnd.FAILED: RunEnd.FAILED,
+}
+
+
+def next_look(board: AgentBoard) -> LookCall:
+    """Returns the next question to the backend server."""
+    until_ms = 0
+    wait_ms = WAIT_MS
+    if not board.barred:
+        until_ms = runorders.renew_lease(board)
+    if any(run.phase is RunPhase.STOPPING for run in board.runs.values()):
+        wait_ms = STOP_WAIT_MS
+    return LookCall(
+        board.server.server if board.server else "",
+        board.token,
+        board.last_seen,
+        until_ms,
+        wait_ms,
+        board.now_s,
+    )
+
+
+def on_look(board: AgentBoard, call: LookCall, look: Look) -> None:
+    """Takes in one look."""
+    runorders.note_answer(board, look)
+    board.counters[f"look_{look.verdict.value}"] += 1
+    if look.verdict is Verdict.FENCED:
+        runorders.raise_token(board)
+    elif look.verdict in (Verdict.WRONG_INSTANCE, Verdict.GONE):
+        runorders.lose_server(board, f"look: {look.verdict}")
+    elif look.verdict is Verdict.OK:
+        _take_in(board, call, look)
+
+
+def _take_in(board: AgentBoard, call: LookCall, look: Look) -> None:
+    server = board.server
+    if server and look.born and server.born and look.born != server.born:
+        runorders.lose_server(board, "born again")
+        return
+    if board.state is ServerState.ABSENT and server is not None:
+        board.state = ServerState.READY
+        logs.info("server_state", state=board.state, why="it answers again")
+    for row in look.ended:
+        if row.sequence > board.last_seen:
+            _on_ended(board, row)
+    numbers = [row.sequence for row in look.ended]
+    board.last_seen = max([board.last_seen, *numbers])
+    listed = set()
+    for row in look.running:
+        listed.add((row.name, row.number))
+        run = board.by_name.get(row.name)
+        if run is None or run.number != row.number:
+            _stop_unknown(board, row.name, row.number)
+        else:
+            _on_running(board, run, row.percent)
+    for run in tuple(board.by_name.values()):
+        if (run.name, run.number) not in listed:
+            _on_unlisted(board, call, run)
+
+
+def _on_ended(board: AgentBoard, row: EndedRow) -> None:
+    run = board.by_name.get(row.name)
+    if run is None or run.number != row.number:
+        return
+    end = ENDS.get(row.end, RunEnd.STOPPED)
+    run_s = board.now_s - run.started_s if run.started_s else 0.0
+    board.samples.append(("task_seconds", run_s))
+    if end is RunEnd.DONE:
+        board.health.note(board.now_s, good=True)
+        if run_s > 0:
+            board.health.note_speed(board.now_s, run.expected_s / run_s)
+    elif end is RunEnd.FAILED:
+        board.health.note(board.now_s, good=False)
+    elif row.end is ServerEnd.LAPSED:
+        logs.warning("server_lease_lapsed", job=run.name.job)
+    runs.finish(board, run, end)
+
+
+def _stop_unknown(board: AgentBoard, name, number: int) -> None:
+    """Stops a run that an earlier agent started, or that came late."""
+    logs.info("unknown_run_stopped", job=name.job, number=number)
+    server = board.server.server if board.server else ""
+    board.calls.append(StopCall(name, number, server, board.token))
+
+
+def _on_running(board: AgentBoard, run: Run, percent: int) -> None:
+    if run.phase is RunPhase.STARTING:
+        run.phase = RunPhase.RUNNING
+        run.started_s = run.moved_s = board.now_s
+    if run.phase is not RunPhase.RUNNING:
+        return
+    if percent != run.percent:
+        run.percent = percent
+        run.moved_s = board.now_s
+    age_s = board.now_s - run.started_s
+    if _is_slow(board, run, age_s):
+        if board.now_s - run.slow_reported_s > SLOW_REPORT_S:
+            _report_slow(board, run, age_s)
+
+
+def _is_slow(board: AgentBoard, run: Run, age_s: float) -> bool:
+    if age_s < SLOW_MIN_AGE_S:
+        return False
+    if _stands_still(board, run):
+        return True
+    headed_s = age_s * 100 / max(1, run.percent)
+    return headed_s > SLOW_FACTOR * max(run.expected_s, SLOW_MIN_AGE_S)
+
+
+def _stands_still(board: AgentBoard, run: Run) -> bool:
+    patience_s = max(STALL_S, STALL_SHARE * run.expected_s)
+    return board.now_s - run.moved_s > patience_s
+
+
+def _report_slow(board: AgentBoard, run: Run, age_s: float) -> None:
+    first = not run.slow_reported_s
+    run.slow_reported_s = board.now_s
+    if _stands_still(board, run):
+        if first:
+            board.health.note(board.now_s, good=False)
+    else:
+        speed = run.expected_s * run.percent / 100 / age_s
+        board.health.note_speed(board.now_s, speed)
+    logs.info(
+        "run_slow",
+        job=run.name.job,
+        attempt=run.attempt,
+        percent=run.percent,
+        age_s=age_s,
+        expected_s=run.expected_s,
+        still=_stands_still(board, run),
+    )
+    runs.report(board, run, RunEnd.SLOW)
+
+
+def _on_unlisted(board: AgentBoard, call: LookCall, run: Run) -> None:
+    """Handles a run that is neither there nor among the ends."""
+    if run.phase is RunPhase.RUNNING and run.started_s < call.sent_s:
+        logs.warning("run_missing", job=run.name.job, number=run.number)
+        runs.finish(board, run, RunEnd.STOPPED)
+    elif run.phase is RunPhase.STOPPING and run.stopped_s:
+        if run.stopped_s < call.sent_s:
+            runs.finish(board, run, run.end)
+
+
+def check_server(board: AgentBoard) -> None:
+    """Drops all runs once a backend server that is silent has dropped them."""
+    if not board.by_name or board.now_s < board.lease_end_s + 0.05:
+        return
+    logs.warning("server_silent", runs=len(board.by_name))
+    board.state = (
+        ServerState.DRAINING if board.is_closing else ServerState.ABSENT
+    )
+    for run in tuple(board.by_name.values()):
+        if run.phase is not RunPhase.RUNNING:
+            board.barred.append(runs.stop_call(board, run))
+        runs.finish(board, run, RunEnd.STOPPED)
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -28,6 +28,15 @@
     askReply @14 :AskReply;
     cancelJob @15 :CancelJob;
     look @16 :Look;
+    serverFacts @17 :ServerFacts;
+    agentBeat @18 :AgentBeat;
+    entryBeat @19 :EntryBeat;
+    startRuns @20 :StartRuns;
+    stopRuns @21 :StopRuns;
+    runReports @22 :RunReports;
+    liveRuns @23 :LiveRuns;
+    entryHello @24 :EntryHello;
+    operatorRecord @25 :OperatorRecord;
   }
 }
 
@@ -235,3 +244,91 @@
   status @2 :UInt8;
   outcomes @3 :List(Outcome);
 }
+
+# Jobs of steps on backend servers with room, see scheduling/runmessage.py.
+
+struct Room {
+  cpu @0 :Int64;
+  memoryMb @1 :Int64;
+  gpu @2 :Int64;
+}
+
+struct ServerFacts {
+  agent @0 :Text;
+  server @1 :Text;
+  service @2 :Text;
+  zone @3 :Text;
+  labels @4 :List(Text);
+  capacity @5 :Room;
+}
+
+struct AgentBeat {
+  clockMs @0 :Int64;
+  state @1 :UInt8;
+  freeCpu @2 :Int64;
+  freeMemoryMb @3 :Int64;
+  freeGpu @4 :Int64;
+  speed @5 :Float64;
+  received @6 :Int64;
+}
+
+struct EntryBeat {
+  echoMs @0 :Int64;
+  operatorOffset @1 :Int64;
+  withdrawn @2 :Bool;
+  entries @3 :List(Text);
+}
+
+struct RunOrder {
+  step @0 :Int64;
+  index @1 :Int64;
+  attempt @2 :Int64;
+}
+
+struct StartRuns {
+  job @0 :Text;
+  payload @1 :Text;
+  cpu @2 :Int64;
+  memoryMb @3 :Int64;
+  gpu @4 :Int64;
+  expectedMs @5 :Int64;
+  priority @6 :Int64;
+  echoMs @7 :Int64;
+  orders @8 :List(RunOrder);
+}
+
+struct StopRuns {
+  job @0 :Text;
+  attempts @1 :List(Int64);
+}
+
+struct RunReport {
+  job @0 :Text;
+  attempt @1 :Int64;
+  end @2 :UInt8;
+  runMs @3 :Int64;
+  percent @4 :Int64;
+}
+
+struct RunReports {
+  rows @0 :List(RunReport);
+}
+
+struct LiveRun {
+  job @0 :Text;
+  attempt @1 :Int64;
+}
+
+struct LiveRuns {
+  rows @0 :List(LiveRun);
+}
+
+struct EntryHello {
+  address @0 :Text;
+  operatorOffset @1 :Int64;
+}
+
+struct OperatorRecord {
+  offset @0 :Int64;
+  text @1 :Text;
+}
