--- /dev/null
+++ b/tests/scheduling/test_region.py
@@ -0,0 +1,239 @@
+"""Tests of entries and agents together, under faults."""
+
+import random
+
+import testtools
+
+from egretthread.scheduling.entryboard import Outcome
+from tests.scheduling import region
+
+
+def completed(world):
+    return [a for a in world.answers if a[1] is Outcome.COMPLETED]
+
+
+class TestCalmRegion(testtools.TestCase):
+    def test_a_job_is_completed_in_its_run_time(self):
+        world = region.Region()
+        world.run(2.0)
+        world.submit(region.job("j"))
+        world.run(0.3)
+        self.assertEqual([("j", Outcome.COMPLETED)], [
+            answer[:2] for answer in world.answers
+        ])
+        self.assertLess(world.answers[0][2], 102.2)
+
+    def test_wide_jobs_wait_for_room_and_are_completed(self):
+        world = region.Region(agents=2, cpu=4000)
+        world.run(2.0)
+        world.submit(region.job("wide", count=30))
+        world.finish(5.0)
+        self.assertEqual(1, len(completed(world)))
+        self.assertEqual([], world.faults())
+
+    def test_a_job_that_cannot_be_done_in_time_is_refused_at_once(self):
+        world = region.Region(agents=1, cpu=1000)
+        world.run(2.0)
+        for number in range(20):
+            world.submit(
+                region.job(f"j{number}", estimated_s=0.5), "e0", 2.0
+            )
+        world.run(0.01)
+        refused = [a for a in world.answers if a[1] is Outcome.REFUSED]
+        self.assertGreater(len(refused), 8)
+        world.finish(5.0)
+        self.assertEqual([], world.faults())
+
+
+class TestLinks(testtools.TestCase):
+    def test_an_order_on_a_new_link_is_not_taken_as_lost(self):
+        """The list of live runs may be older than the first order."""
+        world = region.Region(entries=1, agents=2)
+        world.run(2.0)
+        world.reset_pair("e0", "a0")
+        world.reset_pair("e0", "a1")
+        # The entry's end opens first; a job comes in that very moment.
+        world.at(region.RECONNECT_S, world.submit, region.job("j"), "e0")
+        world.run(1.0)
+        world.finish(2.0)
+        self.assertEqual([], world.faults())
+        self.assertEqual(4, sum(len(rows) for rows in world.runs().values()))
+
+    def test_runs_go_on_while_a_link_is_opened_afresh(self):
+        world = region.Region(entries=1, agents=1, work_s=lambda name: 0.6)
+        world.run(2.0)
+        world.submit(region.job("j"))
+        world.run(0.2)
+        world.reset_pair("e0", "a0")
+        world.finish(3.0)
+        self.assertEqual(1, len(completed(world)))
+        self.assertEqual(4, sum(len(rows) for rows in world.runs().values()))
+
+    def test_runs_of_a_dead_entry_end_before_the_job_comes_again(self):
+        world = region.Region(entries=2, work_s=lambda name: 2.0)
+        world.run(2.0)
+        world.submit(region.job("j", estimated_s=2.0), "e0", 9.0)
+        world.run(0.5)
+        world.kill(world.entries["e0"], 5.0)
+        world.finish(12.0)
+        self.assertEqual([], world.faults())
+        self.assertEqual(1, len(completed(world)))
+
+    def test_a_cut_off_agent_loses_its_runs_to_others(self):
+        world = region.Region(
+            entries=1, agents=2, cpu=4000, work_s=lambda name: 1.0
+        )
+        world.run(2.0)
+        world.submit(region.job("j", estimated_s=1.0), "e0", 9.0)
+        world.run(0.3)
+        world.cut("e0", "a0", 6.0)
+        world.finish(12.0)
+        self.assertEqual([], world.faults())
+        self.assertEqual(1, len(completed(world)))
+
+
+class TestServers(testtools.TestCase):
+    def test_a_run_that_stands_still_is_moved(self):
+        world = region.Region(entries=1, agents=2)
+        world.run(2.0)
+        world.servers["a0"].rate = 0.0
+        world.submit(region.job("j", count=8), "e0", 3.0)
+        world.finish(5.0)
+        self.assertEqual([], world.faults())
+        self.assertEqual(1, len(completed(world)))
+
+    def test_a_crashed_server_loses_its_runs_to_others(self):
+        world = region.Region(entries=1, agents=2)
+        world.run(2.0)
+        world.submit(region.job("j", count=8), "e0", 3.0)
+        world.run(0.05)
+        world.servers["a0"].crash(world.now_s)
+        world.finish(5.0)
+        self.assertEqual([], world.faults())
+        self.assertEqual(1, len(completed(world)))
+
+    def test_orders_without_an_answer_never_run_a_task_twice(self):
+        world = region.Region(seed=5)
+        world.lost_share = 0.2
+        world.late_share = 0.5
+        world.run(2.0)
+        for number in range(30):
+            world.submit(region.job(f"j{number}"))
+            world.run(0.1)
+        world.finish(20.0)
+        self.assertEqual([], world.faults())
+
+    def test_a_restarted_agent_stops_what_its_predecessor_started(self):
+        world = region.Region(entries=1, agents=2, work_s=lambda name: 1.5)
+        world.run(2.0)
+        world.submit(region.job("j", count=8, estimated_s=1.5), "e0", 9.0)
+        world.run(0.3)
+        world.kill(world.agents["a0"], 0.2)
+        world.finish(12.0)
+        self.assertEqual([], world.faults())
+        self.assertEqual(1, len(completed(world)))
+
+
+def play(seed, steps=40):
+    """Plays one random history and returns the region."""
+    rng = random.Random(seed)
+    world = region.Region(
+        entries=rng.choice((1, 2, 3)),
+        agents=rng.choice((1, 2, 4)),
+        cpu=rng.choice((2000, 8000)),
+        seed=seed,
+        work_s=lambda name: 0.05 + 3.0 * (hash_of(name, seed) ** 3),
+    )
+    world.lost_share = rng.choice((0.0, 0.0, 0.05))
+    world.late_share = rng.choice((0.0, 0.5))
+    world.run(2.0)
+    for step in range(steps):
+        STEPS[rng.choices(range(len(STEPS)), WEIGHTS)[0]](world, rng, step)
+        world.run(rng.choice((0.01, 0.1, 0.4)))
+    world.lost_share = 0.0
+    for server in world.servers.values():
+        server.rate = 1.0
+        server.failing = False
+    world.finish(25.0)
+    return world
+
+
+def hash_of(name, seed):
+    return random.Random(f"{name}{seed}").random()
+
+
+def _submit(world, rng, step):
+    count = rng.choice((1, 3, 8))
+    estimated_s = rng.choice((0.05, 0.2, 0.8))
+    spec = region.job(f"j{step}", count, estimated_s=estimated_s)
+    route = rng.choice((region.ROUTE, region.LONG_ROUTE))
+    world.submit(spec, None, rng.choice((1.0, 4.0, 9.0)), route)
+
+
+def _kill_entry(world, rng, step):
+    world.kill(rng.choice(list(world.entries.values())), rng.uniform(0.2, 2))
+
+
+def _kill_agent(world, rng, step):
+    world.kill(rng.choice(list(world.agents.values())), rng.uniform(0.2, 2))
+
+
+def _freeze(world, rng, step):
+    processes = [*world.entries.values(), *world.agents.values()]
+    world.freeze(rng.choice(processes), rng.uniform(0.1, 4.0))
+
+
+def _cut(world, rng, step):
+    entry = rng.choice(list(world.entries))
+    agent = rng.choice(list(world.agents))
+    world.cut(entry, agent, rng.uniform(0.1, 4.0))
+
+
+def _reset(world, rng, step):
+    if world.links:
+        world.reset(rng.choice(list(world.links.values())))
+
+
+def _break_caller(world, rng, step):
+    if world.callers:
+        world.break_off(rng.choice(list(world.callers.values())), True)
+
+
+def _crash(world, rng, step):
+    server = rng.choice(list(world.servers.values()))
+    if not server.down:
+        server.crash(world.now_s)
+        world.at(rng.uniform(0.2, 3.0), lambda: server.begin(world.now_s))
+
+
+def _slow(world, rng, step):
+    server = rng.choice(list(world.servers.values()))
+    server.advance(world.now_s)
+    server.rate = rng.choice((0.0, 0.2, 1.0, 1.0))
+
+
+def _fail(world, rng, step):
+    server = rng.choice(list(world.servers.values()))
+    server.failing = not server.failing
+
+
+STEPS = (
+    _submit,
+    _kill_entry,
+    _kill_agent,
+    _freeze,
+    _cut,
+    _reset,
+    _break_caller,
+    _crash,
+    _slow,
+    _fail,
+)
+WEIGHTS = (20, 1, 1, 2, 2, 2, 2, 1, 2, 1)
+
+
+class TestHistories(testtools.TestCase):
+    def test_random_histories_keep_the_promises(self):
+        for seed in range(60):
+            world = play(seed)
+            self.assertEqual([], world.faults(), f"seed {seed}")
