Take jobs that can be in time, and let the most urgent wait at agents

Now: intake by measured rates, late jobs get what is left over, started jobs keep their place, the most urgent tasks wait at agents and have a reserve, starts are repeated after 40 ms.

Ruled out: the agents' processor.

--- a/egretthread/platform/servers.py
+++ b/egretthread/platform/servers.py
@@ -27,10 +27,9 @@
 
 # Names the incarnation that an order is meant for.
 INSTANCE_HEADER = "X-Egretthread-Expected-Instance"
-# Time for an answer to an order; the backend server is on the same machine.
-ORDER_TIMEOUT_S = 0.15
-# Time for an answer to a look, beyond the wait that it asks for.
-LOOK_TIMEOUT_S = 0.15
+# Time for an answer to a look, beyond the wait that it asks for; the backend
+# server is on the same machine.
+LOOK_TIMEOUT_S = 0.06
 # Connections for orders, and for looks, which wait.
 ORDER_CONNECTIONS = 3
 LOOK_CONNECTIONS = 1
@@ -157,7 +156,7 @@
             "until_ms": call.until_ms,
             "fencing_token": call.token,
         }
-        return await self._order("/run-start", table, call.server)
+        return await self._order("/run-start", table, call)
 
     async def stop_run(self, call: StopCall) -> CallResult:
         """Stops a run."""
@@ -166,7 +165,7 @@
             "run": call.number,
             "fencing_token": call.token,
         }
-        return await self._order("/run-stop", table, call.server)
+        return await self._order("/run-stop", table, call)
 
     async def look(self, call: LookCall) -> Look:
         """Looks at the runs and renews their lease."""
@@ -189,9 +188,11 @@
             logs.error("look_unreadable", error=str(error))
             return Look(Verdict.LOST)
 
-    async def _order(self, path: str, table: dict, server: str) -> CallResult:
+    async def _order(
+        self, path: str, table: dict, call: StartCall | StopCall
+    ) -> CallResult:
         verdict, body = await self._send(
-            self.orders, path, table, server, ORDER_TIMEOUT_S
+            self.orders, path, table, call.server, call.timeout_s
         )
         return CallResult(verdict, _clock_ms(body))
 
--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -50,6 +50,7 @@
         expected_s: Run time expected on a backend server of speed 1.
         priority: 0 goes first.
         accepted_s: When it was accepted.
+        wait_s: How long it may wait here for room.
         phase: Where it is.
         number: Number of the run at the backend server.
         tries: Calls made in the present phase.
@@ -69,6 +70,7 @@
     expected_s: float
     priority: int
     accepted_s: float
+    wait_s: float = 0.0
     phase: RunPhase = RunPhase.QUEUED
     number: int = 0
     tries: int = 0
@@ -146,6 +148,7 @@
         server: Id of the incarnation meant.
         until_ms: End of the lease, on the backend server's clock.
         token: Fencing token.
+        timeout_s: How long to wait for the answer.
     """
 
     run: Run
@@ -153,16 +156,26 @@
     server: str
     until_ms: int
     token: int
+    timeout_s: float
 
 
 @dataclasses.dataclass(frozen=True)
 class StopCall:
-    """Order to the backend server: stop a run, or bar one not there yet."""
+    """Order to the backend server: stop a run, or bar one not there yet.
+
+    Attributes:
+        name: The task.
+        number: Number of the run.
+        server: Id of the incarnation meant.
+        token: Fencing token.
+        timeout_s: How long to wait for the answer.
+    """
 
     name: TaskName
     number: int
     server: str
     token: int
+    timeout_s: float = 0.1
 
 
 @dataclasses.dataclass
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -35,6 +35,10 @@
 # An entry of the same zone is told at once when room was taken or freed, but
 # no more often than this. Traffic within a zone costs nothing.
 NEAR_BEAT_S = 0.02
+# Entries of other zones are told so only while little room is left or was
+# left: it is then that several entries reach for the same room.
+FAR_BEAT_S = 0.04
+LITTLE_ROOM_SHARE = 0.3
 # Time after an order during which the entry counts as one with runs here.
 BUSY_AFTER_S = 1.0
 # Silence of an entry with runs here after which its link is opened afresh.
@@ -243,14 +247,25 @@
 
 def _beat_due(board: AgentBoard, coordinator: Coordinator) -> bool:
     since_s = board.now_s - coordinator.beat_s
-    if coordinator.is_near and since_s >= NEAR_BEAT_S:
-        if coordinator.told_cpu != board.free.cpu:
+    is_news = coordinator.told_cpu != board.free.cpu
+    if is_news and since_s >= NEAR_BEAT_S:
+        if coordinator.is_near:
+            return True
+        if since_s >= FAR_BEAT_S and _is_short(board, coordinator):
             return True
     if since_s < BUSY_BEAT_S:
         return False
     return since_s >= IDLE_BEAT_S or _is_busy(board, coordinator)
 
 
+def _is_short(board: AgentBoard, coordinator: Coordinator) -> bool:
+    """Whether little room is left, or the entry was told so."""
+    if board.server is None:
+        return False
+    limit_cpu = LITTLE_ROOM_SHARE * board.server.capacity.cpu
+    return min(board.free.cpu, coordinator.told_cpu) < limit_cpu
+
+
 def _is_busy(board: AgentBoard, coordinator: Coordinator) -> bool:
     return any(run.entry == coordinator.node for run in board.runs.values())
 
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -145,11 +145,11 @@
         unseen = 0
         while True:
             self._turn()
-            if not agentengine.needs_look(self.board):
-                if unseen == self.board.last_seen:
-                    self.busy.clear()
-                    await self.busy.wait()
-                    self._turn()
+            needed = agentengine.needs_look(self.board)
+            if not needed and unseen == self.board.last_seen:
+                self.busy.clear()
+                await self.busy.wait()
+                self._turn()
             unseen = self.board.last_seen
             call = runlooks.next_look(self.board)
             look = await self.server.look(call)
--- a/egretthread/scheduling/agentviews.py
+++ b/egretthread/scheduling/agentviews.py
@@ -68,6 +68,7 @@
         zone == board.zone,
         entries,
     )
+    view.replied_s = board.now_s
     board.outbox.append((view.node, beat))
     extend_fence(view, ordered=False)
 
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -3,8 +3,9 @@
 import collections
 import dataclasses
 import enum
+import random
 
-from egretthread.scheduling import estimates
+from egretthread.scheduling import estimates, workmeter
 from egretthread.scheduling.jobspec import (
     JobSpec,
     OperatorState,
@@ -141,6 +142,7 @@
         speed: Speed it last told.
         heard_s: When its last heartbeat came.
         clock_ms: The clock in that heartbeat.
+        replied_s: When a heartbeat was last replied to.
         is_connected: Whether a link is open.
         closed_s: When the last link closed.
         ordered: Runs ordered over the present link.
@@ -160,6 +162,7 @@
     speed: float = 1.0
     heard_s: float = 0.0
     clock_ms: int = 0
+    replied_s: float = 0.0
     is_connected: bool = True
     closed_s: float = 0.0
     ordered: int = 0
@@ -197,8 +200,12 @@
         leftovers: Attempts of jobs already answered that may still run:
             agent and time at which each is surely over, by job id and attempt.
         attempts: Attempts numbered so far.
+        rng: Source of the choices between agents that are alike.
         entries: Addresses of the entries known, this one included.
         run_times: What was learned of run times.
+        drained: Work that got room lately.
+        arrived: Work that came lately, refused work included.
+        reviewed_s: When the waiting jobs were last reviewed.
         outbox: Messages to be sent, by agent.
         answers: Answers to be given.
         counters: Events counted by name.
@@ -220,10 +227,18 @@
         default_factory=dict
     )
     attempts: int = 0
+    rng: random.Random = dataclasses.field(default_factory=random.Random)
     entries: tuple[str, ...] = ()
     run_times: estimates.RunTimes = dataclasses.field(
         default_factory=estimates.RunTimes
     )
+    drained: workmeter.WorkMeter = dataclasses.field(
+        default_factory=workmeter.WorkMeter
+    )
+    arrived: workmeter.WorkMeter = dataclasses.field(
+        default_factory=workmeter.WorkMeter
+    )
+    reviewed_s: float = 0.0
     outbox: list[tuple[str, object]] = dataclasses.field(default_factory=list)
     answers: list[Answer] = dataclasses.field(default_factory=list)
     counters: collections.Counter = dataclasses.field(
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -1,5 +1,7 @@
 """The entry's engine for jobs of steps: each event and its controller."""
 
+import random
+
 from egretthread import logs
 from egretthread.scheduling import (
     agentviews,
@@ -30,13 +32,18 @@
 # meanwhile is read before anything is handed out.
 PAUSE_S = 0.4
 AFTER_PAUSE_S = 0.06
+# Least time between two replies to an agent. Its heartbeats may come faster,
+# to tell of room; what a reply renews lasts far longer.
+REPLY_S = 0.1
 # An agent without a link is forgotten after this long.
 AGENT_KEPT_S = 30.0
 
 
 def new_board(node: str, zone: str, now_s: float) -> EntryBoard:
     """Returns the blackboard of a freshly started entry."""
-    return EntryBoard(node, zone, now_s, ticked_s=now_s)
+    return EntryBoard(
+        node, zone, now_s, ticked_s=now_s, rng=random.Random(node)
+    )
 
 
 def set_time(board: EntryBoard, now_s: float) -> None:
@@ -115,7 +122,8 @@
 
 def _on_beat(board: EntryBoard, view: AgentView, beat: AgentBeat) -> None:
     agentviews.take_beat(board, view, beat)
-    agentviews.send_beat(board, view)
+    if board.now_s - view.replied_s >= REPLY_S:
+        agentviews.send_beat(board, view)
 
 
 def _on_reports(board: EntryBoard, view: AgentView, item: RunReports) -> None:
--- a/egretthread/scheduling/handout.py
+++ b/egretthread/scheduling/handout.py
@@ -1,6 +1,7 @@
 """Hands waiting tasks to agents with room."""
 
 import collections
+from collections.abc import Iterator
 
 from egretthread.scheduling import agentviews, intake, placing, waitorder
 from egretthread.scheduling.entryboard import (
@@ -17,6 +18,16 @@
 )
 
 UNLIMITED = 1_000_000
+# Largest random factor of what an agent costs.
+JITTER = 1.2
+# A run that finds no room waits at its agent this long for a run to end; then
+# its entry, which is a round trip away, looks for room elsewhere.
+WAIT_S = 0.01
+# The same for an urgent run, which goes first there.
+URGENT_WAIT_S = 0.07
+# Share of each backend server's room that only the most urgent tasks get
+# while others wait: they come in jobs of many tasks and can't wait for ends.
+RESERVE_SHARE = 0.1
 
 
 def run(board: EntryBoard) -> None:
@@ -25,33 +36,50 @@
         return
     board.waiting.sort(key=lambda task: waitorder.sort_key(task, board.now_s))
     candidates = {}
+    priorities = {route.priority for route in board.operators.routes}
+    most_urgent = min(priorities) if len(priorities) > 1 else -1
     full: set[tuple] = set()
-    chosen: dict[tuple[str, str, int], list[Task]] = collections.defaultdict(
-        list
-    )
+    chosen: dict[tuple, list[Task]] = collections.defaultdict(list)
     still = []
     for task in board.waiting:
         if task.job.id in board.leftovers:
             still.append(task)
             continue
         service = task.job.route.service
-        shape = (service, task.spec.room, task.spec.required_label)
+        shape = (
+            service,
+            task.spec.room,
+            task.spec.required_label,
+            task.job.route.priority,
+        )
         if shape in full:
             still.append(task)
             continue
         if service not in candidates:
             candidates[service] = _candidates(board, service)
-        agent = _choose(board, candidates[service], task)
+        urgent = task.job.route.priority == most_urgent
+        reserve = RESERVE_SHARE if most_urgent >= 0 and not urgent else 0.0
+        agent = _choose(board, candidates[service], task, reserve)
+        waits_s = WAIT_S
+        if (
+            agent is None
+            and urgent
+            and not waitorder.is_late(task, board.now_s)
+        ):
+            waits_s = URGENT_WAIT_S
+            agent = placing.choose_queue(
+                candidates[service], task.spec, task.avoided
+            )
         if agent is None:
             if not task.spec.max_per_server:
                 full.add(shape)
             still.append(task)
             continue
         placing.take(agent, task.spec)
-        chosen[agent.node, task.job.id, task.step].append(task)
+        chosen[agent.node, task.job.id, task.step, waits_s].append(task)
     board.waiting = still
-    for (node, _, _), tasks in chosen.items():
-        _order(board, board.agents[node], tasks)
+    for (node, _, _, waits_s), tasks in chosen.items():
+        _order(board, board.agents[node], tasks, waits_s)
 
 
 def _candidates(board: EntryBoard, service: str) -> list[Candidate]:
@@ -63,6 +91,7 @@
             view.facts.capacity,
             view.speed,
             UNLIMITED,
+            board.rng.uniform(1.0, JITTER),
         )
         for view in board.agents.values()
         if agentviews.is_usable(board, view) and view.facts.service == service
@@ -70,7 +99,10 @@
 
 
 def _choose(
-    board: EntryBoard, candidates: list[Candidate], task: Task
+    board: EntryBoard,
+    candidates: list[Candidate],
+    task: Task,
+    reserve: float = 0.0,
 ) -> Candidate | None:
     spec = task.spec
     if spec.required_label:
@@ -91,12 +123,18 @@
             if taken[candidate.node] < spec.max_per_server
         ]
     return placing.choose(
-        candidates, spec, task.job.expected_s[task.step], task.avoided
+        candidates,
+        spec,
+        task.job.expected_s[task.step],
+        task.avoided,
+        reserve,
     )
 
 
-def _order(board: EntryBoard, view: AgentView, tasks: list[Task]) -> None:
-    """Hands tasks of one step to an agent."""
+def _order(
+    board: EntryBoard, view: AgentView, tasks: list[Task], waits_s: float
+) -> None:
+    """Hands tasks of one step to an agent, where they may wait for room."""
     first = tasks[0]
     job = first.job
     room = first.spec.room
@@ -112,6 +150,7 @@
         view.in_flight.append((view.ordered, room))
         orders.append(RunOrder(task.step, task.index, task.attempt))
         board.samples.append(("queue_seconds", board.now_s - task.waits_s))
+        board.drained.note(board.now_s, job.route.priority, _work_cpu_s(task))
     job.may_have_started = True
     job.handed_s = board.now_s
     job.runs += len(tasks)
@@ -128,6 +167,7 @@
                 int(job.expected_s[first.step] * 1000),
                 job.route.priority,
                 view.clock_ms,
+                int(waits_s * 1000),
                 tuple(orders),
             ),
         )
@@ -144,19 +184,90 @@
     return _choose(board, candidates, task) is not None
 
 
-def load(board: EntryBoard, route: Route) -> intake.Load:
-    """Returns what stands before a new job of a route."""
-    usable_cpu = free_cpu = 0
-    for view in board.agents.values():
-        if view.facts is None or view.facts.service != route.service:
-            continue
-        if agentviews.is_usable(board, view):
-            usable_cpu += view.facts.capacity.cpu * min(1.0, view.speed)
-            free_cpu += max(0, view.room.cpu)
-    waiting_cpu_s = sum(
-        task.spec.room.cpu * task.job.expected_s[task.step]
-        for task in board.waiting
-        if task.job.route.service == route.service
-        and task.job.route.priority <= route.priority
+def load(
+    board: EntryBoard, route: Route, latest_s: float, own_cpu_s: float = 0.0
+) -> intake.Load:
+    """Returns what stands before a task of a route.
+
+    Args:
+        board: The blackboard.
+        route: The route.
+        latest_s: When the task must start to meet its objective.
+        own_cpu_s: Work of the same job, thousandths of a core x seconds.
+    """
+    key = (board.now_s > latest_s, route.priority, latest_s)
+    ahead_cpu_s = waiting_cpu_s = 0.0
+    for task in board.waiting:
+        if task.job.route.service == route.service:
+            work = _work_cpu_s(task)
+            waiting_cpu_s += work
+            if waitorder.sort_key(task, board.now_s) < key:
+                ahead_cpu_s += work
+    if ahead_cpu_s:
+        ahead_cpu_s += own_cpu_s
+    return intake.Load(
+        _usable_cpu(board, route.service),
+        ahead_cpu_s,
+        _rate(board, route.priority),
+        waiting_cpu_s + own_cpu_s,
+        _left_over(board),
+    )
+
+
+def loads(board: EntryBoard) -> Iterator[tuple[Task, intake.Load]]:
+    """Yields each waiting task with what stands before it."""
+    waiting_cpu_s: dict[str, float] = collections.defaultdict(float)
+    for task in board.waiting:
+        waiting_cpu_s[task.job.route.service] += _work_cpu_s(task)
+    ahead_cpu_s: dict[str, float] = collections.defaultdict(float)
+    usable_cpu = {
+        service: _usable_cpu(board, service) for service in waiting_cpu_s
+    }
+    left_over = _left_over(board)
+    rates: dict[int, float] = {}
+    for task in sorted(
+        board.waiting, key=lambda task: waitorder.sort_key(task, board.now_s)
+    ):
+        route = task.job.route
+        service = route.service
+        if route.priority not in rates:
+            rates[route.priority] = _rate(board, route.priority)
+        yield (
+            task,
+            intake.Load(
+                usable_cpu[service],
+                ahead_cpu_s[service],
+                rates[route.priority],
+                waiting_cpu_s[service],
+                left_over,
+            ),
+        )
+        ahead_cpu_s[service] += _work_cpu_s(task)
+
+
+def _rate(board: EntryBoard, priority: int) -> float:
+    """Returns the work of a priority that gets room in a second.
+
+    What is more urgent keeps coming and goes first, so its part of the room
+    is not to be had.
+    """
+    return board.drained.rate(board.now_s, priority)
+
+
+def _left_over(board: EntryBoard) -> float:
+    """Returns the work that gets room in a second beyond what comes."""
+    drained = board.drained.rate(board.now_s, 0)
+    return drained - board.arrived.rate(board.now_s, 0)
+
+
+def _usable_cpu(board: EntryBoard, service: str) -> int:
+    """Returns the processor of all backend servers that may get tasks."""
+    return sum(
+        view.facts.capacity.cpu
+        for view in board.agents.values()
+        if agentviews.is_usable(board, view) and view.facts.service == service
     )
-    return intake.Load(usable_cpu, free_cpu, waiting_cpu_s)
+
+
+def _work_cpu_s(task: Task) -> float:
+    return task.spec.room.cpu * task.job.expected_s[task.step]
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -1,7 +1,7 @@
 """A job's way from its submission to its answer."""
 
 from egretthread import logs
-from egretthread.scheduling import handout, intake
+from egretthread.scheduling import handout, intake, waitorder
 from egretthread.scheduling.entryboard import (
     AgentView,
     Answer,
@@ -14,6 +14,8 @@
 from egretthread.scheduling.jobspec import JobSpec, Route
 from egretthread.scheduling.runmessage import RunEnd, RunReport, StopRuns
 
+# Time between two reviews of the jobs that wait, in seconds.
+REVIEW_S = 0.1
 # Times that a task is stopped for being slow, at most.
 MAX_MOVES = 2
 # A slow run is moved when starting over is expected to end this much sooner.
@@ -74,17 +76,22 @@
     board: EntryBoard, spec: JobSpec, route: Route, chain_s, patience_s
 ) -> Answer | None:
     """Returns why a job is refused, None when it is taken."""
-    load = handout.load(board, route)
+    slack_s = (route.stretch - 1) * chain_s + route.objective_s
+    work = sum(
+        step.count * step.room.cpu * chain_s
+        for step in spec.steps
+        if not step.after
+    )
+    board.arrived.note(board.now_s, route.priority, work)
+    load = handout.load(board, route, board.now_s + slack_s, work)
     if load.usable_cpu <= 0:
         return Answer(
             spec.job, Outcome.REFUSED, "no backend server", NO_SERVER_RETRY_S
         )
     if board.is_closing:
         patience_s = min(patience_s, board.closing_s - board.now_s)
-    first = [step for step in spec.steps if not step.after]
-    cpu = sum(step.count * step.room.cpu for step in first)
-    if intake.must_refuse(load, cpu, chain_s, patience_s):
-        retry_s = intake.retry_after_s(load, cpu, chain_s, patience_s)
+    if intake.must_refuse(load, slack_s, chain_s, patience_s):
+        retry_s = intake.retry_after_s(load, slack_s)
         return Answer(spec.job, Outcome.REFUSED, "overload", retry_s)
     return None
 
@@ -190,18 +197,36 @@
 def expire(board: EntryBoard) -> None:
     """Gives up the jobs that can't be answered in time any more."""
     for job in tuple(board.jobs.values()):
-        limit_s = job.deadline_s
-        if board.is_closing:
-            limit_s = min(limit_s, board.closing_s)
-        if board.now_s >= limit_s:
+        if board.now_s >= limit_s(board, job):
             give_up(board, job, "deadline")
-        elif not job.may_have_started and _is_hopeless(board, job, limit_s):
-            give_up(board, job, "no room in time")
+    if board.now_s - board.reviewed_s >= REVIEW_S:
+        board.reviewed_s = board.now_s
+        _review(board)
 
 
-def _is_hopeless(board: EntryBoard, job: Job, limit_s: float) -> bool:
-    chain_s = chain_length_s(job.spec, job.expected_s)
-    return board.now_s + chain_s > limit_s
+def limit_s(board: EntryBoard, job: Job) -> float:
+    """Returns when a job must have been answered."""
+    if board.is_closing:
+        return min(job.deadline_s, board.closing_s)
+    return job.deadline_s
+
+
+def _review(board: EntryBoard) -> None:
+    """Refuses the jobs that wait in vain: others will get the room first."""
+    doomed = []
+    seen = set()
+    for task, load in handout.loads(board):
+        job = task.job
+        if job.id in seen or job.may_have_started:
+            continue
+        seen.add(job.id)
+        chain_s = chain_length_s(job.spec, job.expected_s)
+        left_s = limit_s(board, job) - board.now_s
+        slack_s = waitorder.latest_s(task) - board.now_s
+        if intake.must_refuse(load, slack_s, chain_s, left_s):
+            doomed.append(job)
+    for job in doomed:
+        give_up(board, job, "no room in time")
 
 
 def give_up(board: EntryBoard, job: Job, reason: str) -> None:
@@ -209,8 +234,10 @@
     outcome = Outcome.REFUSED
     if job.may_have_started:
         outcome = Outcome.GIVEN_UP
-    load = handout.load(board, job.route)
-    retry_s = intake.retry_after_s(load, 0, 0.0, 0.0)
+    chain_s = chain_length_s(job.spec, job.expected_s)
+    slack_s = job.objective_s - job.accepted_s - chain_s
+    load = handout.load(board, job.route, board.now_s + slack_s)
+    retry_s = intake.retry_after_s(load, slack_s)
     close(board, job, Answer(job.id, outcome, reason, retry_s))
 
 
--- a/egretthread/scheduling/placing.py
+++ b/egretthread/scheduling/placing.py
@@ -21,6 +21,10 @@
 CROWDING_SHARE = 0.1
 
 
+# Share of a backend server's room that urgent tasks may wait for at its agent.
+QUEUE_SHARE = 0.15
+
+
 @dataclasses.dataclass
 class Candidate:
     """An agent that may get tasks of one step.
@@ -32,6 +36,8 @@
         capacity: Its room when empty.
         speed: Speed of its backend server.
         limit: Tasks of the step that it may still get.
+        jitter: Random factor of its cost, so that entries that know the same
+            do not all choose the same agent.
     """
 
     node: str
@@ -40,6 +46,7 @@
     capacity: Room
     speed: float
     limit: int
+    jitter: float = 1.0
 
 
 def choose(
@@ -47,6 +54,7 @@
     spec: StepSpec,
     expected_s: float,
     avoided: set[str],
+    reserve: float = 0.0,
 ) -> Candidate | None:
     """Returns the agent for one task, None when none has room.
 
@@ -55,12 +63,16 @@
         spec: The task's step.
         expected_s: Its run time on a backend server of speed 1.
         avoided: Agents that are taken only when no other has room.
+        reserve: Share of a busy agent's room that must stay free.
     """
     best = None
     best_cost = None
     for candidate in candidates:
         if candidate.limit < 1 or not candidate.room.holds(spec.room):
             continue
+        left_cpu = candidate.room.cpu - spec.room.cpu
+        if left_cpu < reserve * candidate.capacity.cpu:
+            continue
         cost = (
             candidate.node in avoided,
             _cost_s(candidate, expected_s),
@@ -70,6 +82,34 @@
     return best
 
 
+def choose_queue(
+    candidates: Iterable[Candidate], spec: StepSpec, avoided: set[str]
+) -> Candidate | None:
+    """Returns the agent where an urgent task waits for the next free room.
+
+    There it goes before what is less urgent, of other entries too; an entry
+    can hold back only its own tasks.
+
+    Args:
+        candidates: The agents.
+        spec: The task's step.
+        avoided: Agents that are left out.
+    """
+    best = None
+    for candidate in candidates:
+        if candidate.node in avoided or candidate.limit < 1:
+            continue
+        if not candidate.capacity.holds(spec.room):
+            continue
+        left = (candidate.room.cpu - spec.room.cpu) / candidate.capacity.cpu
+        if left < -QUEUE_SHARE:
+            continue
+        cost = (-left, not candidate.is_near)
+        if best is None or cost < best[0]:
+            best = (cost, candidate)
+    return best[1] if best else None
+
+
 def take(candidate: Candidate, spec: StepSpec) -> None:
     """Takes a task's room off a candidate."""
     candidate.room -= spec.room
@@ -82,4 +122,4 @@
     cost_s = run_s * (1 + CROWDING_SHARE * used)
     if not candidate.is_near:
         cost_s += CROSS_ZONE_S + CROSS_ZONE_SHARE * run_s
-    return cost_s
+    return cost_s * candidate.jitter
--- a/egretthread/scheduling/runlooks.py
+++ b/egretthread/scheduling/runlooks.py
@@ -132,9 +132,9 @@
         run.percent = percent
         run.moved_s = board.now_s
     age_s = board.now_s - run.started_s
-    if _is_slow(board, run, age_s):
-        if board.now_s - run.slow_reported_s > SLOW_REPORT_S:
-            _report_slow(board, run, age_s)
+    silent_s = board.now_s - run.slow_reported_s
+    if silent_s > SLOW_REPORT_S and _is_slow(board, run, age_s):
+        _report_slow(board, run, age_s)
 
 
 def _is_slow(board: AgentBoard, run: Run, age_s: float) -> bool:
@@ -177,9 +177,8 @@
     if run.phase is RunPhase.RUNNING and run.started_s < call.sent_s:
         logs.warning("run_missing", job=run.name.job, number=run.number)
         runs.finish(board, run, RunEnd.STOPPED)
-    elif run.phase is RunPhase.STOPPING and run.stopped_s:
-        if run.stopped_s < call.sent_s:
-            runs.finish(board, run, run.end)
+    elif run.phase is RunPhase.STOPPING and 0 < run.stopped_s < call.sent_s:
+        runs.finish(board, run, run.end)
 
 
 def check_server(board: AgentBoard) -> None:
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -130,6 +130,7 @@
         expected_ms: Run time expected on a backend server of speed 1.
         priority: 0 goes first.
         echo_ms: The agent's clock as last heard; bounds how old the order is.
+        wait_ms: How long the runs may wait at the agent for room.
         orders: The runs.
     """
 
@@ -141,6 +142,7 @@
     expected_ms: int
     priority: int
     echo_ms: int
+    wait_ms: int
     orders: tuple[RunOrder, ...]
 
 
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -21,11 +21,13 @@
 )
 from egretthread.scheduling.servercall import CallResult, Verdict
 
-# A run that finds no room waits here this long for a run to end; then its
-# coordinator, which is a round trip away, looks for room elsewhere.
-QUEUE_S = 0.01
-# Calls of one start without an answer, before it is barred.
-START_TRIES = 3
+# Runs that wait here take this share of the backend server's room at most.
+MAX_QUEUE_SHARE = 0.4
+# How long each call of one start waits for its answer; after the last the run
+# is barred. The backend server is on the same machine and answers within a
+# few ms; a start that is repeated is carried out once.
+START_TIMEOUTS_S = (0.04, 0.08, 0.15)
+START_TRIES = len(START_TIMEOUTS_S)
 # Time between two attempts to stop a run.
 STOP_RETRY_S = 0.15
 # A token that is too low is raised by this much: more than clocks jump back.
@@ -57,6 +59,7 @@
             order.expected_ms / 1000,
             order.priority,
             board.now_s,
+            order.wait_ms / 1000,
         )
         board.runs.setdefault((run.entry, run.attempt), run)
 
@@ -72,6 +75,8 @@
     room = Room(order.cpu, order.memory_mb, order.gpu)
     if not board.server.capacity.holds(room):
         return "larger than the server"
+    if -board.free.cpu > MAX_QUEUE_SHARE * board.server.capacity.cpu:
+        return "too many wait"
     return ""
 
 
@@ -145,6 +150,7 @@
             board.server.server,
             renew_lease(board),
             board.token,
+            START_TIMEOUTS_S[min(run.tries, START_TRIES) - 1],
         )
     )
 
@@ -334,7 +340,7 @@
     """Gives back the runs that have waited here for too long."""
     for run in tuple(board.runs.values()):
         waits_s = board.now_s - run.accepted_s
-        if run.phase is RunPhase.QUEUED and waits_s > QUEUE_S:
+        if run.phase is RunPhase.QUEUED and waits_s > run.wait_s:
             logs.info(
                 "run_refused",
                 job=run.name.job,
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -295,7 +295,8 @@
   expectedMs @5 :Int64;
   priority @6 :Int64;
   echoMs @7 :Int64;
-  orders @8 :List(RunOrder);
+  waitMs @8 :Int64;
+  orders @9 :List(RunOrder);
 }
 
 struct StopRuns {
--- a/tests/scheduling/fakeserver.py
+++ b/tests/scheduling/fakeserver.py
@@ -124,9 +124,7 @@
         del self.runs[run.name]
         self.count += 1
         self.ended.append(EndedRow(self.count, run.name, run.number, end))
-        self.barred[run.name] = max(
-            run.number, self.barred.get(run.name, 0)
-        )
+        self.barred[run.name] = max(run.number, self.barred.get(run.name, 0))
         self._close(run, at_s, end.value)
 
     def _close(self, run, at_s, how):
@@ -176,9 +174,7 @@
         run = self.runs.get(call.name)
         if run is not None and run.number <= call.number:
             run.stops_s = min(run.stops_s, now_s + STOP_S)
-        self.barred[call.name] = max(
-            call.number, self.barred.get(call.name, 0)
-        )
+        self.barred[call.name] = max(call.number, self.barred.get(call.name, 0))
         return CallResult(Verdict.OK, self.clock_ms(now_s))
 
     def look(self, call: LookCall, now_s):
@@ -191,9 +187,7 @@
             self.until_ms = max(self.until_ms, until_ms)
         self.ended = [r for r in self.ended if r.sequence > call.last_seen]
         rows = tuple(
-            RunningRow(
-                run.name, run.number, int(99 * run.done_s / run.work_s)
-            )
+            RunningRow(run.name, run.number, int(99 * run.done_s / run.work_s))
             for run in self.runs.values()
         )
         return Look(
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -29,7 +29,6 @@
 LIVENESS_S = 2.5
 RESUBMIT_S = 1.3
 HEARTBEAT_S = 1.5
-ORDER_TIMEOUT_S = 0.15
 
 ROUTE = Route("lookups", "h", "/p/", "match", 0, 3, 1.5, 1.6, 0.06)
 LONG_ROUTE = Route("matches", "h", "/q/", "match", 2, 4, 1.5, 1.6, 0.06)
@@ -230,9 +229,7 @@
         self.links[entry.name, agent.name] = link
         # The accepting end opens first, as in the real handshake.
         link.entry_open = True
-        self.enter(
-            entry, entryengine.on_link, entry.board, agent.board.node
-        )
+        self.enter(entry, entryengine.on_link, entry.board, agent.board.node)
         self.at(DELAY_S, self._open_agent, link)
 
     def _open_agent(self, link):
@@ -371,7 +368,7 @@
             else:
                 self.at(0.001, self._carry_late, carry, call)
             result = CallResult(Verdict.LOST)
-            wait_s = ORDER_TIMEOUT_S
+            wait_s = call.timeout_s
         else:
             result = None
             wait_s = 0.002
@@ -407,7 +404,7 @@
         process.unseen = board.last_seen
         call = runlooks.next_look(board)
         if self.rng.random() < self.lost_share:
-            wait_s = ORDER_TIMEOUT_S + call.wait_ms / 1000
+            wait_s = 0.06 + call.wait_ms / 1000
             look = Look(Verdict.LOST)
             self.at(wait_s, self._answer_look, process, call, look)
             return
@@ -425,9 +422,7 @@
         self._answer_look(process, call, look)
 
     def _answer_look(self, process, call, look):
-        self.enter(
-            process, agentengine.on_look, process.board, call, look
-        )
+        self.enter(process, agentengine.on_look, process.board, call, look)
         wait_s = TICK_S if look.clock_ms == 0 else 0.0
         self.at(wait_s, self.look, process)
 
--- a/tests/scheduling/test_region.py
+++ b/tests/scheduling/test_region.py
@@ -18,9 +18,9 @@
         world.run(2.0)
         world.submit(region.job("j"))
         world.run(0.3)
-        self.assertEqual([("j", Outcome.COMPLETED)], [
-            answer[:2] for answer in world.answers
-        ])
+        self.assertEqual(
+            [("j", Outcome.COMPLETED)], [answer[:2] for answer in world.answers]
+        )
         self.assertLess(world.answers[0][2], 102.2)
 
     def test_wide_jobs_wait_for_room_and_are_completed(self):
@@ -35,9 +35,7 @@
         world = region.Region(agents=1, cpu=1000)
         world.run(2.0)
         for number in range(20):
-            world.submit(
-                region.job(f"j{number}", estimated_s=0.5), "e0", 2.0
-            )
+            world.submit(region.job(f"j{number}", estimated_s=0.5), "e0", 2.0)
         world.run(0.01)
         refused = [a for a in world.answers if a[1] is Outcome.REFUSED]
         self.assertGreater(len(refused), 8)
