--- a/egretthread/platform/servers.py
+++ b/egretthread/platform/servers.py
@@ -92,7 +92,7 @@
     Raises:
         ValueError: It is none.
     """
-    job, occurrence, step, index = text.split(".")
+    job, occurrence, step, index = str(text).split(".")
     return TaskName(job, int(step), int(index), int(occurrence))
 
 
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,235 @@
+"""The whole path through the adapter, with the store in trouble."""
+
+import asyncio
+import json
+import socket
+import time
+
+import testtools
+import tornado.httpclient
+
+from egretthread.platform import programs, servers
+from egretthread.scheduling.nodesettings import NodeSettings
+from tests.platform import fakes
+from tests.platform.test_operators import until
+
+JOB = {
+    "task_spec": "x",
+    "best_effort": True,
+    "steps": [{"count": 4, "cpu": 1000, "mem_mb": 64, "estimated_ms": 100}],
+}
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Path:
+    """One entry, one agent, a backend server and a store."""
+
+    async def __aenter__(self):
+        self.store = fakes.FakeStore()
+        self.store.put("keyed.op", "config", fakes.CONFIG)
+        self.backend = fakes.FakeBackendServer("b")
+        link_port = free_port()
+        common = {
+            "zone": "a",
+            "host": "127.0.0.1",
+            "link_port": link_port,
+            "shared_key": "0123456789abcdef",
+            "store_address": self.store.address,
+            "seeds": ("127.0.0.1:1",),
+            "shutdown_s": 2.0,
+        }
+        self.callers = f"127.0.0.1:{free_port()}"
+        self.ready = f"127.0.0.1:{free_port()}"
+        self.heartbeats = f"127.0.0.1:{free_port()}"
+        self.entry = programs.Entry(
+            NodeSettings(
+                name="entry-1",
+                callers_address=self.callers,
+                ready_address=self.ready,
+                **common,
+            )
+        )
+        self.agent = programs.Agent(
+            NodeSettings(
+                name="agent-1",
+                heartbeat_address=self.heartbeats,
+                server_address=self.backend.address,
+                **common,
+            )
+        )
+        self.http = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+        await self.entry.start()
+        await self.agent.start()
+        await self.beat()
+        await until(self.entry.server.is_ready)
+        return self
+
+    async def __aexit__(self, *exception):
+        await asyncio.gather(self.entry.close(), self.agent.close())
+        await self.backend.close()
+        await self.store.close()
+        self.http.close()
+
+    async def beat(self):
+        """Sends one heartbeat of the backend server."""
+        server = self.backend.server
+        record = server.heartbeat(time.monotonic())
+        table = {
+            "service": record.service,
+            "zone": record.zone,
+            "state": "draining" if record.is_draining else "ready",
+            "labels": list(record.labels),
+            "capacity": {
+                "cpu": record.capacity.cpu,
+                "mem_mb": record.capacity.memory_mb,
+            },
+            "clock_ms": server.clock_ms(time.monotonic()),
+            "sequence": record.sequence,
+            "born": record.born,
+        }
+        return await self.fetch(
+            self.heartbeats,
+            f"/Instances.Heartbeat/{server.id}",
+            "POST",
+            table,
+        )
+
+    async def fetch(self, address, path, method="GET", table=None, host=""):
+        body = None if table is None else json.dumps(table)
+        response = await self.http.fetch(
+            f"http://{address}{path}",
+            method=method,
+            body=body,
+            headers={"Host": host or "lookups.example"},
+            raise_error=False,
+        )
+        return response.code, response.body, response.headers
+
+    async def submit(self, number, table=None, host=""):
+        path = f"/p/{number:016x}"
+        return await self.fetch(self.callers, path, "POST", table or JOB, host)
+
+
+class TestPath(testtools.TestCase):
+    def play(self, scene):
+        async def run():
+            async with Path() as path:
+                await scene(path)
+
+        asyncio.run(run())
+
+    def test_a_job_is_answered_at_its_end(self):
+        async def scene(path):
+            code, body, _ = await path.submit(1)
+            self.assertEqual(200, code)
+            self.assertEqual({"state": "completed"}, json.loads(body))
+            code, _, _ = await path.fetch(path.ready, "/readiness")
+            self.assertEqual(200, code)
+
+        self.play(scene)
+
+    def test_work_goes_on_while_the_store_is_out(self):
+        async def scene(path):
+            path.store.mode = "silent"
+            codes = [(await path.submit(number))[0] for number in range(3)]
+            self.assertEqual([200] * 3, codes)
+            path.store.mode = ""
+
+        self.play(scene)
+
+    def test_bad_requests_start_nothing(self):
+        async def scene(path):
+            unknown = await path.submit(2, host="other.example")
+            self.assertEqual(404, unknown[0])
+            bad = await path.submit(3, {"task_spec": "x", "steps": []})
+            self.assertEqual(400, bad[0])
+            long = await path.submit(4, {**JOB, "pad": "x" * 20_000})
+            self.assertEqual(413, long[0])
+            kept = await path.submit(5, {**JOB, "best_effort": False})
+            self.assertEqual(503, kept[0])
+            self.assertIn("Retry-After", kept[2])
+            nameless = await path.fetch(path.callers, "/p/x", "POST", JOB)
+            self.assertEqual(400, nameless[0])
+            self.assertEqual({}, path.backend.server.runs)
+            self.assertEqual([], path.backend.server.history)
+
+        self.play(scene)
+
+    def test_a_withdrawn_zone_gets_nothing_until_it_is_back(self):
+        async def scene(path):
+            path.store.put("keyed.op", "evacuate/a", {})
+            board = path.entry.server.board
+            await until(lambda: board.operators.withdrawn)
+            code, _, headers = await path.submit(6)
+            self.assertEqual(503, code)
+            self.assertIn("Retry-After", headers)
+            await until(lambda: path.agent.server.board.is_withdrawn)
+            path.store.put("keyed.op", "evacuate/a", None)
+            await until(lambda: not board.operators.withdrawn)
+            await until(lambda: not path.agent.server.board.is_withdrawn)
+            self.assertEqual(200, (await path.submit(7))[0])
+
+        self.play(scene)
+
+    def test_a_draining_server_gets_nothing_new(self):
+        async def scene(path):
+            path.backend.server.is_draining = True
+            code, _, _ = await path.beat()
+            self.assertEqual(200, code)
+            await until(lambda: not path.entry.server.is_ready())
+            self.assertEqual(503, (await path.submit(8))[0])
+
+        self.play(scene)
+
+    def test_a_caller_that_leaves_has_its_runs_stopped(self):
+        async def scene(path):
+            path.backend.server.work_s = lambda task: 5.0
+            host, _, port = path.callers.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            body = json.dumps(JOB).encode()
+            writer.write(
+                b"POST /p/00000000000000aa HTTP/1.1\r\n"
+                b"Host: lookups.example\r\n"
+                b"X-Egretthread-Deadline-Ms: 9000\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+            )
+            await until(lambda: len(path.backend.server.runs) == 4)
+            writer.close()
+            await until(lambda: not path.agent.server.board.runs)
+            ends = {row[4] for row in path.backend.server.history}
+            self.assertEqual({"stopped"}, ends)
+
+        self.play(scene)
+
+    def test_a_shutdown_answers_what_was_taken(self):
+        async def scene(path):
+            path.backend.server.work_s = lambda task: 0.8
+            job = asyncio.create_task(path.submit(9))
+            await until(lambda: path.backend.server.runs)
+            await path.entry.close()
+            self.assertEqual(200, (await job)[0])
+            await path.entry.start()
+
+        self.play(scene)
+
+    def test_an_unreadable_heartbeat_is_refused_and_changes_nothing(self):
+        async def scene(path):
+            code, _, _ = await path.fetch(
+                path.heartbeats, "/Instances.Heartbeat/i-9", "POST", [1]
+            )
+            self.assertEqual(400, code)
+            self.assertEqual(200, (await path.submit(10))[0])
+
+        self.play(scene)
+
+
+class TestReasons(testtools.TestCase):
+    def test_every_reason_of_a_refusal_has_a_verdict(self):
+        self.assertEqual(
+            {"fence", "old", "late", "room", "ticket"}, set(servers.REASONS)
+        )
--- /dev/null
+++ b/tests/platform/test_servers.py
@@ -0,0 +1,88 @@
+"""Tests of what backend servers say and are told."""
+
+import json
+
+import testtools
+
+from egretthread.platform import bodies, servers
+from egretthread.scheduling.agentboard import TaskName
+from egretthread.scheduling.servercall import ServerEnd
+
+HEARTBEAT = {
+    "service": "match",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "sequence": 4,
+    "born": 1788804841642,
+}
+
+
+def heartbeat(**changes):
+    table = {**HEARTBEAT, **changes}
+    body = json.dumps(table).encode()
+    return servers.decode_heartbeat("i-1", body)
+
+
+class TestHeartbeat(testtools.TestCase):
+    def test_it_says_what_the_server_is(self):
+        record, clock_ms = heartbeat()
+        self.assertEqual(16_000, record.capacity.cpu)
+        self.assertEqual(("a", "r1-3"), record.labels)
+        self.assertEqual(482_113, clock_ms)
+        self.assertFalse(record.is_draining)
+
+    def test_a_draining_server_says_how_long_it_stays(self):
+        record, _ = heartbeat(state="draining", drain_remaining_ms=1500)
+        self.assertTrue(record.is_draining)
+        self.assertEqual(1.5, record.drain_s)
+
+    def test_one_from_another_writer_names_no_server(self):
+        for changes in (
+            {"state": "sleeping"},
+            {"capacity": "large"},
+            {"capacity": {"cpu": -1}},
+            {"labels": [1]},
+            {"service": None},
+            {"sequence": "4"},
+        ):
+            with self.assertRaises(bodies.BodyError):
+                heartbeat(**changes)
+        with self.assertRaises(bodies.BodyError):
+            servers.decode_heartbeat("i-1", b"\xff\x00")
+
+
+class TestNames(testtools.TestCase):
+    def test_a_name_comes_back(self):
+        name = TaskName("5c0e7a21d94b36f8", 1, 17, 3)
+        text = servers.encode_name(name)
+        self.assertEqual("5c0e7a21d94b36f8.3.1.17", text)
+        self.assertEqual(name, servers.decode_name(text))
+
+
+class TestLook(testtools.TestCase):
+    def test_rows_say_what_they_hold(self):
+        body = json.dumps(
+            {
+                "clock_ms": 5,
+                "born": 9,
+                "running": [["j.0.1.17", 2, "", 41, 3]],
+                "ended": [[58, "j.0.1.9", 1, "lapsed", ""]],
+            }
+        ).encode()
+        look = servers.decode_look(body)
+        self.assertEqual(41, look.running[0].percent)
+        self.assertEqual(58, look.ended[0].sequence)
+        self.assertIs(ServerEnd.LAPSED, look.ended[0].end)
+
+    def test_a_row_of_another_form_is_an_error(self):
+        for rows in ([["j", 1, "", 4]], [[1]], [["a.b.c.d", 1, "", 1]]):
+            body = json.dumps({"clock_ms": 1, "running": rows}).encode()
+            with self.assertRaises(bodies.BodyError):
+                servers.decode_look(body)
--- /dev/null
+++ b/tests/scheduling/test_placing.py
@@ -0,0 +1,77 @@
+"""Tests of where work goes, each for one pattern of load."""
+
+import testtools
+
+from egretthread.scheduling import placing
+from egretthread.scheduling.jobspec import StepSpec
+from egretthread.scheduling.room import Room
+
+SPEC = StepSpec(8, Room(3000, 64, 0), 0.1)
+WHOLE = Room(32_000, 131_072, 0)
+
+
+def candidate(node, cpu=32_000, speed=1.0, near=True, limit=100):
+    room = Room(cpu, 131_072, 0)
+    return placing.Candidate(node, near, room, WHOLE, speed, limit)
+
+
+def place(candidates, count=1, avoided=frozenset(), reserve=0.0):
+    nodes = []
+    for _ in range(count):
+        chosen = placing.choose(candidates, SPEC, 0.1, avoided, reserve)
+        nodes.append(chosen.node if chosen else None)
+        if chosen:
+            placing.take(chosen, SPEC)
+    return nodes
+
+
+class TestChoose(testtools.TestCase):
+    def test_one_slow_server_gets_nothing_while_others_have_room(self):
+        candidates = [candidate("slow", speed=0.2), candidate("a")]
+        self.assertEqual(["a"] * 8, place(candidates, 8))
+
+    def test_a_full_server_is_no_candidate(self):
+        candidates = [candidate("full", cpu=2000), candidate("a", speed=0.5)]
+        self.assertEqual(["a"], place(candidates))
+
+    def test_a_wide_job_spreads_over_servers_that_are_alike(self):
+        candidates = [candidate("a"), candidate("b")]
+        nodes = place(candidates, 8)
+        self.assertEqual(4, nodes.count("a"))
+
+    def test_work_stays_in_the_zone_unless_it_is_full(self):
+        near = candidate("near", cpu=4000)
+        far = candidate("far", near=False, speed=1.2)
+        self.assertEqual(["near", "far"], place([near, far], 2))
+
+    def test_a_server_on_which_the_task_failed_is_the_last_resort(self):
+        candidates = [candidate("a", speed=2.0), candidate("b")]
+        self.assertEqual(["b"], place(candidates, avoided={"a"}))
+        self.assertEqual(["a"], place(candidates[:1], avoided={"a"}))
+
+    def test_nobody_has_room(self):
+        self.assertEqual([None], place([candidate("a", cpu=2999)]))
+
+    def test_a_limit_per_server_is_kept(self):
+        candidates = [candidate("a", limit=1), candidate("b", limit=1)]
+        nodes = place(candidates, 3)
+        self.assertEqual({"a", "b", None}, set(nodes))
+
+    def test_less_urgent_tasks_leave_the_reserve(self):
+        self.assertEqual([None], place([candidate("a", cpu=5000)], 1, (), 0.1))
+        self.assertEqual(["a"], place([candidate("a", cpu=6300)], 1, (), 0.1))
+
+
+class TestChooseQueue(testtools.TestCase):
+    def test_an_urgent_task_waits_where_least_is_queued(self):
+        candidates = [candidate("a", cpu=-2000), candidate("b", cpu=1000)]
+        chosen = placing.choose_queue(candidates, SPEC, frozenset())
+        self.assertEqual("b", chosen.node)
+
+    def test_queues_are_short(self):
+        candidates = [candidate("a", cpu=-2000)]
+        self.assertIsNone(placing.choose_queue(candidates, SPEC, frozenset()))
+
+    def test_a_server_that_failed_the_task_gets_no_queue(self):
+        candidates = [candidate("a", cpu=1000)]
+        self.assertIsNone(placing.choose_queue(candidates, SPEC, {"a"}))
