Answer every request that an ending entry has read

Now an entry drains first: it refuses what comes late and gives up what is open, and closes connections after the answers are written.

--- a/egretthread/platform/programs.py
+++ b/egretthread/platform/programs.py
@@ -49,12 +49,13 @@
 
     async def close(self) -> None:
         """Shuts down: what was taken is answered."""
-        await self.server.close()
-        await self.announcer.close()
-        await self.feed.close()
+        await self.server.drain()
         for http in self.https:
             http.stop()
             await http.close_all_connections()
+        await self.server.close()
+        await self.announcer.close()
+        await self.feed.close()
         self.store.close()
 
 
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -246,6 +246,12 @@
     board.closing_s = board.now_s + grace_s
 
 
+def give_up_all(board: EntryBoard) -> None:
+    """Answers every open job: the entry must end."""
+    for job in tuple(board.jobs.values()):
+        jobs.give_up(board, job, "shutdown")
+
+
 def is_idle(board: EntryBoard) -> bool:
     """Whether no job is open."""
     return not board.jobs
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -4,7 +4,7 @@
 
 from egretthread import clock, link, logs, message, routes
 from egretthread.scheduling import entryengine, handout
-from egretthread.scheduling.entryboard import EntryBoard
+from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
 from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.runmessage import EntryHello, OperatorRecord
@@ -16,6 +16,10 @@
 ENTRY_GONE_S = 30.0
 # Part of the shutdown's time that is left for answers on their way.
 SHUTDOWN_MARGIN_S = 0.6
+# Time for answers to be written before connections are closed.
+ANSWER_S = 0.1
+# What callers are told who meet an entry that ends: others are ready.
+RETRY_S = 0.5
 # Time for the balancer to notice that this entry is not ready.
 UNREADY_S = 2.5
 
@@ -33,6 +37,7 @@
         waiters: Callers who wait for a job's answer.
         relay_text: What operators have in force, encoded for other entries.
         decode_relay: Decodes such a text.
+        is_drained: Whether no job is taken any more.
     """
 
     def __init__(self, settings: NodeSettings, decode_relay):
@@ -57,6 +62,7 @@
         self.waiters: dict[str, list[asyncio.Future]] = {}
         self.relay_text = ""
         self.decode_relay = decode_relay
+        self.is_drained = False
         self.tasks: set[asyncio.Task] = set()
         self.board.entries = (settings.peer_address,)
 
@@ -67,8 +73,11 @@
         for loop in (self._tick_loop, self._hello_loop):
             self._spawn(loop())
 
-    async def close(self) -> None:
-        """Shuts down: what was taken is answered within shutdown_s."""
+    async def drain(self) -> None:
+        """Answers what was taken within shutdown_s, then takes nothing more.
+
+        What comes in the meantime is served if it can end in time.
+        """
         self._turn()
         grace_s = self.settings.shutdown_s - SHUTDOWN_MARGIN_S
         entryengine.begin_shutdown(self.board, grace_s)
@@ -76,6 +85,15 @@
         await asyncio.sleep(min(UNREADY_S, grace_s))
         while self.waiters and clock.monotonic_s() < end_s:
             await asyncio.sleep(TICK_S)
+        self.is_drained = True
+        self._turn()
+        entryengine.give_up_all(self.board)
+        self._pump()
+        # These answers are written in the next turns of the loop.
+        await asyncio.sleep(ANSWER_S)
+
+    async def close(self) -> None:
+        """Closes the links."""
         for task in tuple(self.tasks):
             task.cancel()
         closing = [client.close() for client in self.clients.values()]
@@ -100,6 +118,11 @@
         """Takes a job; the future gives its answer."""
         waiter = asyncio.get_running_loop().create_future()
         self._turn()
+        if self.is_drained:
+            waiter.set_result(
+                Answer(spec.job, Outcome.REFUSED, "shutting down", RETRY_S)
+            )
+            return waiter
         self.waiters.setdefault(spec.job, []).append(waiter)
         refusal = entryengine.submit(self.board, spec, route, patience_s)
         if refusal is not None:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -217,6 +217,41 @@
 
         self.play(scene)
 
+    def test_a_request_to_an_entry_that_ends_is_answered(self):
+        """It was read and lost while the links were being closed."""
+
+        async def scene(path):
+            host, _, port = path.callers.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            closing = asyncio.create_task(path.entry.close())
+            await until(lambda: path.entry.server.is_drained)
+            body = json.dumps(JOB).encode()
+            writer.write(
+                b"POST /p/00000000000000ab HTTP/1.1\r\n"
+                b"Host: lookups.example\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+            )
+            async with asyncio.timeout(1.0):
+                line = await reader.readline()
+            self.assertIn(b"503", line)
+            writer.close()
+            await closing
+            await path.entry.start()
+
+        self.play(scene)
+
+    def test_a_job_that_outlasts_the_shutdown_gets_an_answer(self):
+        async def scene(path):
+            path.backend.server.work_s = lambda task: 30.0
+            job = asyncio.create_task(path.submit(12))
+            await until(lambda: path.backend.server.runs)
+            path.entry.server.board.jobs[f"{12:016x}"].deadline_s += 60.0
+            await path.entry.close()
+            self.assertEqual(504, (await job)[0])
+            await path.entry.start()
+
+        self.play(scene)
+
     def test_an_unreadable_heartbeat_is_refused_and_changes_nothing(self):
         async def scene(path):
             code, _, _ = await path.fetch(
