--- a/egretthread/adminapi.py
+++ b/egretthread/adminapi.py
@@ -124,8 +124,10 @@
 
     def take_samples(self) -> None:
         """Moves the durations on the blackboard into the histograms."""
-        samples, self.board.samples = self.board.samples, []
-        for name, value_s in samples:
+        samples = self.board.samples
+        taken = tuple(samples)
+        samples.clear()
+        for name, value_s in taken:
             self.metrics.observe(name, value_s)
 
     def gauge_values(self) -> dict[str, float]:
--- a/egretthread/daemon.py
+++ b/egretthread/daemon.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Callable
 
-from egretthread import logs, util
+from egretthread import logs, logsink, util
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
@@ -49,7 +49,8 @@
         make_server: Makes a server, with start and close, from settings.
     """
     settings = _load(program, path, load)
-    logs.setup(settings.log_level, program, sys.stdout)
+    sink = logsink.LogSink(sys.stdout.fileno())
+    logs.setup(settings.log_level, program, sink)
     logs.info("started", **_shown(settings))
 
     def reload() -> None:
@@ -117,7 +118,8 @@
         loop.add_signal_handler(number, stop.set)
     await server.start()
     pairs = " ".join(f"{k}={v}" for k, v in addresses(server).items())
-    print(f"event=listening {pairs}", flush=True)
+    if pairs:
+        print(f"event=listening {pairs}", flush=True)
     await stop.wait()
     logs.info("shutdown_began")
     await server.close()
--- a/egretthread/platform/programs.py
+++ b/egretthread/platform/programs.py
@@ -2,6 +2,7 @@
 
 from egretthread.platform import callers, directory, operators, servers
 from egretthread.platform.store import Store
+from egretthread.scheduling import gauges
 from egretthread.scheduling.agentserver import AgentServer
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.nodesettings import NodeSettings
@@ -17,6 +18,7 @@
         feed: Follows what operators publish.
         announcer: Announces the entry.
         https: HTTP servers, once started.
+        admin: Serves metrics and the state dump, once started.
     """
 
     def __init__(self, settings: NodeSettings):
@@ -33,6 +35,7 @@
             self.server.add_entries,
         )
         self.https = []
+        self.admin = None
 
     async def start(self) -> None:
         """Starts to serve."""
@@ -46,6 +49,12 @@
         await self.server.start()
         self.feed.start()
         self.announcer.start()
+        if self.settings.metrics_port:
+            self.admin = gauges.serve(
+                self.server.board,
+                self.settings.metrics_address,
+                gauges.ENTRY_GAUGES,
+            )
 
     async def close(self) -> None:
         """Shuts down: what was taken is answered."""
@@ -56,6 +65,8 @@
         await self.server.close()
         await self.announcer.close()
         await self.feed.close()
+        if self.admin:
+            await self.admin.close()
         self.store.close()
 
 
@@ -67,6 +78,7 @@
         store: Client of the store.
         server: The agent itself.
         http: HTTP server for the backend server's calls, once started.
+        admin: Serves metrics and the state dump, once started.
     """
 
     def __init__(self, settings: NodeSettings):
@@ -78,6 +90,7 @@
             self.find_entries,
         )
         self.http = None
+        self.admin = None
 
     async def find_entries(self) -> tuple[str, ...]:
         """Returns the addresses of entries that the store knows."""
@@ -91,10 +104,18 @@
             self.server.on_leave,
         )
         await self.server.start()
+        if self.settings.metrics_port:
+            self.admin = gauges.serve(
+                self.server.board,
+                self.settings.metrics_address,
+                gauges.AGENT_GAUGES,
+            )
 
     async def close(self) -> None:
         """Shuts down: what runs ends or is stopped."""
         await self.server.close()
+        if self.admin:
+            await self.admin.close()
         self.http.stop()
         await self.http.close_all_connections()
         self.store.close()
--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -8,6 +8,9 @@
 from egretthread.scheduling.room import NO_ROOM, Room
 from egretthread.scheduling.runmessage import RunEnd, RunReport, ServerState
 
+# Durations kept until the metrics take them.
+MAX_SAMPLES = 2000
+
 
 @dataclasses.dataclass(frozen=True)
 class TaskName:
@@ -243,7 +246,9 @@
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    samples: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    samples: collections.deque[tuple[str, float]] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
+    )
 
     @property
     def clock_ms(self) -> int:
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -15,6 +15,9 @@
 from egretthread.scheduling.room import NO_ROOM, Room
 from egretthread.scheduling.runmessage import ServerFacts, ServerState
 
+# Durations kept until the metrics take them.
+MAX_SAMPLES = 2000
+
 
 class TaskState(enum.StrEnum):
     """Where a task is."""
@@ -246,6 +249,8 @@
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    samples: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    samples: collections.deque[tuple[str, float]] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
+    )
     thawed_s: float = 0.0
     ticked_s: float = 0.0
--- /dev/null
+++ b/egretthread/scheduling/gauges.py
@@ -0,0 +1,33 @@
+"""Gauges of the scheduling path's boards, and who serves them."""
+
+from egretthread import adminapi
+from egretthread.scheduling import agentviews
+from egretthread.scheduling.agentboard import AgentBoard
+from egretthread.scheduling.entryboard import EntryBoard
+
+ENTRY_GAUGES: adminapi.Gauges = {
+    "config_offset": lambda board: board.operators.offset,
+    "lease_open": lambda board: float(board.operators.is_configured),
+    "agents": lambda board: sum(
+        agentviews.is_usable(board, view) for view in board.agents.values()
+    ),
+    "entries": lambda board: len(board.entries) - 1,
+    "open_jobs": lambda board: len(board.jobs),
+    "queued_tasks": lambda board: len(board.waiting),
+}
+
+AGENT_GAUGES: adminapi.Gauges = {
+    "config_offset": lambda board: board.operator_offset,
+    "lease_open": lambda board: float(board.server is not None),
+    "running_tasks": lambda board: len(board.by_name),
+    "queued_tasks": lambda board: len(board.runs) - len(board.by_name),
+}
+
+
+def serve(
+    board: EntryBoard | AgentBoard, address: str, gauges: adminapi.Gauges
+) -> adminapi.AdminServer:
+    """Returns a started server of metrics and the state dump."""
+    server = adminapi.AdminServer(board, address, gauges)
+    server.start()
+    return server
--- a/egretthread/scheduling/nodesettings.py
+++ b/egretthread/scheduling/nodesettings.py
@@ -62,6 +62,11 @@
         """`host:port` at which the process accepts links."""
         return f"{self.host}:{self.link_port}"
 
+    @property
+    def metrics_address(self) -> str:
+        """`host:port` of metrics and the state dump."""
+        return f"{self.host}:{self.metrics_port}"
+
     @property
     def seed_peers(self) -> tuple[str, ...]:
         """`host:port` of the links of the seeds."""
