--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -43,7 +43,6 @@
     chain_s = chain_length_s(spec, expected_s)
     refusal = _refusal(board, spec, route, chain_s, patience_s)
     if refusal is not None:
-        _log_answer(board, refusal, None)
         return refusal
     job = Job(
         spec,
@@ -85,14 +84,18 @@
     board.arrived.note(board.now_s, route.priority, work)
     load = handout.load(board, route, board.now_s + slack_s, work)
     if load.usable_cpu <= 0 and not load.is_starting:
-        return Answer(
+        answer = Answer(
             spec.job, Outcome.REFUSED, "no backend server", NO_SERVER_RETRY_S
         )
+        _log_refusal(board, answer, route, load, slack_s)
+        return answer
     if board.is_closing:
         patience_s = min(patience_s, board.closing_s - board.now_s)
     if intake.must_refuse(load, slack_s, chain_s, patience_s):
         retry_s = intake.retry_after_s(load, slack_s)
-        return Answer(spec.job, Outcome.REFUSED, "overload", retry_s)
+        answer = Answer(spec.job, Outcome.REFUSED, "overload", retry_s)
+        _log_refusal(board, answer, route, load, slack_s)
+        return answer
     return None
 
 
@@ -260,23 +263,46 @@
     _log_answer(board, answer, job)
 
 
-def _log_answer(board: EntryBoard, answer: Answer, job: Job | None) -> None:
+def _log_refusal(
+    board: EntryBoard,
+    answer: Answer,
+    route: Route,
+    load: intake.Load,
+    slack_s: float,
+) -> None:
+    """Logs a refusal with what decided it."""
+    board.counters["jobs_refused"] += 1
+    logs.info(
+        "job_refused",
+        job=answer.job,
+        reason=answer.reason,
+        route=route.name,
+        retry_after_s=answer.retry_after_s,
+        slack_s=slack_s,
+        wait_s=intake.wait_s(load, slack_s),
+        ahead_cpu_s=load.ahead_cpu_s / 1000,
+        rate_cpu=load.rate / 1000,
+        left_over_cpu=load.left_over / 1000,
+        usable_cpu=load.usable_cpu / 1000,
+        config_version=board.operators.version,
+    )
+
+
+def _log_answer(board: EntryBoard, answer: Answer, job: Job) -> None:
     board.counters[f"jobs_{answer.outcome.value}"] += 1
-    fields = {}
-    if job is not None:
-        fields["took_s"] = board.now_s - job.accepted_s
-        fields["objective_left_s"] = job.objective_s - board.now_s
-        fields["route"] = job.route.name
-        fields["handed_s"] = max(0.0, job.handed_s - job.accepted_s)
-        fields["tasks"] = sum(len(tasks) for tasks in job.tasks)
-        fields["runs"] = job.runs
-        fields["expected_s"] = max(job.expected_s)
-        fields["patience_s"] = job.deadline_s - job.accepted_s
     logs.info(
         "job_answered",
         job=answer.job,
         outcome=answer.outcome,
         reason=answer.reason,
         retry_after_s=answer.retry_after_s,
-        **fields,
+        took_s=board.now_s - job.accepted_s,
+        objective_left_s=job.objective_s - board.now_s,
+        patience_s=job.deadline_s - job.accepted_s,
+        route=job.route.name,
+        expected_s=max(job.expected_s),
+        handed_s=max(0.0, job.handed_s - job.accepted_s),
+        tasks=sum(len(tasks) for tasks in job.tasks),
+        runs=job.runs,
+        config_version=board.operators.version,
     )
--- a/egretthread/scheduling/placing.py
+++ b/egretthread/scheduling/placing.py
@@ -62,21 +62,23 @@
         candidates: The agents.
         spec: The task's step.
         expected_s: Its run time on a backend server of speed 1.
-        avoided: Agents that are taken only when no other has room.
+        avoided: Agents that are taken only when there is no other: a task
+            that failed there waits for room elsewhere.
         reserve: Share of a busy agent's room that must stay free.
     """
     best = None
     best_cost = None
+    candidates = tuple(candidates)
+    if avoided:
+        others = [c for c in candidates if c.node not in avoided]
+        candidates = others or candidates
     for candidate in candidates:
         if candidate.limit < 1 or not candidate.room.holds(spec.room):
             continue
         left_cpu = candidate.room.cpu - spec.room.cpu
         if left_cpu < reserve * candidate.capacity.cpu:
             continue
-        cost = (
-            candidate.node in avoided,
-            _cost_s(candidate, expected_s),
-        )
+        cost = _cost_s(candidate, expected_s)
         if best is None or cost < best_cost:
             best, best_cost = candidate, cost
     return best
--- a/tests/scheduling/test_placing.py
+++ b/tests/scheduling/test_placing.py
@@ -49,6 +49,11 @@
         self.assertEqual(["b"], place(candidates, avoided={"a"}))
         self.assertEqual(["a"], place(candidates[:1], avoided={"a"}))
 
+    def test_a_server_that_fails_everything_does_not_get_what_others_lack(self):
+        """It is always empty while the others are full."""
+        candidates = [candidate("broken"), candidate("full", cpu=0)]
+        self.assertEqual([None], place(candidates, avoided={"broken"}))
+
     def test_nobody_has_room(self):
         self.assertEqual([None], place([candidate("a", cpu=2999)]))
 
