--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -6,7 +6,12 @@
 
 from egretthread.scheduling import serverhealth
 from egretthread.scheduling.room import NO_ROOM, Room
-from egretthread.scheduling.runmessage import RunEnd, RunReport, ServerState
+from egretthread.scheduling.runmessage import (
+    OperatorRecord,
+    RunEnd,
+    RunReport,
+    ServerState,
+)
 
 # Durations kept until the metrics take them.
 MAX_SAMPLES = 2000
@@ -127,6 +132,7 @@
         told_facts: Whether it knows the present backend server.
         is_near: Whether it is in the same zone.
         told_cpu: Free processor that it was last told.
+        record_sent_s: When it was last sent the operators' records.
     """
 
     node: str
@@ -139,6 +145,7 @@
     told_facts: bool = False
     is_near: bool = False
     told_cpu: int = 0
+    record_sent_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -205,6 +212,9 @@
         coordinators: Entries by node id.
         operator_offset: Highest offset of operators' records heard of.
         is_withdrawn: Whether the zone was withdrawn as of that offset.
+        record: Newest records of operators that an entry left here, for
+            entries that start while the store is out; None when there are
+            none.
         health: How the backend server has been doing.
         calls: Orders to be sent.
         outbox: Messages to be sent, by entry.
@@ -235,6 +245,7 @@
     )
     operator_offset: int = -1
     is_withdrawn: bool = False
+    record: OperatorRecord | None = None
     health: serverhealth.ServerHealth = dataclasses.field(
         default_factory=serverhealth.ServerHealth
     )
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -21,6 +21,7 @@
     EntryBeat,
     LiveRun,
     LiveRuns,
+    OperatorRecord,
     RunEnd,
     RunReports,
     ServerFacts,
@@ -39,10 +40,15 @@
 # left: it is then that several entries reach for the same room.
 FAR_BEAT_S = 0.04
 LITTLE_ROOM_SHARE = 0.3
+# With more entries than this, each is told of room less often, so that an
+# agent's heartbeats do not grow with their number.
+FULL_PACE_ENTRIES = 3
 # Time after an order during which the entry counts as one with runs here.
 BUSY_AFTER_S = 1.0
 # Silence of an entry with runs here after which its link is opened afresh.
 SILENT_LINK_S = 0.5
+# Time between two offers of the operators' records to one entry.
+RECORD_S = 0.5
 # A run number is remembered this long; late orders come within 12 s.
 NUMBER_KEPT_S = 60.0
 
@@ -72,6 +78,7 @@
     coordinator.lease_s = max(
         coordinator.lease_s, leaserule.lease_end_s(beat.echo_ms)
     )
+    _offer_record(board, coordinator, beat)
     if beat.operator_offset >= board.operator_offset:
         if beat.withdrawn != board.is_withdrawn:
             logs.info(
@@ -83,7 +90,28 @@
         board.is_withdrawn = beat.withdrawn
 
 
+def _offer_record(
+    board: AgentBoard, coordinator: Coordinator, beat: EntryBeat
+) -> None:
+    """Sends the operators' records to an entry that is behind them."""
+    record = board.record
+    if record is None or beat.operator_offset >= record.offset:
+        return
+    if board.now_s - coordinator.record_sent_s >= RECORD_S:
+        coordinator.record_sent_s = board.now_s
+        board.outbox.append((coordinator.node, record))
+
+
+def on_operator_record(
+    board: AgentBoard, coordinator: Coordinator, record: OperatorRecord
+) -> None:
+    """Keeps the operators' records for entries that can't read the store."""
+    if board.record is None or record.offset > board.record.offset:
+        board.record = record
+
+
 HANDLERS = {
+    OperatorRecord: on_operator_record,
     EntryBeat: on_entry_beat,
     StartRuns: runorders.on_start_runs,
     StopRuns: runorders.on_stop_runs,
@@ -248,10 +276,11 @@
 def _beat_due(board: AgentBoard, coordinator: Coordinator) -> bool:
     since_s = board.now_s - coordinator.beat_s
     is_news = coordinator.told_cpu != board.free.cpu
-    if is_news and since_s >= NEAR_BEAT_S:
+    pace = max(1.0, len(board.coordinators) / FULL_PACE_ENTRIES)
+    if is_news and since_s >= NEAR_BEAT_S * pace:
         if coordinator.is_near:
             return True
-        if since_s >= FAR_BEAT_S and _is_short(board, coordinator):
+        if since_s >= FAR_BEAT_S * pace and _is_short(board, coordinator):
             return True
     if since_s < BUSY_BEAT_S:
         return False
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -156,6 +156,7 @@
             agent has said which of them it holds.
         fence_s: When these are surely over unless it is heard of again.
         told_entries: Addresses of entries that it was last told.
+        told_record: Offset of the operators' records that it was last sent.
     """
 
     node: str
@@ -176,6 +177,7 @@
     unconfirmed: frozenset[int] = frozenset()
     fence_s: float = 0.0
     told_entries: tuple[str, ...] = ()
+    told_record: int = 0
 
     @property
     def room(self) -> Room:
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -34,7 +34,9 @@
 AFTER_PAUSE_S = 0.06
 # Least time between two replies to an agent. Its heartbeats may come faster,
 # to tell of room; what a reply renews lasts far longer.
-REPLY_S = 0.1
+REPLY_S = 0.18
+# Agents of a zone that keep the operators' records.
+RECORD_KEEPERS = 3
 # An agent without a link is forgotten after this long.
 AGENT_KEPT_S = 30.0
 
@@ -177,6 +179,25 @@
 }
 
 
+def record_keepers(board: EntryBoard) -> list[str]:
+    """Returns the agents that should be sent the operators' records.
+
+    A few agents of the zone keep them, so that entries which are all replaced
+    while the store is out still find a configuration.
+    """
+    near = [
+        view
+        for view in board.agents.values()
+        if view.is_connected and view.facts and view.facts.zone == board.zone
+    ]
+    near.sort(key=lambda view: view.node)
+    offset = board.operators.offset
+    keepers = [v for v in near[:RECORD_KEEPERS] if v.told_record != offset]
+    for view in keepers:
+        view.told_record = offset
+    return [view.node for view in keepers]
+
+
 def on_link(board: EntryBoard, node: str) -> None:
     """Notes a new link to an agent."""
     name = agentviews.agent_name(node)
@@ -193,6 +214,7 @@
     view.in_flight.clear()
     view.unconfirmed = frozenset(view.tasks)
     view.told_entries = ()
+    view.told_record = 0
 
 
 def on_link_closed(board: EntryBoard, node: str) -> None:
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -265,8 +265,17 @@
             for client in self.clients.values():
                 if client.peer:
                     client.peer.send(self._hello())
+            self._leave_records()
             self._drop_gone()
 
+    def _leave_records(self) -> None:
+        """Leaves the operators' records with a few agents."""
+        if not self.relay_text:
+            return
+        offset = self.board.operators.offset
+        for node in entryengine.record_keepers(self.board):
+            self.routes.send(node, OperatorRecord(offset, self.relay_text))
+
     def _drop_gone(self) -> None:
         """Takes entries off the list that were out of reach for long."""
         now_s = clock.monotonic_s()
--- a/tests/scheduling/test_region.py
+++ b/tests/scheduling/test_region.py
@@ -4,7 +4,9 @@
 
 import testtools
 
+from egretthread.scheduling import agentengine, entryengine
 from egretthread.scheduling.entryboard import Outcome
+from egretthread.scheduling.runmessage import EntryBeat, OperatorRecord
 from tests.scheduling import region
 
 
@@ -61,6 +63,28 @@
         self.assertEqual({Outcome.REFUSED}, outcomes)
 
 
+class TestRecords(testtools.TestCase):
+    def test_an_agent_hands_the_records_to_entries_that_are_behind(self):
+        """All entries were replaced while the store was out."""
+        world = region.Region(entries=1, agents=1)
+        world.run(2.0)
+        entry, agent = world.entries["e0"], world.agents["a0"]
+        self.assertEqual(
+            [agent.board.node], entryengine.record_keepers(entry.board)
+        )
+        self.assertEqual([], entryengine.record_keepers(entry.board))
+        record = OperatorRecord(7, "records")
+        agentengine.on_message(agent.board, entry.board.node, record)
+        older = OperatorRecord(5, "older")
+        agentengine.on_message(agent.board, entry.board.node, older)
+        agent.board.outbox.clear()
+        for offset in (6, 6, 7):
+            beat = EntryBeat(0, offset, False, True)
+            agentengine.on_message(agent.board, entry.board.node, beat)
+        sent = [item for _, item in agent.board.outbox]
+        self.assertEqual([record], sent)
+
+
 class TestLinks(testtools.TestCase):
     def test_an_order_on_a_new_link_is_not_taken_as_lost(self):
         """The list of live runs may be older than the first order."""
