--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -192,9 +192,7 @@
     runorders.refuse_overdue(board)
     runorders.retry_stops(board)
     runlooks.check_server(board)
-    for coordinator in board.coordinators.values():
-        if coordinator.is_connected and _beat_due(board, coordinator):
-            send_beat(board, coordinator)
+    _send_due_beats(board)
     _forget_old(board)
     after_event(board)
 
@@ -273,30 +271,30 @@
     return board.state
 
 
-def _beat_due(board: AgentBoard, coordinator: Coordinator) -> bool:
-    since_s = board.now_s - coordinator.beat_s
-    is_news = coordinator.told_cpu != board.free.cpu
+def _send_due_beats(board: AgentBoard) -> None:
+    """Sends the heartbeats that are due, by time or for news of room."""
+    busy = {run.entry for run in board.runs.values()}
+    free_cpu = board.free.cpu
     pace = max(1.0, len(board.coordinators) / FULL_PACE_ENTRIES)
-    if is_news and since_s >= NEAR_BEAT_S * pace:
-        if coordinator.is_near:
-            return True
-        if since_s >= FAR_BEAT_S * pace and _is_short(board, coordinator):
-            return True
-    if since_s < BUSY_BEAT_S:
-        return False
-    return since_s >= IDLE_BEAT_S or _is_busy(board, coordinator)
+    for coordinator in board.coordinators.values():
+        if not coordinator.is_connected:
+            continue
+        since_s = board.now_s - coordinator.beat_s
+        period_s = BUSY_BEAT_S if coordinator.node in busy else IDLE_BEAT_S
+        if coordinator.told_cpu != free_cpu:
+            if coordinator.is_near:
+                period_s = min(period_s, NEAR_BEAT_S * pace)
+            elif _is_short(board, min(free_cpu, coordinator.told_cpu)):
+                period_s = min(period_s, FAR_BEAT_S * pace)
+        if since_s >= period_s:
+            send_beat(board, coordinator)
 
 
-def _is_short(board: AgentBoard, coordinator: Coordinator) -> bool:
-    """Whether little room is left, or the entry was told so."""
+def _is_short(board: AgentBoard, free_cpu: int) -> bool:
+    """Whether little room is left."""
     if board.server is None:
         return False
-    limit_cpu = LITTLE_ROOM_SHARE * board.server.capacity.cpu
-    return min(board.free.cpu, coordinator.told_cpu) < limit_cpu
-
-
-def _is_busy(board: AgentBoard, coordinator: Coordinator) -> bool:
-    return any(run.entry == coordinator.node for run in board.runs.values())
+    return free_cpu < LITTLE_ROOM_SHARE * board.server.capacity.cpu
 
 
 def _is_older(record: ServerRecord, known: ServerRecord) -> bool:
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -16,6 +16,8 @@
 from egretthread.scheduling.servercall import CallResult, Look, LookCall
 
 TICK_S = 0.02
+# The same while the agent holds no run.
+IDLE_TICK_S = 0.1
 # Part of the shutdown's time that is left for reports on their way.
 SHUTDOWN_MARGIN_S = 0.8
 # Time without a link to any entry before others are looked for.
@@ -161,7 +163,7 @@
 
     async def _tick_loop(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S if self.board.runs else IDLE_TICK_S)
             self._turn()
             agentengine.on_tick(self.board)
             for node in agentengine.silent_entries(self.board):
