Choose agents for a task in one place, with every condition of its step

An urgent task could wait at an agent whose server lacks the step's label, and a limit per server was not counted within one pass; both are tested now. Headers beyond the configured limit get 431. Unused fields and functions go.

--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -141,9 +141,14 @@
             self.waiter.cancel()
 
     async def prepare(self) -> None:
-        """Refuses what comes before there is a configuration."""
+        """Refuses what comes too early, and headers that are too long."""
         if not await self.server.configured():
             self.refuse(503, "no configuration yet", 1.0)
+            return
+        headers = self.request.headers.get_all()
+        length = sum(len(name) + len(value) + 4 for name, value in headers)
+        if length > self.server.board.operators.limits.max_header_bytes:
+            self.refuse(431, "the header is too long")
 
     def route(self) -> tuple[Route, str] | None:
         """Returns the route and the rest of the path; answers when none."""
--- a/egretthread/platform/directory.py
+++ b/egretthread/platform/directory.py
@@ -49,16 +49,6 @@
             self.task.cancel()
             await asyncio.wait((self.task,))
 
-    async def forget(self, address: str) -> None:
-        """Drops the announcement of an entry that is gone."""
-        try:
-            batch = await self.store.newest(TOPIC)
-            for entry in batch.entries:
-                if entry.value == address.encode():
-                    await self.store.write(TOPIC, Entry(entry.key, None))
-        except StoreUnavailableError as error:
-            logs.warning("entry_not_dropped", error=error.message)
-
     async def _announce(self) -> None:
         pause_s = RETRY_S
         entry = Entry(self.name, self.address.encode())
--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -80,8 +80,6 @@
     return CallerLimits(
         bodies.count(table, "max_header_bytes", known.max_header_bytes),
         bodies.count(table, "max_body_bytes", known.max_body_bytes),
-        bodies.count(table, "header_timeout_ms", 3000) / 1000,
-        bodies.count(table, "idle_timeout_ms", 15_000) / 1000,
     )
 
 
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -13,9 +13,7 @@
     AgentView,
     Answer,
     EntryBoard,
-    Job,
     Outcome,
-    TaskState,
 )
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
 from egretthread.scheduling.runmessage import (
@@ -272,17 +270,3 @@
     """Answers every open job: the entry must end."""
     for job in tuple(board.jobs.values()):
         jobs.give_up(board, job, "shutdown")
-
-
-def is_idle(board: EntryBoard) -> bool:
-    """Whether no job is open."""
-    return not board.jobs
-
-
-def open_tasks(job: Job) -> int:
-    """Returns the tasks of a job that are not done."""
-    return sum(
-        task.state is not TaskState.DONE
-        for tasks in job.tasks
-        for task in tasks
-    )
--- a/egretthread/scheduling/handout.py
+++ b/egretthread/scheduling/handout.py
@@ -1,6 +1,7 @@
 """Hands waiting tasks to agents with room."""
 
 import collections
+import dataclasses
 from collections.abc import Iterator
 
 from egretthread.scheduling import agentviews, intake, placing, waitorder
@@ -17,7 +18,6 @@
     StartRuns,
 )
 
-UNLIMITED = 1_000_000
 # Time after its start in which an entry takes jobs though it has found few or
 # no agents. Agents that start at the same time are there within 0.5 s, or at
 # the next heartbeat of their backend server, 1.5 s later.
@@ -34,58 +34,79 @@
 RESERVE_SHARE = 0.1
 
 
+@dataclasses.dataclass
+class _Round:
+    """One pass over the waiting tasks.
+
+    Attributes:
+        most_urgent: Priority that goes before the others; None when there is
+            only one.
+        candidates: Agents by service, with the room that is left.
+        full: Shapes of tasks that nobody has room for.
+        chosen: Tasks by agent, job, step and time that they may wait there.
+    """
+
+    most_urgent: int | None
+    candidates: dict[str, list[Candidate]]
+    full: set[tuple]
+    chosen: dict[tuple[str, str, int, float], list[Task]]
+
+
 def run(board: EntryBoard) -> None:
     """Hands out what fits, the most urgent first."""
     if not board.waiting or board.now_s < board.thawed_s:
         return
     board.waiting.sort(key=lambda task: waitorder.sort_key(task, board.now_s))
-    candidates = {}
     priorities = {route.priority for route in board.operators.routes}
-    most_urgent = min(priorities) if len(priorities) > 1 else -1
-    full: set[tuple] = set()
-    chosen: dict[tuple, list[Task]] = collections.defaultdict(list)
-    still = []
-    for task in board.waiting:
-        if task.job.id in board.leftovers:
-            still.append(task)
-            continue
-        service = task.job.route.service
-        shape = (
-            service,
-            task.spec.room,
-            task.spec.required_label,
-            task.job.route.priority,
-        )
-        if shape in full:
-            still.append(task)
-            continue
-        if service not in candidates:
-            candidates[service] = _candidates(board, service)
-        urgent = task.job.route.priority == most_urgent
-        reserve = RESERVE_SHARE if most_urgent >= 0 and not urgent else 0.0
-        agent = _choose(board, candidates[service], task, reserve)
-        waits_s = WAIT_S
-        if (
-            agent is None
-            and urgent
-            and not waitorder.is_late(task, board.now_s)
-        ):
-            waits_s = URGENT_WAIT_S
-            agent = placing.choose_queue(
-                candidates[service], task.spec, task.avoided
-            )
-        if agent is None:
-            if not task.spec.max_per_server:
-                full.add(shape)
-            still.append(task)
-            continue
-        placing.take(agent, task.spec)
-        chosen[agent.node, task.job.id, task.step, waits_s].append(task)
-    board.waiting = still
-    for (node, _, _, waits_s), tasks in chosen.items():
+    most_urgent = min(priorities) if len(priorities) > 1 else None
+    this = _Round(most_urgent, {}, set(), collections.defaultdict(list))
+    board.waiting = [
+        task for task in board.waiting if not _place(board, this, task)
+    ]
+    for (node, _, _, waits_s), tasks in this.chosen.items():
         _order(board, board.agents[node], tasks, waits_s)
 
 
+def _place(board: EntryBoard, this: _Round, task: Task) -> bool:
+    """Chooses an agent for a task; returns whether there is one."""
+    if task.job.id in board.leftovers:
+        return False
+    route = task.job.route
+    spec = task.spec
+    shape = (route.service, route.priority, spec.room, spec.required_label)
+    if shape in this.full:
+        return False
+    if route.service not in this.candidates:
+        this.candidates[route.service] = _candidates(board, route.service)
+    eligible = _eligible(board, this.candidates[route.service], task)
+    agent, waits_s = _choose(board, this, eligible, task)
+    if agent is None:
+        if not spec.max_per_server and not task.avoided:
+            this.full.add(shape)
+        return False
+    placing.take(agent, spec)
+    task.state = TaskState.ORDERED
+    task.agent = agent.node
+    this.chosen[agent.node, task.job.id, task.step, waits_s].append(task)
+    return True
+
+
+def _choose(
+    board: EntryBoard, this: _Round, eligible: list[Candidate], task: Task
+) -> tuple[Candidate | None, float]:
+    """Returns the agent for a task, and how long it may wait there."""
+    urgent = task.job.route.priority == this.most_urgent
+    reserve = 0.0 if urgent or this.most_urgent is None else RESERVE_SHARE
+    expected_s = task.job.expected_s[task.step]
+    agent = placing.choose(
+        eligible, task.spec, expected_s, task.avoided, reserve
+    )
+    if agent or not urgent or waitorder.is_late(task, board.now_s):
+        return agent, WAIT_S
+    agent = placing.choose_queue(eligible, task.spec, task.avoided)
+    return agent, URGENT_WAIT_S
+
+
 def _candidates(board: EntryBoard, service: str) -> list[Candidate]:
     return [
         Candidate(
@@ -94,7 +115,6 @@
             view.room,
             view.facts.capacity,
             view.speed,
-            UNLIMITED,
             board.rng.uniform(1.0, JITTER),
         )
         for view in board.agents.values()
@@ -102,12 +122,10 @@
     ]
 
 
-def _choose(
-    board: EntryBoard,
-    candidates: list[Candidate],
-    task: Task,
-    reserve: float = 0.0,
-) -> Candidate | None:
+def _eligible(
+    board: EntryBoard, candidates: list[Candidate], task: Task
+) -> list[Candidate]:
+    """Returns the agents whose backend server may run a task at all."""
     spec = task.spec
     if spec.required_label:
         candidates = [
@@ -119,20 +137,14 @@
         taken = collections.Counter(
             other.agent
             for other in task.job.tasks[task.step]
-            if other.state is not TaskState.WAITING
+            if other.state not in (TaskState.BLOCKED, TaskState.WAITING)
         )
         candidates = [
             candidate
             for candidate in candidates
             if taken[candidate.node] < spec.max_per_server
         ]
-    return placing.choose(
-        candidates,
-        spec,
-        task.job.expected_s[task.step],
-        task.avoided,
-        reserve,
-    )
+    return candidates
 
 
 def _order(
@@ -146,8 +158,6 @@
     for task in tasks:
         board.attempts += 1
         task.attempt = board.attempts
-        task.state = TaskState.ORDERED
-        task.agent = view.node
         task.ordered_s = board.now_s
         view.tasks[task.attempt] = task
         view.ordered += 1
@@ -180,12 +190,17 @@
 
 def has_room_elsewhere(board: EntryBoard, task: Task) -> bool:
     """Whether another agent has room for a task now."""
-    candidates = [
+    eligible = _eligible(
+        board, _candidates(board, task.job.route.service), task
+    )
+    others = [
         candidate
-        for candidate in _candidates(board, task.job.route.service)
+        for candidate in eligible
         if candidate.node != task.agent and candidate.node not in task.avoided
     ]
-    return _choose(board, candidates, task) is not None
+    expected_s = task.job.expected_s[task.step]
+    chosen = placing.choose(others, task.spec, expected_s, frozenset())
+    return chosen is not None
 
 
 def load(
--- a/egretthread/scheduling/jobspec.py
+++ b/egretthread/scheduling/jobspec.py
@@ -83,14 +83,10 @@
     Attributes:
         max_header_bytes: Longest header of a request.
         max_body_bytes: Longest body of a request.
-        header_timeout_s: Longest time for a request's header to arrive.
-        idle_timeout_s: Time after which an idle connection is closed.
     """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 262_144
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/scheduling/placing.py
+++ b/egretthread/scheduling/placing.py
@@ -35,7 +35,6 @@
         room: Room left; falls with each task that it is given.
         capacity: Its room when empty.
         speed: Speed of its backend server.
-        limit: Tasks of the step that it may still get.
         jitter: Random factor of its cost, so that entries that know the same
             do not all choose the same agent.
     """
@@ -45,7 +44,6 @@
     room: Room
     capacity: Room
     speed: float
-    limit: int
     jitter: float = 1.0
 
 
@@ -73,7 +71,7 @@
         others = [c for c in candidates if c.node not in avoided]
         candidates = others or candidates
     for candidate in candidates:
-        if candidate.limit < 1 or not candidate.room.holds(spec.room):
+        if not candidate.room.holds(spec.room):
             continue
         left_cpu = candidate.room.cpu - spec.room.cpu
         if left_cpu < reserve * candidate.capacity.cpu:
@@ -99,7 +97,7 @@
     """
     best = None
     for candidate in candidates:
-        if candidate.node in avoided or candidate.limit < 1:
+        if candidate.node in avoided:
             continue
         if not candidate.capacity.holds(spec.room):
             continue
@@ -115,7 +113,6 @@
 def take(candidate: Candidate, spec: StepSpec) -> None:
     """Takes a task's room off a candidate."""
     candidate.room -= spec.room
-    candidate.limit -= 1
 
 
 def _cost_s(candidate: Candidate, expected_s: float) -> float:
--- a/tests/scheduling/test_placing.py
+++ b/tests/scheduling/test_placing.py
@@ -10,9 +10,9 @@
 WHOLE = Room(32_000, 131_072, 0)
 
 
-def candidate(node, cpu=32_000, speed=1.0, near=True, limit=100):
+def candidate(node, cpu=32_000, speed=1.0, near=True):
     room = Room(cpu, 131_072, 0)
-    return placing.Candidate(node, near, room, WHOLE, speed, limit)
+    return placing.Candidate(node, near, room, WHOLE, speed)
 
 
 def place(candidates, count=1, avoided=frozenset(), reserve=0.0):
@@ -57,11 +57,6 @@
     def test_nobody_has_room(self):
         self.assertEqual([None], place([candidate("a", cpu=2999)]))
 
-    def test_a_limit_per_server_is_kept(self):
-        candidates = [candidate("a", limit=1), candidate("b", limit=1)]
-        nodes = place(candidates, 3)
-        self.assertEqual({"a", "b", None}, set(nodes))
-
     def test_less_urgent_tasks_leave_the_reserve(self):
         self.assertEqual([None], place([candidate("a", cpu=5000)], 1, (), 0.1))
         self.assertEqual(["a"], place([candidate("a", cpu=6300)], 1, (), 0.1))
--- a/tests/scheduling/test_region.py
+++ b/tests/scheduling/test_region.py
@@ -6,6 +6,8 @@
 
 from egretthread.scheduling import agentengine, entryengine
 from egretthread.scheduling.entryboard import Outcome
+from egretthread.scheduling.jobspec import JobSpec, StepSpec
+from egretthread.scheduling.room import Room
 from egretthread.scheduling.runmessage import EntryBeat, OperatorRecord
 from tests.scheduling import region
 
@@ -63,6 +65,42 @@
         self.assertEqual({Outcome.REFUSED}, outcomes)
 
 
+class TestSteps(testtools.TestCase):
+    def submit(self, world, **fields):
+        step = StepSpec(4, Room(1000, 64, 0), 0.1, **fields)
+        world.submit(JobSpec("j", "payload", (step,)), "e0", 3.0)
+
+    def test_a_limit_per_server_holds_within_one_pass(self):
+        world = region.Region(entries=1, agents=4)
+        world.run(2.0)
+        self.submit(world, max_per_server=1)
+        world.finish(3.0)
+        self.assertEqual(1, len(completed(world)))
+        runs = [len(server.history) for server in world.servers.values()]
+        self.assertEqual([1, 1, 1, 1], runs)
+
+    def test_urgent_tasks_wait_only_where_they_may_run(self):
+        world = region.Region(entries=1, agents=2, cpu=1000)
+        world.run(2.0)
+        self.submit(world, required_label="nowhere")
+        world.finish(5.0)
+        self.assertEqual({}, world.runs())
+
+    def test_a_step_waits_for_the_steps_it_comes_after(self):
+        world = region.Region(entries=1, agents=2)
+        world.run(2.0)
+        first = StepSpec(3, Room(1000, 64, 0), 0.1)
+        second = StepSpec(2, Room(1000, 64, 0), 0.1, after=(0,))
+        world.submit(JobSpec("j", "payload", (first, second)), "e0", 3.0)
+        world.finish(3.0)
+        self.assertEqual(1, len(completed(world)))
+        rows = world.runs().items()
+        ends = [row[1] for name, runs in rows if not name.step for row in runs]
+        starts = [row[0] for name, runs in rows if name.step for row in runs]
+        self.assertEqual(2, len(starts))
+        self.assertGreater(min(starts), max(ends))
+
+
 class TestRecords(testtools.TestCase):
     def test_an_agent_hands_the_records_to_entries_that_are_behind(self):
         """All entries were replaced while the store was out."""
