Take a time-out while connecting as a request that was never sent

Cause of test_sync_client_works_without_a_loop failing once beside six busy processes: close to its deadline an attempt has a millisecond to connect, and the library took that time-out for a request that may have started a task. It was refused, not lost. The new test brings the three time-outs about and fails without the change.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 HISTORIES ?= 2000
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench fuzz faults mutations
+.PHONY: install test lint format demo bench fuzz faults histories mutations
 
 install: $(STAMP)
 
@@ -34,6 +34,9 @@
 fuzz: install
 	$(PY) -m tests.fuzz $(if $(SEED),--seed $(SEED)) --histories $(HISTORIES)
 
+histories: install
+	$(PY) -m tests.scheduling.play $(or $(SEED),1000) $(HISTORIES)
+
 mutations: install
 	$(PY) -m tests.mutations
 
--- a/egretthread/client.py
+++ b/egretthread/client.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Callable
 
-from tornado import httpclient, ioloop
+from tornado import httpclient, ioloop, simple_httpclient
 
 from egretthread import apierror, callerjob, endpoints, jobkey, retry
 from egretthread.callerjob import (
@@ -341,7 +341,8 @@
             raise connection_lost(url, error, may_have_started=False) from None
         except (OSError, httpclient.HTTPError) as error:
             self.avoid(url)
-            raise connection_lost(url, error, request.starts_tasks) from None
+            started = request.starts_tasks and not is_unsent(error)
+            raise connection_lost(url, error, started) from None
         return read_response(url, request, response)
 
     def avoid(self, url: str) -> None:
@@ -370,6 +371,12 @@
         )
 
 
+def is_unsent(error: Exception) -> bool:
+    """Whether an attempt timed out before its request was written."""
+    is_timeout = isinstance(error, simple_httpclient.HTTPTimeoutError)
+    return is_timeout and "during request" not in str(error)
+
+
 def connection_lost(
     url: str, cause: object, may_have_started: bool
 ) -> apierror.ConnectionLostError:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -5,6 +5,7 @@
 import socket
 
 import testtools
+from tornado import simple_httpclient
 
 from egretthread import apierror, client, endpoints, jobkey
 from egretthread.client import Job, JobState, Task
@@ -214,6 +215,28 @@
         )
         self.assertFalse(error.may_have_started)
 
+    def test_a_time_out_while_connecting_starts_nothing(self):
+        """Close to the deadline a connection gets a millisecond."""
+        for text, started in (
+            ("Timeout while connecting", False),
+            ("Timeout in request queue", False),
+            ("Timeout during request", True),
+        ):
+
+            async def use(caller, text=text):
+                async def fetch(*args, **options):
+                    raise simple_httpclient.HTTPTimeoutError(text)
+
+                caller.http.fetch = fetch
+                try:
+                    await caller.submit(a_job(deadline_s=0.05))
+                except apierror.ConnectionLostError as error:
+                    return error.may_have_started
+
+            entry = FakeEntry([])
+            found = asyncio.run(with_client([entry], use, answer_grace_s=0.0))
+            self.assertIs(started, found, text)
+
 
 class EndpointsTest(testtools.TestCase):
     def test_failed_endpoints_are_passed_over_for_a_while(self):
