Bar runs until the server confirms it; count fences from the last link

Cause 1: a run that may still arrive at a server after the agent was silent was put on a list of runs to bar, but the list was never sent. One lost stop after a pause left the agent refusing every start until its server restarted. Cause 2: a link that broke and came back left its time of closing behind.

Change: the stops of barred runs are repeated; a new link clears the time. Ruled out: a lost start alone (test_an_agent_that_woke_up_serves_again passes before, too).

--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -209,6 +209,7 @@
         numbers: Highest run number used for a task, and when.
         barred: Runs to bar before the lease may be renewed: they may still
             arrive at the backend server.
+        barred_s: When these were last told to the backend server.
         coordinators: Entries by node id.
         operator_offset: Highest offset of operators' records heard of.
         is_withdrawn: Whether the zone was withdrawn as of that offset.
@@ -240,6 +241,7 @@
         default_factory=dict
     )
     barred: list[StopCall] = dataclasses.field(default_factory=list)
+    barred_s: float = 0.0
     coordinators: dict[str, Coordinator] = dataclasses.field(
         default_factory=dict
     )
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -147,7 +147,7 @@
         clock_ms: The clock in that heartbeat.
         replied_s: When a heartbeat was last replied to.
         is_connected: Whether a link is open.
-        closed_s: When the last link closed.
+        closed_s: When the last link closed; 0 while one is open.
         ordered: Runs ordered over the present link.
         in_flight: Orders that the agent had not received when it last told
             its room: count of runs ordered up to then, and their room.
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -208,6 +208,7 @@
             other.is_connected = False
     view = board.agents.setdefault(node, AgentView(node))
     view.is_connected = True
+    view.closed_s = 0.0
     view.ordered = 0
     view.in_flight.clear()
     view.unconfirmed = frozenset(view.tasks)
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -1,5 +1,7 @@
 """Orders of entries to an agent, and the agent's to its backend server."""
 
+import dataclasses
+
 from egretthread import logs
 from egretthread.scheduling import leaserule, runs
 from egretthread.scheduling.agentboard import (
@@ -316,6 +318,12 @@
         waits = run.phase is RunPhase.STOPPING and not run.stopped_s
         if waits and board.now_s - run.moved_s > STOP_RETRY_S:
             runs.send_stop(board, run)
+    if board.barred and board.now_s - board.barred_s > STOP_RETRY_S:
+        board.barred_s = board.now_s
+        board.calls += [
+            dataclasses.replace(call, token=board.token)
+            for call in board.barred
+        ]
 
 
 def stop_lapsed(board: AgentBoard) -> None:
--- /dev/null
+++ b/tests/scheduling/test_entryengine.py
@@ -0,0 +1,25 @@
+"""Tests of the entry's engine."""
+
+import testtools
+
+from egretthread.scheduling import entryengine, leaserule
+
+
+class TestRestartedAgent(testtools.TestCase):
+    def test_an_earlier_break_of_the_link_does_not_shorten_the_fence(self):
+        """The former process may have had runs until the new one came."""
+        board = entryengine.new_board("e#1", "a", 0.0)
+        for now_s, event in (
+            (10.0, entryengine.on_link),
+            (11.0, entryengine.on_link_closed),
+            (11.05, entryengine.on_link),
+        ):
+            entryengine.set_time(board, now_s)
+            event(board, "agent#1")
+        board.agents["agent#1"].fence_s = 22.0
+        entryengine.set_time(board, 20.2)
+        entryengine.on_link(board, "agent#2")
+        self.assertEqual(
+            leaserule.fence_after_restart_s(20.2),
+            board.agents["agent#1"].fence_s,
+        )
--- a/tests/scheduling/test_region.py
+++ b/tests/scheduling/test_region.py
@@ -201,6 +201,22 @@
         world.finish(20.0)
         self.assertEqual([], world.faults())
 
+    def test_an_agent_that_woke_up_serves_again(self):
+        """A start without an answer has to be barred first."""
+        world = region.Region(entries=1, agents=1)
+        world.run(2.0)
+        world.lost_share = 1.0
+        world.submit(region.job("early"), "e0", 1.0)
+        world.run(0.02)
+        world.freeze(world.agents["a0"], 2.0)
+        world.run(2.05)
+        world.lost_share = 0.0
+        world.run(4.0)
+        world.submit(region.job("later"), "e0", 3.0)
+        world.finish(4.0)
+        self.assertEqual(["later"], [answer[0] for answer in completed(world)])
+        self.assertEqual([], world.faults())
+
     def test_a_restarted_agent_stops_what_its_predecessor_started(self):
         world = region.Region(entries=1, agents=2, work_s=lambda name: 1.5)
         world.run(2.0)
