Use one reader of TOML and one HTTP listener; drop state nothing reads

Cause: the new settings read their file by a copy of the older reader, both HTTP servers of the adapter bound their sockets by the same lines, and the boards held fields that are written and never read (times of the last word and of a drain's end, an echo, an agent beside each left-over attempt).

Change: settings.read_table and platform/listener.py serve both; the fields go. Behaviour stays as it is. Ruled out here: one function for an agent's server state, since entries would be told at other moments.

--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -5,12 +5,10 @@
 import re
 
 import orjson
-import tornado.httpserver
-import tornado.netutil
 import tornado.web
 
 from egretthread import logs
-from egretthread.platform import bodies
+from egretthread.platform import bodies, listener
 from egretthread.scheduling.entryboard import Answer, Job, Outcome, TaskState
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.jobspec import (
@@ -19,7 +17,6 @@
     StepSpec,
     find_route,
 )
-from egretthread.settings import split_address
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 # How long the caller waits for a response.
@@ -293,15 +290,9 @@
 
 def listen(address: str, handler: type, server: EntryServer):
     """Returns an HTTP server that listens at an address."""
-    application = tornado.web.Application(
+    return listener.listen(
+        address,
         [(r".*", handler, {"server": server})],
-        log_function=lambda handler: None,
-    )
-    http = tornado.httpserver.HTTPServer(
-        application,
         max_body_size=MAX_BODY_BYTES,
         idle_connection_timeout=IDLE_S,
     )
-    host, port = split_address(address)
-    http.add_sockets(tornado.netutil.bind_sockets(port, host, backlog=512))
-    return http
--- a/egretthread/platform/servers.py
+++ b/egretthread/platform/servers.py
@@ -1,13 +1,11 @@
 """HTTP with the backend server beside an agent: heartbeats and orders."""
 
 import orjson
-import tornado.httpserver
-import tornado.netutil
 import tornado.web
 from tornado import iostream
 
 from egretthread import backendpool, logs
-from egretthread.platform import bodies
+from egretthread.platform import bodies, listener
 from egretthread.scheduling.agentboard import (
     ServerRecord,
     StartCall,
@@ -23,7 +21,6 @@
     ServerEnd,
     Verdict,
 )
-from egretthread.settings import split_address
 
 # Names the incarnation that an order is meant for.
 INSTANCE_HEADER = "X-Egretthread-Expected-Instance"
@@ -282,7 +279,8 @@
 
 def listen(address: str, on_heartbeat, on_leave):
     """Returns an HTTP server for the backend server's calls."""
-    application = tornado.web.Application(
+    return listener.listen(
+        address,
         [
             (
                 r"/Instances\.Heartbeat/([^/]+)",
@@ -295,9 +293,4 @@
                 {"on_leave": on_leave},
             ),
         ],
-        log_function=lambda handler: None,
     )
-    http = tornado.httpserver.HTTPServer(application)
-    host, port = split_address(address)
-    http.add_sockets(tornado.netutil.bind_sockets(port, host))
-    return http
--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -124,7 +124,6 @@
     Attributes:
         node: Its node id.
         is_connected: Whether a link to it is open.
-        echo_ms: Own clock reading that it has last returned.
         lease_s: When its runs are stopped unless it is heard of again.
         heard_s: When it was last heard.
         beat_s: When it was last sent a heartbeat.
@@ -137,7 +136,6 @@
 
     node: str
     is_connected: bool = False
-    echo_ms: int = 0
     lease_s: float = 0.0
     heard_s: float = 0.0
     beat_s: float = 0.0
@@ -197,10 +195,8 @@
         now_s: Time of the event being handled, on the monotonic clock.
         token: Fencing token of its orders.
         server: Its backend server; None before the first heartbeat.
-        server_heard_s: When the backend server last answered or called.
         state: What it says of the backend server.
         is_closing: Whether the agent shuts down.
-        drain_end_s: When a draining backend server may leave.
         clock_offset_ms: Backend server's clock less the own one.
         lease_end_s: When the backend server drops runs unless told more.
         last_seen: Ends of this incarnation up to this number are known.
@@ -228,10 +224,8 @@
     token: int
     now_s: float
     server: ServerRecord | None = None
-    server_heard_s: float = 0.0
     state: ServerState = ServerState.ABSENT
     is_closing: bool = False
-    drain_end_s: float = 0.0
     clock_offset_ms: int = 0
     lease_end_s: float = 0.0
     last_seen: int = 0
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -43,8 +43,6 @@
 # With more entries than this, each is told of room less often, so that an
 # agent's heartbeats do not grow with their number.
 FULL_PACE_ENTRIES = 3
-# Time after an order during which the entry counts as one with runs here.
-BUSY_AFTER_S = 1.0
 # Silence of an entry with runs here after which its link is opened afresh.
 SILENT_LINK_S = 0.5
 # Time between two offers of the operators' records to one entry.
@@ -73,7 +71,6 @@
     board: AgentBoard, coordinator: Coordinator, beat: EntryBeat
 ) -> None:
     """Renews an entry's lease and takes over what operators have in force."""
-    coordinator.echo_ms = max(coordinator.echo_ms, beat.echo_ms)
     coordinator.is_near = beat.is_near
     coordinator.lease_s = max(
         coordinator.lease_s, leaserule.lease_end_s(beat.echo_ms)
@@ -154,9 +151,8 @@
     elif record.capacity != known.capacity or record.labels != known.labels:
         _forget_told(board)
     board.server = record
-    board.server_heard_s = board.now_s
     if record.is_draining:
-        _begin_drain(board, record)
+        _begin_drain(board)
     elif board.state in (ServerState.ABSENT, ServerState.DRAINING):
         _set_state(board, ServerState.READY, "heartbeat")
 
@@ -329,8 +325,7 @@
         _set_state(board, ServerState.READY, "new server")
 
 
-def _begin_drain(board: AgentBoard, record: ServerRecord) -> None:
-    board.drain_end_s = board.now_s + record.drain_s
+def _begin_drain(board: AgentBoard) -> None:
     if board.state is not ServerState.DRAINING:
         _set_state(board, ServerState.DRAINING, "heartbeat")
         runorders.refuse_queued(board)
--- a/egretthread/scheduling/agentviews.py
+++ b/egretthread/scheduling/agentviews.py
@@ -1,7 +1,6 @@
 """What an entry believes of its agents, and for how long."""
 
 from egretthread import logs
-from egretthread.message import node_name
 from egretthread.scheduling import leaserule
 from egretthread.scheduling.entryboard import AgentView, EntryBoard
 from egretthread.scheduling.room import Room
@@ -16,8 +15,6 @@
 SUSPECT_BUSY_S = 0.5
 SUSPECT_IDLE_S = 1.4
 
-agent_name = node_name
-
 
 def is_usable(board: EntryBoard, view: AgentView) -> bool:
     """Whether an agent may be given runs."""
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -44,7 +44,6 @@
         attempt: Number of the present or last attempt.
         agent: Node id of the agent that has it.
         waits_s: Since when it waits.
-        ordered_s: When it was handed to the agent.
         failures: Runs that ended as failed.
         moves: Times it was stopped for being slow.
         avoided: Agents on which it failed or stood still.
@@ -57,7 +56,6 @@
     attempt: int = 0
     agent: str = ""
     waits_s: float = 0.0
-    ordered_s: float = 0.0
     failures: int = 0
     moves: int = 0
     avoided: set[str] = dataclasses.field(default_factory=set)
@@ -203,8 +201,8 @@
         agents: Agents by node id.
         jobs: Open jobs by id.
         waiting: Tasks that wait for room.
-        leftovers: Attempts of jobs already answered that may still run:
-            agent and time at which each is surely over, by job id and attempt.
+        leftovers: Attempts of jobs already answered that may still run: when
+            each is surely over, by job id and attempt.
         attempts: Attempts numbered so far.
         rng: Source of the choices between agents that are alike.
         entries: Addresses of the entries known, this one included.
@@ -230,7 +228,7 @@
     agents: dict[str, AgentView] = dataclasses.field(default_factory=dict)
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     waiting: list[Task] = dataclasses.field(default_factory=list)
-    leftovers: dict[str, dict[int, tuple[str, float]]] = dataclasses.field(
+    leftovers: dict[str, dict[int, float]] = dataclasses.field(
         default_factory=dict
     )
     attempts: int = 0
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -2,7 +2,7 @@
 
 import random
 
-from egretthread import logs
+from egretthread import logs, message
 from egretthread.scheduling import (
     agentviews,
     handout,
@@ -198,9 +198,9 @@
 
 def on_link(board: EntryBoard, node: str) -> None:
     """Notes a new link to an agent."""
-    name = agentviews.agent_name(node)
+    name = message.node_name(node)
     for other in board.agents.values():
-        if other.node != node and agentviews.agent_name(other.node) == name:
+        if other.node != node and message.node_name(other.node) == name:
             # A former process of the same agent; its runs lapse.
             closed_s = other.closed_s or board.now_s
             fence_s = leaserule.fence_after_restart_s(closed_s)
@@ -254,7 +254,7 @@
 
 def _forget_leftovers(board: EntryBoard) -> None:
     for job, attempts in tuple(board.leftovers.items()):
-        for attempt, (_, over_s) in tuple(attempts.items()):
+        for attempt, over_s in tuple(attempts.items()):
             if board.now_s >= over_s:
                 del attempts[attempt]
         if not attempts:
--- a/egretthread/scheduling/handout.py
+++ b/egretthread/scheduling/handout.py
@@ -158,7 +158,6 @@
     for task in tasks:
         board.attempts += 1
         task.attempt = board.attempts
-        task.ordered_s = board.now_s
         view.tasks[task.attempt] = task
         view.ordered += 1
         view.in_flight.append((view.ordered, room))
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -255,7 +255,7 @@
                 del view.tasks[attempt]
                 stops.setdefault(view.node, []).append(attempt)
                 left = board.leftovers.setdefault(job.id, {})
-                left[attempt] = (view.node, view.fence_s)
+                left[attempt] = view.fence_s
     for node, attempts in stops.items():
         board.outbox.append((node, StopRuns(job.id, tuple(attempts))))
     board.answers.append(answer)
--- a/egretthread/scheduling/nodesettings.py
+++ b/egretthread/scheduling/nodesettings.py
@@ -2,12 +2,9 @@
 
 import dataclasses
 import pathlib
-import tomllib
 
-from egretthread import util
-
-MIN_SHARED_KEY_CHARS = 16
-LOG_LEVELS = ("debug", "info", "warning", "error")
+from egretthread import settings, util
+from egretthread.settings import LOG_LEVELS, MIN_SHARED_KEY_CHARS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,14 +91,8 @@
 
 def _load(path: str | pathlib.Path, needed: tuple[str, ...]) -> NodeSettings:
     checker = util.OptionChecker()
-    try:
-        table = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        checker.fault("file", str(path), f"give a readable file ({error})")
-        checker.finish(str(path))
-    except tomllib.TOMLDecodeError as error:
-        checker.fault("file", str(path), f"correct the TOML ({error})")
-        checker.finish(str(path))
+    table = settings.read_table(pathlib.Path(path), checker)
+    checker.finish(str(path))
     values = {}
     for field in dataclasses.fields(NodeSettings):
         required = field.name in needed
@@ -134,7 +125,7 @@
     if name == "log_level":
         return checker.choice(table, name, name, LOG_LEVELS)
     if field.type is int:
-        return checker.integer(table, name, name, maximum=65_535)
+        return checker.integer(table, name, name, maximum=settings.MAX_PORT)
     if field.type is float:
         return checker.number(table, name, name, minimum=0.01)
     if table.get(name) == "" and not required:
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -282,10 +282,9 @@
 
 
 def note_answer(board: AgentBoard, result) -> None:
-    """Notes that the backend server answered, and its clock."""
+    """Notes the backend server's clock."""
     if result.clock_ms:
         board.clock_offset_ms = result.clock_ms - board.clock_ms
-        board.server_heard_s = board.now_s
 
 
 def on_stop_result(
--- a/egretthread/settings.py
+++ b/egretthread/settings.py
@@ -170,7 +170,7 @@
 ) -> EntrySettings | AgentSettings:
     path = pathlib.Path(path)
     checker = util.OptionChecker()
-    document = _read(path, checker)
+    document = read_table(path, checker)
     checker.finish(str(path))
     _read_key_file(document, path.parent, checker)
     values = {
@@ -190,7 +190,8 @@
     return None if field.default is dataclasses.MISSING else field.default
 
 
-def _read(path: pathlib.Path, checker: util.OptionChecker) -> dict:
+def read_table(path: pathlib.Path, checker: util.OptionChecker) -> dict:
+    """Returns the table in a TOML file; records a fault if there is none."""
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
