--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -492,5 +492,9 @@
     | runmessage.RunReports
     | runmessage.LiveRuns
     | runmessage.EntryHello
+    | runmessage.HeldEnds
+    | runmessage.SettleEnds
+    | runmessage.JobQuestion
+    | runmessage.JobReply
     | runmessage.OperatorRecord
 )
--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -3,14 +3,21 @@
 import asyncio
 import math
 import re
+from collections.abc import Awaitable
 
 import orjson
 import tornado.web
 
-from egretthread import logs
+from egretthread import clock, logs
 from egretthread.platform import bodies, listener
+from egretthread.platform.joblog import JobLog
+from egretthread.platform.store import (
+    StoreRefusedError,
+    StoreUnavailableError,
+)
 from egretthread.scheduling.entryboard import Answer, Job, Outcome, TaskState
 from egretthread.scheduling.entryserver import EntryServer
+from egretthread.scheduling.jobrecord import Submission
 from egretthread.scheduling.jobspec import (
     JobSpec,
     Route,
@@ -29,6 +36,8 @@
 # Connections without a request are closed after this, in seconds. It is far
 # above the time that callers keep one, so that no request meets a closing one.
 IDLE_S = 120.0
+# Part of a caller's patience that is left for the answer on its way.
+ANSWER_S = 0.1
 # Features of a step that are not built yet; a job that asks for one is
 # refused.
 UNSUPPORTED = (
@@ -121,13 +130,15 @@
 
     Attributes:
         server: The entry.
+        log: The log of kept jobs.
         job: Id of the job that the caller waits for; empty when none.
         waiter: Gives the job's answer.
     """
 
-    def initialize(self, server: EntryServer) -> None:
-        """Keeps the entry."""
+    def initialize(self, server: EntryServer, log: JobLog) -> None:
+        """Keeps the entry and the log of kept jobs."""
         self.server = server
+        self.log = log
         self.job = ""
         self.waiter: asyncio.Future | None = None
 
@@ -191,6 +202,11 @@
             self.refuse(503, f"{why} is not supported", 10.0)
             return
         wait_s = patience_s(self.request.headers.get(PATIENCE_HEADER), route)
+        if spec.kept:
+            submission = Submission(spec, route, clock.unix_s())
+            if await self.stored(self.log.submit(submission), wait_s):
+                self.reply(200, {"state": "queued"})
+            return
         self.waiter = self.server.submit(spec, route, wait_s)
         try:
             answer = await self.waiter
@@ -199,36 +215,80 @@
             return
         self.answer(answer)
 
-    def get(self) -> None:
+    async def stored(self, writing: Awaitable[None], wait_s: float) -> bool:
+        """Waits until a record is on the store; answers when it is not.
+
+        Args:
+            writing: Ends once it is.
+            wait_s: How long the caller waits.
+        """
+        if self.server.is_drained:
+            self.refuse(503, "shutting down", 1.0)
+            return False
+        try:
+            async with asyncio.timeout(max(0.0, wait_s - ANSWER_S)):
+                await writing
+        except StoreRefusedError as error:
+            self.refuse(503, error.message, 1.0)
+            return False
+        except TimeoutError:
+            # It may be on the store: only asking again shows.
+            self.refuse(504, "the store does not answer", 1.0)
+            return False
+        return True
+
+    async def get(self) -> None:
         """Tells the state of a job, or of its queue."""
         found = self.route()
         if found is None:
             return
         route, rest = found
         if not rest:
-            self.reply(200, {"pending_jobs": self._pending(route)})
-            return
-        job = self.server.board.jobs.get(rest)
-        if job is None:
-            self.refuse(410, "no such job")
+            count = self._pending(route) + self.server.pending_kept(route.name)
+            self.reply(200, {"pending_jobs": count})
             return
-        state = "running" if _has_started(job) else "queued"
-        self.reply(200, {"state": state})
+        self.job = rest
+        state = await self.job_state()
+        if state:
+            self.reply(200, {"state": state})
 
-    def delete(self) -> None:
+    async def delete(self) -> None:
         """Cancels a job."""
         route = self.job_route()
         if route is None:
             return
-        if self.job not in self.server.board.jobs:
-            self.refuse(410, "no such job")
+        job = self.server.board.jobs.get(self.job)
+        if job is not None and not job.spec.kept:
+            self.server.cancel(self.job, "cancelled by its caller")
+            self.reply(200, {"state": "cancelled"})
+            return
+        if not await self.job_state():
             return
-        self.server.cancel(self.job, "cancelled by its caller")
-        self.reply(200, {"state": "cancelled"})
+        wait_s = patience_s(self.request.headers.get(PATIENCE_HEADER), route)
+        if await self.stored(self.log.cancel(self.job), wait_s):
+            self.reply(200, {"state": "cancelled"})
+
+    async def job_state(self) -> str:
+        """Returns the state of a job; answers when there is none."""
+        job = self.server.board.jobs.get(self.job)
+        if job is not None and not job.spec.kept:
+            return "running" if _has_started(job) else "queued"
+        is_known, state = await self.server.job_state(self.job)
+        try:
+            if not is_known:
+                state = await self.log.state(self.job)
+        except StoreUnavailableError as error:
+            self.refuse(503, error.message, 1.0)
+            return ""
+        if not state:
+            self.refuse(410, "no such job")
+        return state
 
     def _pending(self, route: Route) -> int:
         return sum(
-            job.route.name == route.name and not _has_started(job)
+            job.route.name == route.name
+            and not job.spec.kept
+            and not _has_started(job)
             for job in self.server.board.jobs.values()
         )
 
@@ -257,8 +317,6 @@
 
 def _unsupported(spec: JobSpec) -> str:
     """Returns the feature that a job asks for in vain; empty when none."""
-    if spec.kept:
-        return "a kept job"
     if spec.times:
         return "times"
     for step in spec.steps:
@@ -278,7 +336,7 @@
 class ReadyHandler(tornado.web.RequestHandler):
     """Answers the balancer's readiness check."""
 
-    def initialize(self, server: EntryServer) -> None:
+    def initialize(self, server: EntryServer, log: JobLog) -> None:
         """Keeps the entry."""
         self.server = server
 
@@ -288,11 +346,11 @@
         self.finish()
 
 
-def listen(address: str, handler: type, server: EntryServer):
+def listen(address: str, handler: type, server: EntryServer, log: JobLog):
     """Returns an HTTP server that listens at an address."""
     return listener.listen(
         address,
-        [(r".*", handler, {"server": server})],
+        [(r".*", handler, {"server": server, "log": log})],
         max_body_size=MAX_BODY_BYTES,
         idle_connection_timeout=IDLE_S,
     )
--- a/egretthread/platform/programs.py
+++ b/egretthread/platform/programs.py
@@ -1,6 +1,14 @@
 """The entry and the agent on the operators' platform."""
 
-from egretthread.platform import callers, directory, operators, servers
+import asyncio
+
+from egretthread.platform import (
+    callers,
+    directory,
+    joblog,
+    operators,
+    servers,
+)
 from egretthread.platform.store import Store
 from egretthread.scheduling import gauges
 from egretthread.scheduling.agentserver import AgentServer
@@ -17,6 +25,7 @@
         server: The entry itself.
         feed: Follows what operators publish.
         announcer: Announces the entry.
+        log: The log of kept jobs.
         https: HTTP servers, once started.
         admin: Serves metrics and the state dump, once started.
     """
@@ -34,13 +43,19 @@
             settings.peer_address,
             self.server.add_entries,
         )
+        self.log = joblog.JobLog(
+            self.store,
+            self.server,
+            settings.store_parts,
+            settings.store_writes_per_s,
+        )
         self.https = []
         self.admin = None
 
     async def start(self) -> None:
         """Starts to serve."""
         self.https = [
-            callers.listen(address, handler, self.server)
+            callers.listen(address, handler, self.server, self.log)
             for address, handler in (
                 (self.settings.callers_address, callers.CallerHandler),
                 (self.settings.ready_address, callers.ReadyHandler),
@@ -49,6 +64,7 @@
         await self.server.start()
         self.feed.start()
         self.announcer.start()
+        self.log.start()
         if self.settings.metrics_port:
             self.admin = gauges.serve(
                 self.server.board,
@@ -58,11 +74,12 @@
 
     async def close(self) -> None:
         """Shuts down: what was taken is answered."""
-        await self.server.drain()
+        await asyncio.gather(self.log.leave(), self.server.drain())
         for http in self.https:
             http.stop()
             await http.close_all_connections()
         await self.server.close()
+        await self.log.close()
         await self.announcer.close()
         await self.feed.close()
         if self.admin:
--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -4,6 +4,7 @@
 import dataclasses
 import struct
 import urllib.parse
+from collections.abc import Sequence
 
 import orjson
 from tornado import iostream
@@ -16,11 +17,16 @@
 # Time for an answer beyond the wait that was asked for. The store answers
 # within a few ms; a connection that has gone silent is given up after this.
 TIMEOUT_S = 0.8
-# Connections: one long poll, and one for everything else.
-CONNECTIONS = 2
+# Connections: long polls of the partitions read, and some for other calls.
+CONNECTIONS = 24
 MAX_BODY_BYTES = 4 * 2**20
 MAX_READ_KB = 1024
 RAW_HEADERS = {"Content-Type": "application/octet-stream"}
+JSON_HEADERS = {"Content-Type": "application/json"}
+# The store is at its rate, down or full; it has done nothing.
+REFUSED_CODES = (429, 503, 507)
+# All coordinators write under one name, so that epochs order them.
+PRODUCER = "coordinator"
 LOST_ERRORS = (OSError, TimeoutError, iostream.StreamClosedError)
 
 
@@ -36,6 +42,32 @@
     kind = "store_unavailable"
 
 
+class StoreRefusedError(StoreUnavailableError):
+    """The store did nothing, since it is busy or full."""
+
+    kind = "store_refused"
+
+
+class FencedError(StoreError):
+    """Another process has taken over the partition."""
+
+    kind = "fenced"
+
+
+class OrderError(StoreError):
+    """An append has another number than the store expects.
+
+    Attributes:
+        expected: The number that it expects.
+    """
+
+    kind = "append_order"
+
+    def __init__(self, message: str, remedy: str, expected: int):
+        super().__init__(message, remedy)
+        self.expected = expected
+
+
 class HistoryGoneError(StoreError):
     """The records asked for have been deleted."""
 
@@ -55,6 +87,33 @@
     value: bytes | None
 
 
+@dataclasses.dataclass(frozen=True)
+class Writer:
+    """Orders the appends of the processes that may write to a partition.
+
+    Attributes:
+        epoch: An append of a lower one is refused.
+        number: Number of the append within the epoch; a repeated one is
+            carried out once.
+    """
+
+    epoch: int
+    number: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Assignment:
+    """What a member of a group is to work on.
+
+    Attributes:
+        generation: Rises with each change of the group.
+        parts: The partitions.
+    """
+
+    generation: int
+    parts: tuple[int, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Batch:
     """Part of a keyed topic.
@@ -87,8 +146,8 @@
         """Closes the connections."""
         self.pool.close()
 
-    async def newest(self, topic: str) -> Batch:
-        """Returns the newest record of each key of a topic.
+    async def newest(self, topic: str, part: int = 0) -> Batch:
+        """Returns the newest record of each key of a partition.
 
         A record written meanwhile may be missing; reads from the batch's end
         on bring it.
@@ -100,27 +159,55 @@
         end = None
         after = None
         while True:
-            query = {"topic": topic, "part": 0}
-            if after is not None:
-                query["after"] = after
-            response = await self.call("GET", "/log-newest", query)
-            table = orjson.loads(response.body)
-            if end is None:
-                end = table["end_offset"]
-            for item in table["items"]:
-                value = base64.b64decode(item["value"])
-                entries.append(Entry(item["key"], value))
-            if not table["has_more"]:
+            page, page_end, has_more = await self._page(topic, part, after)
+            entries += page
+            end = page_end if end is None else end
+            if not has_more:
                 return Batch(tuple(entries), end)
-            after = table["items"][-1]["key"]
+            after = page[-1].key
+
+    async def find(self, topic: str, part: int, key: str) -> bytes | None:
+        """Returns the newest value of one key; None when there is none.
+
+        Raises:
+            StoreUnavailableError: The store gave no answer or refused.
+        """
+        # Keys come in order, and this prefix is right before the key.
+        page, _, _ = await self._page(topic, part, key[:-1])
+        values = [entry.value for entry in page if entry.key == key]
+        return values[0] if values else None
 
-    async def read(self, topic: str, offset: int, wait_s: float) -> Batch:
-        """Returns the records of a topic from an offset on.
+    async def _page(
+        self, topic: str, part: int, after: str | None
+    ) -> tuple[list[Entry], int, bool]:
+        """Returns some newest records, the partition's end, if there is more.
+
+        Args:
+            topic: The topic.
+            part: The partition.
+            after: The key that they follow; None for the first ones.
+        """
+        query = {"topic": topic, "part": part}
+        if after is not None:
+            query["after"] = after
+        response = await self.call("GET", "/log-newest", query)
+        table = orjson.loads(response.body)
+        page = [
+            Entry(item["key"], base64.b64decode(item["value"]))
+            for item in table["items"]
+        ]
+        return page, table["end_offset"], table["has_more"]
+
+    async def read(
+        self, topic: str, offset: int, wait_s: float, part: int = 0
+    ) -> Batch:
+        """Returns the records of a partition from an offset on.
 
         Args:
             topic: The topic.
             offset: Offset of the first record wanted.
             wait_s: How long to wait for a record when there is none.
+            part: The partition.
 
         Raises:
             StoreUnavailableError: The store gave no answer or refused.
@@ -128,7 +215,7 @@
         """
         query = {
             "topic": topic,
-            "part": 0,
+            "part": part,
             "from": offset,
             "max_kb": MAX_READ_KB,
             "wait_ms": int(wait_s * 1000),
@@ -143,22 +230,89 @@
             StoreUnavailableError: There was no answer, or a refusal; it may
                 have been written.
         """
-        query = {"topic": topic, "part": 0}
-        await self.call("POST", "/log-append", query, encode_record(entry))
+        await self.append(topic, 0, (entry,))
+
+    async def append(
+        self,
+        topic: str,
+        part: int,
+        entries: Sequence[Entry],
+        writer: Writer | None = None,
+    ) -> None:
+        """Appends records to a partition of a keyed topic, all or none.
+
+        Args:
+            topic: The topic.
+            part: The partition.
+            entries: The records; none only makes the writer's epoch known.
+            writer: Orders the append among those of others.
+
+        Raises:
+            StoreRefusedError: Nothing was written.
+            StoreUnavailableError: It may have been written.
+            FencedError: There was an append of a higher epoch.
+        """
+        query: dict = {"topic": topic, "part": part}
+        if writer is not None:
+            query["producer"] = PRODUCER
+            query["epoch"] = writer.epoch
+            query["sequence"] = writer.number
+        body = b"".join(encode_record(entry) for entry in entries)
+        await self.call("POST", "/log-append", query, body)
+
+    async def join(
+        self, group: str, member: str, topic: str, ttl_s: float, generation: int
+    ) -> Assignment:
+        """Joins a group that shares a topic's partitions, or stays in it.
+
+        Args:
+            group: The group.
+            member: Name of this member.
+            topic: The topic.
+            ttl_s: Silence after which the member's partitions are assigned
+                to others.
+            generation: The last one received.
+
+        Raises:
+            StoreUnavailableError: The store gave no answer or refused.
+        """
+        table = {
+            "group": group,
+            "member": member,
+            "topics": [topic],
+            "ttl_ms": int(ttl_s * 1000),
+            "generation": generation,
+        }
+        response = await self.call("POST", "/log-join", body=_json(table))
+        answer = orjson.loads(response.body)
+        # Each row is topic, partition and committed offset.
+        parts = tuple(row[1] for row in answer["parts"] if row[0] == topic)
+        return Assignment(answer["generation"], parts)
+
+    async def leave(self, group: str, member: str) -> None:
+        """Leaves a group.
+
+        Raises:
+            StoreUnavailableError: The store gave no answer or refused.
+        """
+        table = {"group": group, "member": member}
+        await self.call("POST", "/log-leave", body=_json(table))
 
     async def call(
         self,
         method: str,
         path: str,
-        query: dict,
+        query: dict | None = None,
         body: bytes = b"",
         wait_s: float = 0.0,
     ) -> backendpool.Response:
         """Sends one call and returns its answer if it was carried out."""
-        where = f"{path}?{urllib.parse.urlencode(query)}"
+        query = query or {}
+        where = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        headers = RAW_HEADERS if query else JSON_HEADERS
         try:
             response = await self.pool.request(
-                where, body, TIMEOUT_S + wait_s, method, RAW_HEADERS
+                where, body, TIMEOUT_S + wait_s, method, headers
             )
         except LOST_ERRORS as error:
             raise StoreUnavailableError(
@@ -170,6 +324,12 @@
                 f"{path} from {query.get('from')}: deleted",
                 "read the newest record of each key",
             )
+        if response.code == 409:
+            raise _conflict(path, response.body)
+        if response.code in REFUSED_CODES:
+            raise StoreRefusedError(
+                f"{path} answered {response.code}", "ask again later"
+            )
         if response.code != 200:
             raise StoreUnavailableError(
                 f"{path} answered {response.code}", "ask again later"
@@ -177,6 +337,25 @@
         return response
 
 
+def _conflict(path: str, body: bytes) -> StoreError:
+    """Returns why an append was refused for its epoch or its number."""
+    table = orjson.loads(body)
+    if table.get("reason") == "seq":
+        return OrderError(
+            f"{path}: another number is due",
+            "go on from the expected number",
+            table.get("sequence", 0),
+        )
+    return FencedError(
+        f"{path}: a later coordinator has begun",
+        "leave the partition to it",
+    )
+
+
+def _json(table: dict) -> bytes:
+    return orjson.dumps(table)
+
+
 def encode_record(entry: Entry) -> bytes:
     """Returns a record of a keyed topic with its length before it."""
     key = entry.key.encode()
--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -7,6 +7,7 @@
 from egretthread.scheduling import serverhealth
 from egretthread.scheduling.room import NO_ROOM, Room
 from egretthread.scheduling.runmessage import (
+    HeldEnd,
     OperatorRecord,
     RunEnd,
     RunReport,
@@ -68,6 +69,7 @@
         slow_reported_s: When it was last reported as slow.
         end: What to report once it has been stopped.
         stopped_s: When the backend server confirmed a stop; 0 before.
+        kept: Whether its end is held for its coordinator.
     """
 
     entry: str
@@ -88,6 +90,7 @@
     slow_reported_s: float = 0.0
     end: RunEnd = RunEnd.STOPPED
     stopped_s: float = 0.0
+    kept: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -199,10 +202,17 @@
         is_closing: Whether the agent shuts down.
         clock_offset_ms: Backend server's clock less the own one.
         lease_end_s: When the backend server drops runs unless told more.
-        last_seen: Ends of this incarnation up to this number are known.
+        listed: Ends of this incarnation up to this number were taken in.
+        told_seen: Ends up to this number the backend server was told to
+            forget.
+        held: Listed ends that the backend server must not forget yet, by
+            number.
+        void: Held ends that may be forgotten once the lease has lapsed.
+        held_told_s: When entries were last told of the held ends.
         runs: Runs held, by attempt and coordinator.
         by_name: The live run of each task.
         numbers: Highest run number used for a task, and when.
+        kept_names: Those of these tasks whose jobs are kept.
         barred: Runs to bar before the lease may be renewed: they may still
             arrive at the backend server.
         barred_s: When these were last told to the backend server.
@@ -228,12 +238,17 @@
     is_closing: bool = False
     clock_offset_ms: int = 0
     lease_end_s: float = 0.0
-    last_seen: int = 0
+    listed: int = 0
+    told_seen: int = 0
+    held: dict[int, HeldEnd] = dataclasses.field(default_factory=dict)
+    void: set[int] = dataclasses.field(default_factory=set)
+    held_told_s: float = 0.0
     runs: dict[tuple[str, int], Run] = dataclasses.field(default_factory=dict)
     by_name: dict[TaskName, Run] = dataclasses.field(default_factory=dict)
     numbers: dict[TaskName, tuple[int, float]] = dataclasses.field(
         default_factory=dict
     )
+    kept_names: set[TaskName] = dataclasses.field(default_factory=set)
     barred: list[StopCall] = dataclasses.field(default_factory=list)
     barred_s: float = 0.0
     coordinators: dict[str, Coordinator] = dataclasses.field(
@@ -262,6 +277,16 @@
         """The agent's clock, in milliseconds."""
         return int(self.now_s * 1000)
 
+    @property
+    def last_seen(self) -> int:
+        """Ends up to this number may be forgotten by the backend server."""
+        return min(self.held) - 1 if self.held else self.listed
+
+    @property
+    def is_lease_barred(self) -> bool:
+        """Whether the lease of the backend server must not be renewed."""
+        return bool(self.barred or self.void)
+
     @property
     def used(self) -> Room:
         """Room taken by runs that are or may be at the backend server."""
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -2,6 +2,7 @@
 
 from egretthread import logs
 from egretthread.scheduling import (
+    heldends,
     leaserule,
     runlooks,
     runorders,
@@ -26,6 +27,7 @@
     RunReports,
     ServerFacts,
     ServerState,
+    SettleEnds,
     StartRuns,
     StopRuns,
 )
@@ -112,6 +114,7 @@
     EntryBeat: on_entry_beat,
     StartRuns: runorders.on_start_runs,
     StopRuns: runorders.on_stop_runs,
+    SettleEnds: heldends.on_settle,
 }
 
 
@@ -127,6 +130,7 @@
         for run in board.runs.values()
         if run.entry == node
     ]
+    heldends.tell(board, node)
     board.outbox.append((node, LiveRuns(tuple(rows))))
     send_beat(board, coordinator)
 
@@ -188,6 +192,8 @@
     runorders.refuse_overdue(board)
     runorders.retry_stops(board)
     runlooks.check_server(board)
+    heldends.forget_void(board)
+    heldends.offer(board)
     _send_due_beats(board)
     _forget_old(board)
     after_event(board)
@@ -315,7 +321,7 @@
     if board.server is not None:
         runs.lose_all(board, RunEnd.STOPPED)
     board.barred.clear()
-    board.last_seen = 0
+    heldends.clear(board)
     board.clock_offset_ms = clock_ms - board.clock_ms
     board.lease_end_s = 0.0
     board.health.clear()
@@ -364,6 +370,7 @@
             for name, pair in board.numbers.items()
             if pair[1] >= oldest_s or name in live
         }
+        board.kept_names &= board.numbers.keys()
     gone = [
         node
         for node, entry in board.coordinators.items()
@@ -381,7 +388,9 @@
 
 def needs_look(board: AgentBoard) -> bool:
     """Whether the backend server has to be looked at."""
-    return bool(board.barred) or any(
+    if board.told_seen < board.last_seen:
+        return board.state is not ServerState.ABSENT
+    return board.is_lease_barred or any(
         run.phase is not RunPhase.QUEUED for run in board.runs.values()
     )
 
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -143,16 +143,13 @@
         self._pump()
 
     async def _look_loop(self) -> None:
-        """Looks at the backend server while it has runs, and once after."""
-        unseen = 0
+        """Looks at the backend server while there is something to see."""
         while True:
             self._turn()
-            needed = agentengine.needs_look(self.board)
-            if not needed and unseen == self.board.last_seen:
+            if not agentengine.needs_look(self.board):
                 self.busy.clear()
                 await self.busy.wait()
                 self._turn()
-            unseen = self.board.last_seen
             call = runlooks.next_look(self.board)
             look = await self.server.look(call)
             self._turn()
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -5,7 +5,7 @@
 import enum
 import random
 
-from egretthread.scheduling import estimates, workmeter
+from egretthread.scheduling import estimates, keptboard, workmeter
 from egretthread.scheduling.jobspec import (
     JobSpec,
     OperatorState,
@@ -194,6 +194,7 @@
         node: Its node id.
         zone: Its availability zone.
         now_s: Time of the event being handled, on the monotonic clock.
+        unix_s: The same on the wall clock.
         started_s: When the process started.
         operators: What operators have in force.
         is_closing: Whether the entry shuts down.
@@ -212,6 +213,7 @@
         reviewed_s: When the waiting jobs were last reviewed.
         outbox: Messages to be sent, by agent.
         answers: Answers to be given.
+        kept: Kept jobs that this entry coordinates.
         counters: Events counted by name.
         samples: Durations measured, by name.
         thawed_s: Until when nothing is handed out after a pause.
@@ -221,6 +223,7 @@
     node: str
     zone: str
     now_s: float
+    unix_s: float = 0.0
     started_s: float = 0.0
     operators: OperatorState = OperatorState()
     is_closing: bool = False
@@ -246,6 +249,9 @@
     reviewed_s: float = 0.0
     outbox: list[tuple[str, object]] = dataclasses.field(default_factory=list)
     answers: list[Answer] = dataclasses.field(default_factory=list)
+    kept: keptboard.KeptBoard = dataclasses.field(
+        default_factory=keptboard.KeptBoard
+    )
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -7,6 +7,7 @@
     agentviews,
     handout,
     jobs,
+    keeping,
     leaserule,
 )
 from egretthread.scheduling.entryboard import (
@@ -18,6 +19,7 @@
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
 from egretthread.scheduling.runmessage import (
     AgentBeat,
+    HeldEnds,
     LiveRuns,
     RunEnd,
     RunReport,
@@ -51,9 +53,16 @@
     )
 
 
-def set_time(board: EntryBoard, now_s: float) -> None:
-    """Writes the time of the event about to be handled."""
+def set_time(board: EntryBoard, now_s: float, unix_s: float) -> None:
+    """Writes the time of the event about to be handled.
+
+    Args:
+        board: The blackboard.
+        now_s: The monotonic clock.
+        unix_s: The wall clock.
+    """
     board.now_s = now_s
+    board.unix_s = unix_s
     if now_s - board.ticked_s > PAUSE_S:
         logs.warning("process_paused", paused_s=now_s - board.ticked_s)
         board.thawed_s = now_s + AFTER_PAUSE_S
@@ -174,6 +183,7 @@
     AgentBeat: _on_beat,
     RunReports: _on_reports,
     LiveRuns: _on_live,
+    HeldEnds: keeping.on_held_ends,
 }
 
 
@@ -228,6 +238,7 @@
     """Does what is due by time; called many times a second."""
     board.ticked_s = board.now_s
     _drop_fenced(board)
+    keeping.on_tick(board)
     jobs.expire(board)
     _forget_leftovers(board)
     handout.run(board)
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -3,11 +3,18 @@
 import asyncio
 
 from egretthread import clock, link, logs, message, routes
-from egretthread.scheduling import entryengine, handout
+from egretthread.scheduling import entryengine, handout, jobrecord, keeping
 from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
+from egretthread.scheduling.jobrecord import Progress, Submission
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
+from egretthread.scheduling.keptboard import Part, ProgressBatch
 from egretthread.scheduling.nodesettings import NodeSettings
-from egretthread.scheduling.runmessage import EntryHello, OperatorRecord
+from egretthread.scheduling.runmessage import (
+    EntryHello,
+    JobQuestion,
+    JobReply,
+    OperatorRecord,
+)
 
 TICK_S = 0.02
 # Time between two words to other entries, in seconds.
@@ -18,6 +25,11 @@
 SHUTDOWN_MARGIN_S = 0.6
 # Time for answers to be written before connections are closed.
 ANSWER_S = 0.1
+# Time for another entry to say in what state a job is, in seconds: some round
+# trips, after which the store is asked.
+QUESTION_S = 0.3
+# Age from which the word of another entry counts no more, in seconds.
+HELLO_KEPT_S = 3.0
 # What callers are told who meet an entry that ends: others are ready.
 RETRY_S = 0.5
 # Time for the balancer to notice that this entry is not ready.
@@ -38,6 +50,9 @@
         relay_text: What operators have in force, encoded for other entries.
         decode_relay: Decodes such a text.
         is_drained: Whether no job is taken any more.
+        hellos: Last word of each other entry and its time, by address.
+        questions: Answers awaited from other entries, by number.
+        progress: Set when there is progress of kept jobs to be written.
     """
 
     def __init__(self, settings: NodeSettings, decode_relay):
@@ -63,6 +78,10 @@
         self.relay_text = ""
         self.decode_relay = decode_relay
         self.is_drained = False
+        self.hellos: dict[str, tuple[EntryHello, float]] = {}
+        self.questions: dict[int, asyncio.Future] = {}
+        self.asked = 0
+        self.progress = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
         self.board.entries = (settings.peer_address,)
 
@@ -145,6 +164,116 @@
         entryengine.cancel(self.board, job, reason)
         self._pump()
 
+    # Kept jobs.
+
+    def take_parts(
+        self, generation: int, numbers: tuple[int, ...], until_s: float
+    ) -> list[Part]:
+        """Takes in which partitions are coordinated here; returns new ones.
+
+        Args:
+            generation: The group's generation.
+            numbers: The partitions.
+            until_s: When the store may assign them to others.
+        """
+        self._turn()
+        known = set(self.board.kept.parts.values())
+        keeping.on_assigned(self.board, generation, numbers, until_s)
+        self._pump()
+        parts = self.board.kept.parts.values()
+        return [part for part in parts if part not in known]
+
+    def is_coordinator(self, part: Part) -> bool:
+        """Whether a partition is still coordinated here."""
+        return self.board.kept.parts.get(part.number) is part
+
+    def release_part(self, part: Part, why: str) -> None:
+        """Leaves a partition to its later coordinator."""
+        self._turn()
+        if self.is_coordinator(part):
+            keeping.release(self.board, part.number, why)
+        self._pump()
+
+    def load_part(
+        self,
+        part: Part,
+        submissions: list[Submission],
+        progress: dict[str, Progress],
+    ) -> None:
+        """Takes in the jobs of a partition."""
+        self._turn()
+        keeping.on_loaded(
+            self.board, part.number, part.generation, submissions, progress
+        )
+        self._pump()
+
+    def take_submission(self, part: Part, submission: Submission) -> None:
+        """Takes in a job that was submitted."""
+        self._turn()
+        keeping.on_submitted(
+            self.board, part.number, part.generation, submission
+        )
+        handout.run(self.board)
+        self._pump()
+
+    def take_cancel(self, part: Part, job: str) -> None:
+        """Takes in that a job was cancelled."""
+        self._turn()
+        keeping.on_cancelled(self.board, part.number, part.generation, job)
+        self._pump()
+
+    def take_batch(self, number: int) -> ProgressBatch | None:
+        """Returns what has to be written for a partition; None if nothing."""
+        return keeping.take_batch(self.board, number)
+
+    def on_written(self, batch: ProgressBatch) -> None:
+        """Notes that a batch is on the store."""
+        self._turn()
+        keeping.on_written(self.board, batch)
+        self._pump()
+
+    async def job_state(self, job: str) -> tuple[bool, str]:
+        """Returns whether a coordinator knows of a job, and its state.
+
+        The state is empty when there is no such job.
+        """
+        self._turn()
+        known = keeping.state(self.board, job)
+        if known[0]:
+            return known
+        part = jobrecord.part_of(job, self.board.kept.count)
+        for address, (hello, at_s) in self.hellos.items():
+            client = self.clients.get(address)
+            is_fresh = self.board.now_s - at_s < HELLO_KEPT_S
+            if part in hello.parts and is_fresh and client and client.peer:
+                return await self._ask(client.peer, job)
+        return False, ""
+
+    async def _ask(self, peer: link.Peer, job: str) -> tuple[bool, str]:
+        self.asked += 1
+        number = self.asked
+        answer = asyncio.get_running_loop().create_future()
+        self.questions[number] = answer
+        peer.send(JobQuestion(number, job))
+        try:
+            async with asyncio.timeout(QUESTION_S):
+                reply = await answer
+        except TimeoutError:
+            logs.info("job_question_unanswered", job=job, peer=peer.node)
+            return False, ""
+        finally:
+            del self.questions[number]
+        return reply.is_known, reply.state
+
+    def pending_kept(self, route: str) -> int:
+        """Returns how many kept jobs of a route wait, here and elsewhere."""
+        self._turn()
+        rows = list(keeping.pending(self.board))
+        for hello, at_s in self.hellos.values():
+            if self.board.now_s - at_s < HELLO_KEPT_S:
+                rows += hello.pending
+        return sum(row.jobs for row in rows if row.route == route)
+
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
         self._turn()
@@ -189,7 +318,7 @@
         task.add_done_callback(self.tasks.discard)
 
     def _turn(self) -> None:
-        entryengine.set_time(self.board, clock.monotonic_s())
+        entryengine.set_time(self.board, clock.monotonic_s(), clock.unix_s())
 
     def _pump(self) -> None:
         """Sends the outbox and answers the callers whose jobs are over."""
@@ -201,6 +330,8 @@
             for waiter in self.waiters.pop(answer.job, ()):
                 if not waiter.done():
                     waiter.set_result(answer)
+        if self.board.kept.dirty:
+            self.progress.set()
 
     def _on_messages(self, peer: link.Peer, items: tuple) -> None:
         self._turn()
@@ -209,18 +340,29 @@
                 self._on_hello(item)
             elif isinstance(item, OperatorRecord):
                 self._on_operator_record(peer, item)
+            elif isinstance(item, JobQuestion):
+                is_known, state = keeping.state(self.board, item.job)
+                peer.send(JobReply(item.number, state, is_known))
+            elif isinstance(item, JobReply):
+                self._on_job_reply(item)
             else:
                 entryengine.on_message(self.board, peer.node, item)
         self._pump()
 
     def _on_hello(self, hello: EntryHello) -> None:
         self.add_entries((hello.address,))
+        self.hellos[hello.address] = (hello, self.board.now_s)
         client = self.clients.get(hello.address)
         behind = hello.operator_offset < self.board.operators.offset
         if behind and self.relay_text and client and client.peer:
             offset = self.board.operators.offset
             client.peer.send(OperatorRecord(offset, self.relay_text))
 
+    def _on_job_reply(self, reply: JobReply) -> None:
+        answer = self.questions.get(reply.number)
+        if answer is not None and not answer.done():
+            answer.set_result(reply)
+
     def _on_operator_record(self, peer, item: OperatorRecord) -> None:
         if item.offset <= self.board.operators.offset:
             return
@@ -249,7 +391,10 @@
 
     def _hello(self) -> EntryHello:
         return EntryHello(
-            self.settings.peer_address, self.board.operators.offset
+            self.settings.peer_address,
+            self.board.operators.offset,
+            tuple(self.board.kept.parts),
+            keeping.pending(self.board),
         )
 
     async def _tick_loop(self) -> None:
@@ -283,6 +428,7 @@
             if now_s - since_s > ENTRY_GONE_S:
                 logs.info("entry_gone", address=address)
                 del self.unreachable_s[address]
+                self.hellos.pop(address, None)
                 self._spawn(self.clients.pop(address).close())
                 self.board.entries = tuple(
                     known for known in self.board.entries if known != address
--- a/egretthread/scheduling/handout.py
+++ b/egretthread/scheduling/handout.py
@@ -182,6 +182,7 @@
                 view.clock_ms,
                 int(waits_s * 1000),
                 tuple(orders),
+                job.spec.kept,
             ),
         )
     )
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -1,5 +1,7 @@
 """A job's way from its submission to its answer."""
 
+import math
+
 from egretthread import logs
 from egretthread.scheduling import handout, intake, waitorder
 from egretthread.scheduling.entryboard import (
@@ -11,6 +13,7 @@
     Task,
     TaskState,
 )
+from egretthread.scheduling.jobrecord import JobState
 from egretthread.scheduling.jobspec import JobSpec, Route
 from egretthread.scheduling.runmessage import RunEnd, RunReport, StopRuns
 
@@ -24,6 +27,12 @@
 STALLED_S = 10.0
 # What a move costs besides the work thrown away, in seconds.
 MOVE_S = 0.05
+# State of a kept job that was answered so.
+FINAL_STATES = {
+    Outcome.COMPLETED: JobState.COMPLETED,
+    Outcome.FAILED: JobState.FAILED,
+    Outcome.CANCELLED: JobState.CANCELLED,
+}
 # A caller that can't be served for lack of backend servers is told this.
 NO_SERVER_RETRY_S = 2.0
 
@@ -36,14 +45,24 @@
     if known is not None:
         known.deadline_s = max(known.deadline_s, board.now_s + patience_s)
         return None
-    expected_s = tuple(
-        board.run_times.expected_s(route.name, step.estimated_s)
-        for step in spec.steps
-    )
-    chain_s = chain_length_s(spec, expected_s)
+    chain_s = chain_length_s(spec, _expected_s(board, spec, route))
     refusal = _refusal(board, spec, route, chain_s, patience_s)
     if refusal is not None:
         return refusal
+    open_job(board, new_job(board, spec, route, patience_s))
+    handout.run(board)
+    return None
+
+
+def new_job(
+    board: EntryBoard,
+    spec: JobSpec,
+    route: Route,
+    patience_s: float = math.inf,
+) -> Job:
+    """Returns a job that came just now, with none of its tasks done."""
+    expected_s = _expected_s(board, spec, route)
+    chain_s = chain_length_s(spec, expected_s)
     job = Job(
         spec,
         route,
@@ -56,10 +75,23 @@
         [Task(job, number, index) for index in range(step.count)]
         for number, step in enumerate(spec.steps)
     )
-    board.jobs[spec.job] = job
-    _unblock(board, job)
-    handout.run(board)
-    return None
+    return job
+
+
+def open_job(board: EntryBoard, job: Job) -> None:
+    """Lets a job's tasks be handed out, but for those that are done."""
+    board.jobs[job.id] = job
+    _go_on(board, job)
+
+
+def _expected_s(
+    board: EntryBoard, spec: JobSpec, route: Route
+) -> tuple[float, ...]:
+    """Returns the expected run time of a task, by step."""
+    return tuple(
+        board.run_times.expected_s(route.name, step.estimated_s)
+        for step in spec.steps
+    )
 
 
 def chain_length_s(spec: JobSpec, expected_s: tuple[float, ...]) -> float:
@@ -128,35 +160,49 @@
     if board.jobs.get(job.id) is not job or task.attempt != row.attempt:
         return
     if row.end is RunEnd.DONE:
-        _on_done(board, task, row)
+        note_done(board, task, row)
         return
     if row.end is RunEnd.FAILED:
-        task.failures += 1
-        task.avoided.add(view.node)
-        logs.info(
-            "run_failed",
-            job=job.id,
-            attempt=row.attempt,
-            agent=view.node,
-            failures=task.failures,
-            allowed=job.route.max_attempts,
-        )
-        if task.failures >= job.route.max_attempts:
-            close(board, job, Answer(job.id, Outcome.FAILED, "task failed"))
-            return
-    wait(board, task)
+        note_failure(board, view, task, row)
+    if board.jobs.get(job.id) is job:
+        wait(board, task)
 
 
-def _on_done(board: EntryBoard, task: Task, row: RunReport) -> None:
+def note_failure(
+    board: EntryBoard, view: AgentView, task: Task, row: RunReport
+) -> None:
+    """Counts a run that failed; too many of them fail the job."""
+    job = task.job
+    task.failures += 1
+    task.avoided.add(view.node)
+    logs.info(
+        "run_failed",
+        job=job.id,
+        attempt=row.attempt,
+        agent=view.node,
+        failures=task.failures,
+        allowed=job.route.max_attempts,
+    )
+    if task.failures >= job.route.max_attempts:
+        close(board, job, Answer(job.id, Outcome.FAILED, "task failed"))
+
+
+def note_done(board: EntryBoard, task: Task, row: RunReport) -> None:
+    """Notes that a task is done."""
     job = task.job
     task.state = TaskState.DONE
     # Speeds are told against what this learns, so they must not enter it.
     board.run_times.note(
         job.route.name, task.spec.estimated_s, row.run_ms / 1000
     )
+    _go_on(board, job)
+
+
+def _go_on(board: EntryBoard, job: Job) -> None:
+    """Ends a job of which everything is done, else unblocks what it can."""
     if all(t.state is TaskState.DONE for tasks in job.tasks for t in tasks):
         close(board, job, Answer(job.id, Outcome.COMPLETED))
-    else:
+    elif job.id in board.jobs:
         _unblock(board, job)
 
 
@@ -246,7 +292,19 @@
 
 def close(board: EntryBoard, job: Job, answer: Answer) -> None:
     """Answers a job and stops what still runs of it."""
-    del board.jobs[job.id]
+    drop(board, job)
+    if job.spec.kept:
+        state = FINAL_STATES[answer.outcome]
+        board.kept.note_end(job.id, state, board.unix_s)
+    else:
+        board.answers.append(answer)
+    board.samples.append(("job_seconds", board.now_s - job.accepted_s))
+    _log_answer(board, answer, job)
+
+
+def drop(board: EntryBoard, job: Job) -> None:
+    """Stops what still runs of a job and forgets it."""
+    board.jobs.pop(job.id, None)
     board.waiting = [task for task in board.waiting if task.job is not job]
     stops: dict[str, list[int]] = {}
     for view in board.agents.values():
@@ -258,9 +316,6 @@
                 left[attempt] = view.fence_s
     for node, attempts in stops.items():
         board.outbox.append((node, StopRuns(job.id, tuple(attempts))))
-    board.answers.append(answer)
-    board.samples.append(("job_seconds", board.now_s - job.accepted_s))
-    _log_answer(board, answer, job)
 
 
 def _log_refusal(
--- a/egretthread/scheduling/nodesettings.py
+++ b/egretthread/scheduling/nodesettings.py
@@ -18,6 +18,8 @@
         link_port: Port for links between the system's processes.
         shared_key: Key that the system's processes prove to one another.
         store_address: `host:port` of the platform's store.
+        store_parts: Partitions of a topic there.
+        store_writes_per_s: Writes that it takes from all processes together.
         seeds: `host:port` of instances that may hold entries.
         callers_address: `host:port` for callers; empty for an agent.
         ready_address: `host:port` for readiness checks; empty for an agent.
@@ -40,6 +42,8 @@
     link_port: int
     shared_key: str = dataclasses.field(repr=False)
     store_address: str
+    store_parts: int = 12
+    store_writes_per_s: int = 800
     seeds: tuple[str, ...] = ()
     callers_address: str = ""
     ready_address: str = ""
--- a/egretthread/scheduling/runlooks.py
+++ b/egretthread/scheduling/runlooks.py
@@ -1,7 +1,7 @@
 """Looks at the backend server: which runs are there, and how they ended."""
 
 from egretthread import logs
-from egretthread.scheduling import runorders, runs
+from egretthread.scheduling import heldends, runorders, runs
 from egretthread.scheduling.agentboard import (
     AgentBoard,
     Run,
@@ -41,7 +41,7 @@
     """Returns the next question to the backend server."""
     until_ms = 0
     wait_ms = WAIT_MS
-    if not board.barred:
+    if not board.is_lease_barred:
         until_ms = runorders.renew_lease(board)
     if any(run.phase is RunPhase.STOPPING for run in board.runs.values()):
         wait_ms = STOP_WAIT_MS
@@ -75,11 +75,11 @@
     if board.state is ServerState.ABSENT and server is not None:
         board.state = ServerState.READY
         logs.info("server_state", state=board.state, why="it answers again")
+    board.told_seen = max(board.told_seen, call.last_seen)
     for row in look.ended:
-        if row.sequence > board.last_seen:
+        if row.sequence > board.listed:
+            board.listed = row.sequence
             _on_ended(board, row)
-    numbers = [row.sequence for row in look.ended]
-    board.last_seen = max([board.last_seen, *numbers])
     listed = set()
     for row in look.running:
         listed.add((row.name, row.number))
@@ -95,7 +95,10 @@
 
 def _on_ended(board: AgentBoard, row: EndedRow) -> None:
     run = board.by_name.get(row.name)
-    if run is None or run.number != row.number:
+    if run is not None and run.number != row.number:
+        run = None
+    held = heldends.hold(board, row, run)
+    if run is None:
         return
     end = ENDS.get(row.end, RunEnd.STOPPED)
     run_s = board.now_s - run.started_s if run.started_s else 0.0
@@ -108,7 +111,7 @@
         board.health.note(board.now_s, good=False)
     elif row.end is ServerEnd.LAPSED:
         logs.warning("server_lease_lapsed", job=run.name.job)
-    runs.finish(board, run, end)
+    runs.finish(board, run, end, tell=not held)
 
 
 def _note_speed(board: AgentBoard, run: Run, speed: float) -> None:
@@ -185,6 +188,9 @@
     """Drops all runs once a backend server that is silent has dropped them."""
     if not board.by_name or board.now_s < board.lease_end_s + 0.05:
         return
+    if board.void:
+        # The lease lapses on purpose; the ends of these runs are listed.
+        return
     logs.warning("server_silent", runs=len(board.by_name))
     board.state = (
         ServerState.DRAINING if board.is_closing else ServerState.ABSENT
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -132,6 +132,8 @@
         echo_ms: The agent's clock as last heard; bounds how old the order is.
         wait_ms: How long the runs may wait at the agent for room.
         orders: The runs.
+        kept: Whether their ends must be on the store before the backend
+            server forgets them.
     """
 
     job: str
@@ -144,6 +146,7 @@
     echo_ms: int
     wait_ms: int
     orders: tuple[RunOrder, ...]
+    kept: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -204,6 +207,69 @@
     rows: tuple[LiveRun, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class HeldEnd:
+    """The end of a run of a kept job that the backend server still lists.
+
+    Attributes:
+        job: Id of the job.
+        step: Number of the task's step.
+        index: Index of the task in its step.
+        sequence: Number of the end within the backend server's incarnation.
+        entry: Node id of the entry that ordered the run; empty when an
+            earlier process of the agent started it.
+        attempt: That entry's number of the attempt.
+        end: DONE or FAILED.
+        run_ms: How long it ran.
+    """
+
+    job: str
+    step: int
+    index: int
+    sequence: int
+    entry: str
+    attempt: int
+    end: RunEnd
+    run_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class HeldEnds:
+    """Agent to entry: ends that wait for the job's coordinator.
+
+    Attributes:
+        server: Id of the backend server's incarnation.
+        rows: The ends.
+    """
+
+    server: str
+    rows: tuple[HeldEnd, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class SettleEnds:
+    """Entry to agent: ends that the backend server may forget.
+
+    Attributes:
+        server: Id of the backend server's incarnation.
+        taken: Numbers of ends that are on the store, or of no use.
+        void: Numbers of ends whose tasks were started again meanwhile; the
+            lease must lapse before the backend server forgets them.
+    """
+
+    server: str
+    taken: tuple[int, ...]
+    void: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class PendingJobs:
+    """Kept jobs of one route of which no task has started."""
+
+    route: str
+    jobs: int
+
+
 @dataclasses.dataclass(frozen=True)
 class EntryHello:
     """Entry to entry: it is there.
@@ -211,10 +277,42 @@
     Attributes:
         address: `host:port` at which agents and other entries reach it.
         operator_offset: Offset of what operators have in force.
+        parts: Partitions of the job log that it coordinates.
+        pending: Kept jobs that wait there, by route.
     """
 
     address: str
     operator_offset: int
+    parts: tuple[int, ...] = ()
+    pending: tuple[PendingJobs, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class JobQuestion:
+    """Entry to entry: in what state is this kept job?
+
+    Attributes:
+        number: Names the question to the asker.
+        job: Id of the job.
+    """
+
+    number: int
+    job: str
+
+
+@dataclasses.dataclass(frozen=True)
+class JobReply:
+    """Entry to entry: the state of a kept job.
+
+    Attributes:
+        number: Number of the question.
+        state: The state; empty when there is no such job.
+        is_known: Whether the entry coordinates the job's partition.
+    """
+
+    number: int
+    state: str
+    is_known: bool
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -62,6 +62,7 @@
             order.priority,
             board.now_s,
             order.wait_ms / 1000,
+            kept=order.kept,
         )
         board.runs.setdefault((run.entry, run.attempt), run)
 
@@ -113,7 +114,7 @@
 def start_queued(board: AgentBoard) -> None:
     """Orders the queued runs that fit, the most urgent first."""
     queued = [r for r in board.runs.values() if r.phase is RunPhase.QUEUED]
-    if not queued or board.server is None or board.barred:
+    if not queued or board.server is None or board.is_lease_barred:
         return
     queued.sort(key=lambda run: (run.priority, run.accepted_s))
     free = board.server.capacity - board.used
@@ -145,6 +146,8 @@
     """Queues the order that starts a run, or repeats it."""
     run.tries += 1
     board.numbers[run.name] = (run.number, board.now_s)
+    if run.kept:
+        board.kept_names.add(run.name)
     board.calls.append(
         StartCall(
             run,
--- a/egretthread/scheduling/runs.py
+++ b/egretthread/scheduling/runs.py
@@ -9,14 +9,22 @@
 from egretthread.scheduling.runmessage import RunEnd, RunReport
 
 
-def finish(board: AgentBoard, run: Run, end: RunEnd) -> None:
-    """Drops a run that is over and reports its end."""
+def finish(board: AgentBoard, run: Run, end: RunEnd, tell: bool = True) -> None:
+    """Drops a run that is over.
+
+    Args:
+        board: The blackboard.
+        run: The run.
+        end: How it ended.
+        tell: Whether to report the end to its coordinator.
+    """
     if board.runs.pop((run.entry, run.attempt), None) is None:
         return
     if board.by_name.get(run.name) is run:
         del board.by_name[run.name]
     board.counters[f"runs_{end.value}"] += 1
-    report(board, run, end)
+    if tell:
+        report(board, run, end)
 
 
 def report(board: AgentBoard, run: Run, end: RunEnd) -> None:
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -37,6 +37,10 @@
     liveRuns @23 :LiveRuns;
     entryHello @24 :EntryHello;
     operatorRecord @25 :OperatorRecord;
+    heldEnds @26 :HeldEnds;
+    settleEnds @27 :SettleEnds;
+    jobQuestion @28 :JobQuestion;
+    jobReply @29 :JobReply;
   }
 }
 
@@ -298,6 +302,7 @@
   echoMs @7 :Int64;
   waitMs @8 :Int64;
   orders @9 :List(RunOrder);
+  kept @10 :Bool;
 }
 
 struct StopRuns {
@@ -326,9 +331,49 @@
   rows @0 :List(LiveRun);
 }
 
+struct HeldEnd {
+  job @0 :Text;
+  step @1 :Int64;
+  index @2 :Int64;
+  sequence @3 :Int64;
+  entry @4 :Text;
+  attempt @5 :Int64;
+  end @6 :UInt8;
+  runMs @7 :Int64;
+}
+
+struct HeldEnds {
+  server @0 :Text;
+  rows @1 :List(HeldEnd);
+}
+
+struct SettleEnds {
+  server @0 :Text;
+  taken @1 :List(Int64);
+  void @2 :List(Int64);
+}
+
+struct PendingJobs {
+  route @0 :Text;
+  jobs @1 :Int64;
+}
+
 struct EntryHello {
   address @0 :Text;
   operatorOffset @1 :Int64;
+  parts @2 :List(Int64);
+  pending @3 :List(PendingJobs);
+}
+
+struct JobQuestion {
+  number @0 :Int64;
+  job @1 :Text;
+}
+
+struct JobReply {
+  number @0 :Int64;
+  state @1 :Text;
+  isKnown @2 :Bool;
 }
 
 struct OperatorRecord {
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -12,12 +12,20 @@
 import tornado.web
 
 from egretthread.platform import servers
-from egretthread.platform.store import LENGTH, Entry, encode_record
+from egretthread.platform.store import (
+    SPAN,
+    Entry,
+    decode_batch,
+    encode_record,
+)
 from egretthread.scheduling.agentboard import Run, StartCall, StopCall
 from egretthread.scheduling.room import Room
 from egretthread.scheduling.servercall import LookCall, Verdict
 from tests.scheduling.fakeserver import FakeServer
 
+# Partitions of a topic, and records in one page of the newest ones.
+PARTS = 12
+PAGE = 3
 CONFIG = {
     "version": 7,
     "routes": [
@@ -54,19 +62,28 @@
     """Keyed topics, which may be out, lose answers or forget.
 
     Attributes:
-        mode: What is done to calls: empty, `busy` or `silent`.
-        records: Records by topic, None where forgotten.
+        mode: What is done to calls: empty, `busy` or `silent`; `lost` does
+            what they ask and never answers.
+        records: Records by topic and partition.
+        first: Offset of the first record that is not forgotten.
+        epochs: Epoch and number of the last append by a writer.
+        members: When each member of the group last joined.
+        generation: Changes of the group.
     """
 
     def __init__(self):
         self.mode = ""
         self.records = collections.defaultdict(list)
         self.first = collections.defaultdict(int)
+        self.epochs = {}
+        self.members = {}
+        self.generation = 0
         self.changed = asyncio.Event()
         self.calls = collections.Counter()
         self.http, self.address = listen(
             [
                 (r"/log-(append|read|newest)", StoreHandler, {"store": self}),
+                (r"/log-(join|leave)", GroupHandler, {"store": self}),
             ]
         )
 
@@ -75,29 +92,48 @@
         data = None if value is None else json.dumps(value).encode()
         self.write(topic, Entry(key, data))
 
-    def write(self, topic, entry):
-        self.records[topic].append(entry)
+    def write(self, topic, entry, part=0):
+        self.records[topic, part].append(entry)
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def forget(self, topic):
+    def forget(self, topic, part=0):
         """Deletes the history, but not the newest record of each key."""
-        self.first[topic] = len(self.records[topic])
+        self.first[topic, part] = len(self.records[topic, part])
 
-    def newest(self, topic):
+    def newest(self, topic, part=0):
         found = {}
-        for offset, entry in enumerate(self.records[topic]):
+        for offset, entry in enumerate(self.records[topic, part]):
             found.pop(entry.key, None)
             if entry.value is not None:
                 found[entry.key] = (offset, entry.value)
         return found
 
+    def check_order(self, topic, part, epoch, number, is_empty):
+        """Returns why an append is refused, or that it was done before."""
+        last = self.epochs.get((topic, part), (0, 0))
+        if epoch < last[0]:
+            return {"reason": "fenced"}
+        if epoch == last[0] and number == last[1] and not is_empty:
+            return "done"
+        if epoch == last[0] and number != last[1] + 1:
+            return {"reason": "seq", "sequence": last[1] + 1}
+        self.epochs[topic, part] = (epoch, number)
+        return None
+
+    def parts(self, member):
+        """Returns a member's part of the partitions."""
+        names = sorted(self.members)
+        return [
+            part for part in range(PARTS) if names[part % len(names)] == member
+        ]
+
     async def close(self):
         self.http.stop()
         await self.http.close_all_connections()
 
 
-class StoreHandler(tornado.web.RequestHandler):
+class ModeHandler(tornado.web.RequestHandler):
     def initialize(self, store):
         self.store = store
 
@@ -109,47 +145,92 @@
         elif self.store.mode == "silent":
             await asyncio.sleep(30)
 
+    async def answer(self, table):
+        if self.store.mode == "lost":
+            await asyncio.sleep(30)
+        self.finish(table)
+
+
+class GroupHandler(ModeHandler):
+    async def post(self, verb):
+        table = json.loads(self.request.body)
+        store, member = self.store, table["member"]
+        if verb == "leave":
+            store.members.pop(member, None)
+            store.generation += 1
+            await self.answer({})
+            return
+        if member not in store.members:
+            store.generation += 1
+        store.members[member] = time.monotonic()
+        rows = [[table["topics"][0], n, 0] for n in store.parts(member)]
+        await self.answer({"generation": store.generation, "parts": rows})
+
+
+class StoreHandler(ModeHandler):
     async def get(self, verb):
         topic = self.get_argument("topic")
+        key = (topic, int(self.get_argument("part")))
         if verb == "newest":
+            after = self.get_argument("after", "")
             items = [
                 {
-                    "key": key,
+                    "key": name,
                     "value": base64.b64encode(value).decode(),
                     "offset": offset,
                 }
-                for key, (offset, value) in self.store.newest(topic).items()
+                for name, (offset, value) in sorted(
+                    self.store.newest(*key).items()
+                )
+                if name > after
             ]
-            end = len(self.store.records[topic])
-            self.finish({"items": items, "has_more": False, "end_offset": end})
+            end = len(self.store.records[key])
+            page = items[:PAGE]
+            has_more = len(items) > PAGE
+            self.finish(
+                {"items": page, "has_more": has_more, "end_offset": end}
+            )
             return
         offset = int(self.get_argument("from"))
         wait_s = int(self.get_argument("wait_ms", "0")) / 1000
-        if offset < self.store.first[topic]:
+        if offset < self.store.first[key]:
             self.set_status(410)
-            self.finish({"first_offset": self.store.first[topic]})
+            self.finish({"first_offset": self.store.first[key]})
             return
-        if offset >= len(self.store.records[topic]) and wait_s:
+        end_s = time.monotonic() + wait_s
+        while offset >= len(self.store.records[key]):
+            left_s = end_s - time.monotonic()
+            if left_s <= 0:
+                break
             try:
-                async with asyncio.timeout(wait_s):
+                async with asyncio.timeout(left_s):
                     await self.store.changed.wait()
             except TimeoutError:
                 pass
-        records = self.store.records[topic]
-        span = struct.pack(">QQ", len(records), self.store.first[topic])
+        records = self.store.records[key]
+        span = struct.pack(">QQ", len(records), self.store.first[key])
         rows = b"".join(encode_record(entry) for entry in records[offset:])
         self.finish(span + rows)
 
-    def post(self, verb):
+    async def post(self, verb):
         body = self.request.body
-        (length,) = LENGTH.unpack_from(body)
-        content = body[LENGTH.size : LENGTH.size + length]
-        end = 1 + content[0]
-        entry = Entry(content[1:end].decode(), content[end:] or None)
         topic = self.get_argument("topic")
-        self.store.write(topic, entry)
-        end = len(self.store.records[topic])
-        self.finish({"offset": end - 1, "end_offset": end})
+        part = int(self.get_argument("part"))
+        epoch = self.get_argument("epoch", "")
+        if epoch:
+            number = int(self.get_argument("sequence"))
+            fault = self.store.check_order(
+                topic, part, int(epoch), number, not body
+            )
+            if isinstance(fault, dict):
+                self.set_status(409)
+                self.finish(fault)
+                return
+            if fault == "done":
+                body = b""
+        for entry in decode_batch(SPAN.pack(0, 0) + body, 0).entries:
+            self.store.write(topic, entry, part)
+        await self.answer({"offset": 0, "end_offset": 0})
 
 
 class FakeBackendServer:
--- a/tests/scheduling/fakeserver.py
+++ b/tests/scheduling/fakeserver.py
@@ -39,6 +39,9 @@
         failing: Whether all that starts fails.
         down: Whether nothing listens.
         history: Every run: name, number, start, end and how it ended.
+        noted: Ends that it was told to forget while the lease they fell in
+            went on: name, time of the end, how the run ended.
+        lapsed_s: When the lease last lapsed.
     """
 
     def __init__(self, name, zone, cpu, now_s, work_s, drift=0.0):
@@ -52,6 +55,8 @@
         self.down = False
         self.lives = 0
         self.history = []
+        self.noted = []
+        self.ends_s = {}
         self.is_draining = False
         self.begin(now_s)
 
@@ -67,6 +72,8 @@
         self.count = 0
         self.token = 0
         self.until_ms = 0
+        self.lapsed_s = now_s
+        self.ends_s.clear()
         self.sequence = 0
         self.at_s = now_s
 
@@ -108,6 +115,8 @@
                 self._end(run, now_s, end)
             elif now_s > lapse_s:
                 self._end(run, lapse_s, ServerEnd.LAPSED)
+        if now_s > lapse_s:
+            self.lapsed_s = max(self.lapsed_s, lapse_s)
         self.at_s = now_s
 
     def next_end_s(self):
@@ -123,6 +132,7 @@
     def _end(self, run, at_s, end):
         del self.runs[run.name]
         self.count += 1
+        self.ends_s[self.count] = at_s
         self.ended.append(EndedRow(self.count, run.name, run.number, end))
         self.barred[run.name] = max(run.number, self.barred.get(run.name, 0))
         self._close(run, at_s, end.value)
@@ -185,6 +195,11 @@
         if call.until_ms:
             until_ms = min(clock_ms + 1000, call.until_ms)
             self.until_ms = max(self.until_ms, until_ms)
+        for row in self.ended:
+            if row.sequence <= call.last_seen:
+                end_s = self.ends_s.pop(row.sequence)
+                if end_s >= self.lapsed_s:
+                    self.noted.append((row.name, end_s, row.end.value))
         self.ended = [r for r in self.ended if r.sequence > call.last_seen]
         rows = tuple(
             RunningRow(run.name, run.number, int(99 * run.done_s / run.work_s))
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -10,7 +10,13 @@
 import itertools
 import random
 
-from egretthread.scheduling import agentengine, entryengine, runlooks
+from egretthread.scheduling import (
+    agentengine,
+    entryengine,
+    jobrecord,
+    keeping,
+    runlooks,
+)
 from egretthread.scheduling.agentboard import StartCall
 from egretthread.scheduling.entryboard import Outcome
 from egretthread.scheduling.jobspec import (
@@ -21,6 +27,7 @@
 )
 from egretthread.scheduling.room import Room
 from egretthread.scheduling.servercall import CallResult, Look, Verdict
+from tests.scheduling.fakelog import TTL_S, FakeLog
 from tests.scheduling.fakeserver import FakeServer
 
 TICK_S = 0.02
@@ -29,6 +36,9 @@
 LIVENESS_S = 2.5
 RESUBMIT_S = 1.3
 HEARTBEAT_S = 1.5
+UNIX_START_S = 1.7e9
+JOIN_S = 0.5
+STORE_S = 0.004
 
 ROUTE = Route("lookups", "h", "/p/", "match", 0, 3, 1.5, 1.6, 0.06)
 LONG_ROUTE = Route("matches", "h", "/q/", "match", 2, 4, 1.5, 1.6, 0.06)
@@ -55,7 +65,8 @@
         self.alive = True
         self.thaws_s = 0.0
         self.looking = False
-        self.unseen = 0
+        self.generation = 0
+        self.writing = set()
 
 
 class Link:
@@ -83,6 +94,7 @@
         cuts: Until when nothing passes between an entry and an agent.
         answers: Every answer that a caller got: job, outcome and time.
         lost_share: Share of calls to backend servers without an answer.
+        log: The log of kept jobs.
     """
 
     def __init__(self, entries=2, agents=4, cpu=8000, seed=1, work_s=None):
@@ -99,6 +111,7 @@
         self.operators = OperatorState(
             offset=1, version=1, routes=(ROUTE, LONG_ROUTE)
         )
+        self.log = FakeLog(3, random.Random(seed + 1))
         self.entries = {}
         self.agents = {}
         self.servers = {}
@@ -139,8 +152,10 @@
         node = f"{name}#{next(self.incarnations)}"
         board = entryengine.new_board(node, zone, self.now_s)
         process = self.entries[name] = Process(name, "entry", board)
+        board.kept.count = self.log.count
         entryengine.on_operators(board, self.operators)
         self.at(TICK_S, self.tick, process)
+        self.at(TICK_S, self.join, process)
         for agent in self.agents.values():
             self.at(0.005, self.connect, process, agent)
         return process
@@ -183,7 +198,9 @@
             self.at(wait_s, self.enter, process, function, *args)
             return
         if process.kind == "entry":
-            entryengine.set_time(process.board, self.now_s)
+            entryengine.set_time(
+                process.board, self.now_s, self.now_s + UNIX_START_S
+            )
         else:
             process.board.now_s = self.now_s
         function(*args)
@@ -331,6 +348,8 @@
             answers, board.answers = board.answers, []
             for answer in answers:
                 self.on_answer(process, answer)
+            for part in tuple(board.kept.parts):
+                self.write(process, part)
             return
         calls, board.calls = board.calls, []
         for call in calls:
@@ -339,6 +358,127 @@
             process.looking = True
             self.at(0.0, self.look, process)
 
+    # The job log.
+
+    def join(self, process):
+        """One call by which an entry stays in the group."""
+        if not process.alive:
+            return
+        self.at(JOIN_S, self.join, process)
+        reached = self.log.reaches(process.name, self.now_s)
+        if not reached or self.now_s < process.thaws_s:
+            return
+        generation, parts = self.log.join(
+            process.name, process.generation, self.now_s
+        )
+        if self.log.loses_answer():
+            return
+        until_s = self.now_s + TTL_S - 0.1
+        self.at(
+            STORE_S,
+            self.enter,
+            process,
+            self._on_joined,
+            process,
+            generation,
+            parts,
+            until_s,
+        )
+
+    def _on_joined(self, process, generation, parts, until_s):
+        board = process.board
+        process.generation = generation
+        keeping.on_assigned(board, generation, parts, until_s)
+        for part in board.kept.parts.values():
+            if not part.is_loaded:
+                self.at(STORE_S, self.load, process, part)
+
+    def load(self, process, part):
+        """Reads a partition for its new coordinator."""
+        log = self.log
+        reached = log.reaches(process.name, self.now_s)
+        if not reached or part.generation < log.epochs[part.number]:
+            return
+        log.epochs[part.number] = part.generation
+        submissions, progress, cancelled = log.read(part.number)
+        self.enter(
+            process,
+            self._on_loaded,
+            process,
+            part,
+            submissions,
+            progress,
+            cancelled,
+        )
+
+    def _on_loaded(self, process, part, submissions, progress, cancelled):
+        board, key = process.board, (part.number, part.generation)
+        if part.is_loaded or board.kept.parts.get(part.number) is not part:
+            return
+        keeping.on_loaded(board, *key, submissions, progress)
+        for job_id in cancelled:
+            keeping.on_cancelled(board, *key, job_id)
+        # What was written between the read and now is read next.
+        for submission in self.log.read(part.number)[0]:
+            keeping.on_submitted(board, *key, submission)
+
+    def write(self, process, part):
+        """Writes the progress of a partition, one batch at a time."""
+        if part in process.writing:
+            return
+        batch = keeping.take_batch(process.board, part)
+        if batch is not None:
+            process.writing.add(part)
+            self.at(STORE_S, self._write, process, batch)
+
+    def _write(self, process, batch):
+        reached = self.log.reaches(process.name, self.now_s)
+        if not reached or self.log.loses_answer():
+            if reached:
+                self.log.write(batch)
+            self.at(0.1, self._write, process, batch)
+            return
+        is_written = self.log.write(batch)
+        self.enter(process, self._on_write, process, batch, is_written)
+
+    def _on_write(self, process, batch, is_written):
+        process.writing.discard(batch.part)
+        if is_written:
+            keeping.on_written(process.board, batch)
+        else:
+            keeping.release(process.board, batch.part, "fenced")
+
+    def submit_kept(self, spec, route=ROUTE):
+        """Submits a kept job; it may be submitted again."""
+        submission = jobrecord.Submission(spec, route, self.now_s)
+        value = jobrecord.encode_submission(submission)
+        self.log.submissions.setdefault(spec.job, value)
+        self._publish(spec.job, keeping.on_submitted, submission)
+
+    def cancel_kept(self, job_id):
+        """Cancels a kept job."""
+        self.log.cancelled.add(job_id)
+        self._publish(job_id, keeping.on_cancelled, job_id)
+
+    def _publish(self, job_id, handler, item):
+        number = self.log.part(job_id)
+        for process in self.entries.values():
+            self.at(
+                STORE_S,
+                self.enter,
+                process,
+                self._read,
+                process,
+                number,
+                handler,
+                item,
+            )
+
+    def _read(self, process, number, handler, item):
+        part = process.board.kept.parts.get(number)
+        if part is not None and part.is_loaded:
+            handler(process.board, number, part.generation, item)
+
     # Backend servers.
 
     def heartbeat(self, name):
@@ -397,11 +537,9 @@
             return
         board = process.board
         board.now_s = self.now_s
-        idle = not agentengine.needs_look(board)
-        if idle and process.unseen == board.last_seen:
+        if not agentengine.needs_look(board):
             process.looking = False
             return
-        process.unseen = board.last_seen
         call = runlooks.next_look(board)
         if self.rng.random() < self.lost_share:
             wait_s = 0.06 + call.wait_ms / 1000
@@ -532,6 +670,7 @@
             for one, other in itertools.pairwise(rows):
                 if other[0] < one[1] - 1e-6:
                     found.append(f"two runs at once: {name} {one} {other}")
+        found += self._kept_faults(runs)
         started = {name.job for name in runs}
         outcomes = collections.defaultdict(list)
         for job_id, outcome, _ in self.answers:
@@ -547,3 +686,30 @@
                     if not any(row[2] == "done" for row in runs[name]):
                         found.append(f"completed without {name}")
         return found
+
+    def _kept_faults(self, runs):
+        """Returns what was done wrong with kept jobs."""
+        found = []
+        for server in self.servers.values():
+            for name, end_s, how in server.noted:
+                if name.job not in self.log.submissions or how != "done":
+                    continue
+                for run in runs[name]:
+                    if run[0] > end_s:
+                        found.append(f"start after its end: {name} {run}")
+        for job_id, state in self.log.states().items():
+            if state == "open":
+                found.append(f"kept job not ended: {job_id}")
+            if state == "completed":
+                done = {
+                    name
+                    for name, rows in runs.items()
+                    if name.job == job_id
+                    and any(row[2] == "done" for row in rows)
+                }
+                spec = jobrecord.decode_submission(
+                    self.log.submissions[job_id]
+                ).spec
+                if len(done) != sum(step.count for step in spec.steps):
+                    found.append(f"completed without its tasks: {job_id}")
+        return found
--- a/tests/scheduling/test_entryengine.py
+++ b/tests/scheduling/test_entryengine.py
@@ -14,10 +14,10 @@
             (11.0, entryengine.on_link_closed),
             (11.05, entryengine.on_link),
         ):
-            entryengine.set_time(board, now_s)
+            entryengine.set_time(board, now_s, 0.0)
             event(board, "agent#1")
         board.agents["agent#1"].fence_s = 22.0
-        entryengine.set_time(board, 20.2)
+        entryengine.set_time(board, 20.2, 0.0)
         entryengine.on_link(board, "agent#2")
         self.assertEqual(
             leaserule.fence_after_restart_s(20.2),
--- /dev/null
+++ b/tests/scheduling/test_jobrecord.py
@@ -0,0 +1,44 @@
+"""Tests of the records of kept jobs."""
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from egretthread.scheduling import jobrecord
+from egretthread.scheduling.jobrecord import JobState, Progress, Submission
+from egretthread.scheduling.jobspec import JobSpec, StepSpec
+from egretthread.scheduling.room import Room
+from tests.scheduling import region
+
+
+class TestRecords(testtools.TestCase):
+    def test_a_submission_comes_back(self):
+        first = StepSpec(2, Room(1, 2, 3), 0.25)
+        second = StepSpec(1, Room(), 0.0, (0,), "a", "r1", 2, ("gang",))
+        spec = JobSpec("id", "pay\u00fcload", (first, second), kept=True)
+        submission = Submission(spec, region.ROUTE, 1.5)
+        value = jobrecord.encode_submission(submission)
+        self.assertEqual(submission, jobrecord.decode_submission(value))
+
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.integers(0, 9),
+            strategies.frozensets(strategies.integers(0, 200), min_size=1),
+        ),
+        strategies.sampled_from(JobState),
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_progress_comes_back(self, done, state):
+        progress = Progress(state, done, {(1, 2): 3}, 4.5)
+        value = jobrecord.encode_progress(progress)
+        self.assertEqual(progress, jobrecord.decode_progress(value))
+
+    @hypothesis.given(strategies.binary(max_size=40))
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_other_bytes_raise_a_typed_error(self, value):
+        for decode in (jobrecord.decode_progress, jobrecord.decode_submission):
+            self.assertRaises(jobrecord.RecordError, decode, value)
+
+    def test_jobs_spread_over_the_partitions(self):
+        parts = {jobrecord.part_of(f"{n:016x}", 12) for n in range(100)}
+        self.assertEqual(set(range(12)), parts)
--- a/tests/scheduling/test_region.py
+++ b/tests/scheduling/test_region.py
@@ -228,8 +228,14 @@
         self.assertEqual(1, len(completed(world)))
 
 
-def play(seed, steps=40):
-    """Plays one random history and returns the region."""
+def play(seed, steps=40, kept=False):
+    """Plays one random history and returns the region.
+
+    Args:
+        seed: Source of all choices.
+        steps: Steps that it takes.
+        kept: Whether there are kept jobs, and faults of their log.
+    """
     rng = random.Random(seed)
     world = region.Region(
         entries=rng.choice((1, 2, 3)),
@@ -242,13 +248,15 @@
     world.late_share = rng.choice((0.0, 0.5))
     world.run(2.0)
     for step in range(steps):
-        STEPS[rng.choices(range(len(STEPS)), WEIGHTS)[0]](world, rng, step)
+        chosen = rng.choices(*KEPT_STEPS if kept else (STEPS, WEIGHTS))[0]
+        chosen(world, rng, step)
         world.run(rng.choice((0.01, 0.1, 0.4)))
-    world.lost_share = 0.0
+    world.lost_share = world.log.lost_share = 0.0
+    world.log.is_out = False
     for server in world.servers.values():
         server.rate = 1.0
         server.failing = False
-    world.finish(25.0)
+    world.finish(80.0 if kept else 25.0)
     return world
 
 
@@ -311,6 +319,43 @@
     server.failing = not server.failing
 
 
+def _submit_kept(world, rng, step):
+    count = rng.choice((1, 3, 8))
+    first = StepSpec(count, Room(1000, 64, 0), rng.choice((0.05, 0.2)))
+    second = StepSpec(2, Room(1000, 64, 0), 0.1, after=(0,))
+    steps = rng.choice(((first,), (first, second)))
+    spec = JobSpec(f"k{step}", "payload", steps, kept=True)
+    world.submit_kept(spec, rng.choice((region.ROUTE, region.LONG_ROUTE)))
+
+
+def _cancel_kept(world, rng, step):
+    if world.log.submissions:
+        world.cancel_kept(rng.choice(list(world.log.submissions)))
+
+
+def _lose_log(world, rng, step):
+    world.log.is_out = not world.log.is_out
+
+
+def _cut_log(world, rng, step):
+    name = rng.choice(list(world.entries))
+    world.log.cut_s[name] = world.now_s + rng.uniform(0.5, 8.0)
+
+
+def _lose_writes(world, rng, step):
+    world.log.lost_share = rng.choice((0.0, 0.5))
+
+
+def _deal_parts(world, rng, step):
+    world.log.deal()
+
+
+def _kill_all(world, rng, step):
+    for process in (*world.entries.values(), *world.agents.values()):
+        if process.alive:
+            world.kill(process, rng.uniform(0.2, 1.0))
+
+
 STEPS = (
     _submit,
     _kill_entry,
@@ -324,6 +369,19 @@
     _fail,
 )
 WEIGHTS = (20, 1, 1, 2, 2, 2, 2, 1, 2, 1)
+KEPT_STEPS = (
+    (
+        *STEPS,
+        _submit_kept,
+        _cancel_kept,
+        _lose_log,
+        _cut_log,
+        _lose_writes,
+        _deal_parts,
+        _kill_all,
+    ),
+    (*WEIGHTS, 20, 2, 2, 3, 2, 1, 1),
+)
 
 
 class TestHistories(testtools.TestCase):
