Read the gauges of the older boards in a module of their own

Cause: the HTTP interface of every process imported the older entry's and agent's controllers for their gauges, so the programs on the platform loaded both engines.

Change: gauges.py holds them; adminapi.py knows no board.

--- a/egretthread/adminapi.py
+++ b/egretthread/adminapi.py
@@ -8,41 +8,11 @@
 import tornado.web
 
 from egretthread import dump, metrics
-from egretthread.blackboard import EntryBoard
-from egretthread.controllers import agent_leases, entry_members
 from egretthread.settings import join_address, split_address
 
 Gauges = Mapping[str, Callable[[object], float]]
 
 
-def _entry_queue(board: EntryBoard) -> float:
-    return sum(len(queue) for queue in board.queues.values())
-
-
-ENTRY_GAUGES: Gauges = {
-    "config_offset": lambda board: board.config_offset,
-    "log_age_seconds": lambda board: min(
-        entry_members.NEVER_READ_S, board.log_age_s
-    ),
-    "lease_open": lambda board: float(board.lease_open),
-    "agents": lambda board: len(board.agents),
-    "entries": lambda board: len(board.peers),
-    "open_jobs": lambda board: len(board.open_jobs),
-    "kept_jobs": lambda board: len(board.jobs),
-    "queued_tasks": _entry_queue,
-}
-
-AGENT_GAUGES: Gauges = {
-    "config_offset": lambda board: board.lease.config_offset,
-    "lease_open": lambda board: float(agent_leases.is_open(board)),
-    "slots": lambda board: board.slots,
-    "running_tasks": lambda board: board.running,
-    "ledger_jobs": lambda board: len(board.ledger.jobs),
-    "witness_records": lambda board: len(board.witness.records),
-    "witness_shards": lambda board: len(board.witness.shards),
-}
-
-
 class StateHandler(tornado.web.RequestHandler):
     """Dumps the blackboard: GET /state."""
 
--- a/egretthread/agentserver.py
+++ b/egretthread/agentserver.py
@@ -9,6 +9,7 @@
     agent,
     backendclient,
     clock,
+    gauges,
     link,
     logs,
     message,
@@ -49,7 +50,7 @@
         )
         self.backend = backendclient.BackendClient(settings)
         self.admin = adminapi.AdminServer(
-            self.board, settings.admin_address, adminapi.AGENT_GAUGES
+            self.board, settings.admin_address, gauges.AGENT_GAUGES
         )
         self.admin.metrics.refreshers.append(self._count_traffic)
         self.traffic = link.Traffic()
--- a/egretthread/entryserver.py
+++ b/egretthread/entryserver.py
@@ -11,6 +11,7 @@
     callerapi,
     clock,
     entry,
+    gauges,
     link,
     logfeed,
     message,
@@ -61,7 +62,7 @@
             self._on_close,
         )
         self.admin = adminapi.AdminServer(
-            self.board, settings.admin_address, adminapi.ENTRY_GAUGES
+            self.board, settings.admin_address, gauges.ENTRY_GAUGES
         )
         self.admin.metrics.refreshers.append(self._count_traffic)
         self.http = tornado.httpserver.HTTPServer(
--- /dev/null
+++ b/egretthread/gauges.py
@@ -0,0 +1,33 @@
+"""Gauges that are read off the boards of an entry and an agent."""
+
+from egretthread.adminapi import Gauges
+from egretthread.blackboard import EntryBoard
+from egretthread.controllers import agent_leases, entry_members
+
+
+def _entry_queue(board: EntryBoard) -> float:
+    return sum(len(queue) for queue in board.queues.values())
+
+
+ENTRY_GAUGES: Gauges = {
+    "config_offset": lambda board: board.config_offset,
+    "log_age_seconds": lambda board: min(
+        entry_members.NEVER_READ_S, board.log_age_s
+    ),
+    "lease_open": lambda board: float(board.lease_open),
+    "agents": lambda board: len(board.agents),
+    "entries": lambda board: len(board.peers),
+    "open_jobs": lambda board: len(board.open_jobs),
+    "kept_jobs": lambda board: len(board.jobs),
+    "queued_tasks": _entry_queue,
+}
+
+AGENT_GAUGES: Gauges = {
+    "config_offset": lambda board: board.lease.config_offset,
+    "lease_open": lambda board: float(agent_leases.is_open(board)),
+    "slots": lambda board: board.slots,
+    "running_tasks": lambda board: board.running,
+    "ledger_jobs": lambda board: len(board.ledger.jobs),
+    "witness_records": lambda board: len(board.witness.records),
+    "witness_shards": lambda board: len(board.witness.shards),
+}
