Send tasks to the rack of their data; keep idle agents in use after an order

Cause 1: data_rack was decoded and ignored, though a task takes remote_factor times as long elsewhere (2 to 3 on the grown deployments, where many jobs may want the same rack). Now the time elsewhere counts in the choice, and a task waits for its rack while it would be late elsewhere and still in time there. Times learned from such runs are corrected by the factor.

Cause 2, found by that test: an idle agent tells its state once a second and counted as silent from its first order on, once its last word was half a second old, until its next one. In a burst after a lull its room was not used.

Cause 3: of jobs with the same latest start, a new one did not see those that already waited, so a test of refusals passed only through cause 2.

Measured: the new tests in test_placing and test_region fail before and pass after; the rest of tests/scheduling passes.

--- a/egretthread/scheduling/agentviews.py
+++ b/egretthread/scheduling/agentviews.py
@@ -29,8 +29,11 @@
 
 def is_silent(board: EntryBoard, view: AgentView) -> bool:
     """Whether a heartbeat of the agent is overdue."""
-    limit_s = SUSPECT_BUSY_S if view.tasks else SUSPECT_IDLE_S
-    return board.now_s - view.heard_s > limit_s
+    if board.now_s - view.heard_s > SUSPECT_IDLE_S:
+        return True
+    # It learns only from the first order that its heartbeats are wanted.
+    since_s = max(view.heard_s, view.busy_s)
+    return bool(view.tasks) and board.now_s - since_s > SUSPECT_BUSY_S
 
 
 def take_beat(board: EntryBoard, view: AgentView, beat: AgentBeat) -> None:
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -46,6 +46,8 @@
         waits_s: Since when it waits.
         failures: Runs that ended as failed.
         moves: Times it was stopped for being slow.
+        stretch: How many times as long the present run takes, since its data
+            is on another rack.
         avoided: Agents on which it failed or stood still.
     """
 
@@ -58,6 +60,7 @@
     waits_s: float = 0.0
     failures: int = 0
     moves: int = 0
+    stretch: float = 1.0
     avoided: set[str] = dataclasses.field(default_factory=set)
 
     @property
@@ -143,6 +146,7 @@
         speed: Speed it last told.
         heard_s: When its last heartbeat came.
         clock_ms: The clock in that heartbeat.
+        busy_s: Since when it has tasks.
         replied_s: When a heartbeat was last replied to.
         is_connected: Whether a link is open.
         closed_s: When the last link closed; 0 while one is open.
@@ -164,6 +168,7 @@
     speed: float = 1.0
     heard_s: float = 0.0
     clock_ms: int = 0
+    busy_s: float = 0.0
     replied_s: float = 0.0
     is_connected: bool = True
     closed_s: float = 0.0
@@ -207,6 +212,8 @@
         attempts: Attempts numbered so far.
         rng: Source of the choices between agents that are alike.
         entries: Addresses of the entries known, this one included.
+        remote_factor: How many times as long a task takes on a rack that is
+            not its data's.
         run_times: What was learned of run times.
         drained: Work that got room lately.
         arrived: Work that came lately, refused work included.
@@ -237,6 +244,7 @@
     attempts: int = 0
     rng: random.Random = dataclasses.field(default_factory=random.Random)
     entries: tuple[str, ...] = ()
+    remote_factor: float = 1.0
     run_times: estimates.RunTimes = dataclasses.field(
         default_factory=estimates.RunTimes
     )
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -83,6 +83,7 @@
         self.asked = 0
         self.progress = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
+        self.board.remote_factor = settings.remote_factor
         self.board.entries = (settings.peer_address,)
 
     async def start(self) -> None:
--- a/egretthread/scheduling/handout.py
+++ b/egretthread/scheduling/handout.py
@@ -73,7 +73,13 @@
         return False
     route = task.job.route
     spec = task.spec
-    shape = (route.service, route.priority, spec.room, spec.required_label)
+    shape = (
+        route.service,
+        route.priority,
+        spec.room,
+        spec.required_label,
+        spec.data_rack,
+    )
     if shape in this.full:
         return False
     if route.service not in this.candidates:
@@ -87,6 +93,8 @@
     placing.take(agent, spec)
     task.state = TaskState.ORDERED
     task.agent = agent.node
+    remote = placing.is_remote(agent, spec)
+    task.stretch = board.remote_factor if remote else 1.0
     this.chosen[agent.node, task.job.id, task.step, waits_s].append(task)
     return True
 
@@ -99,14 +107,38 @@
     reserve = 0.0 if urgent or this.most_urgent is None else RESERVE_SHARE
     expected_s = task.job.expected_s[task.step]
     agent = placing.choose(
-        eligible, task.spec, expected_s, task.avoided, reserve
+        eligible,
+        task.spec,
+        expected_s,
+        task.avoided,
+        reserve,
+        board.remote_factor,
     )
+    if agent and _should_wait_for_rack(board, eligible, agent, task):
+        return None, WAIT_S
     if agent or not urgent or waitorder.is_late(task, board.now_s):
         return agent, WAIT_S
     agent = placing.choose_queue(eligible, task.spec, task.avoided)
     return agent, URGENT_WAIT_S
 
 
+def _should_wait_for_rack(
+    board: EntryBoard,
+    eligible: list[Candidate],
+    agent: Candidate,
+    task: Task,
+) -> bool:
+    """Whether a task is in time only if it waits for its data's rack."""
+    if not placing.is_remote(agent, task.spec):
+        return False
+    remote_s = task.job.expected_s[task.step] * board.remote_factor
+    if board.now_s + remote_s <= task.job.objective_s:
+        return False
+    if board.now_s > waitorder.latest_s(task):
+        return False
+    return any(not placing.is_remote(c, task.spec) for c in eligible)
+
+
 def _candidates(board: EntryBoard, service: str) -> list[Candidate]:
     return [
         Candidate(
@@ -115,6 +147,7 @@
             view.room,
             view.facts.capacity,
             view.speed,
+            view.facts.labels,
             board.rng.uniform(1.0, JITTER),
         )
         for view in board.agents.values()
@@ -151,6 +184,8 @@
     board: EntryBoard, view: AgentView, tasks: list[Task], waits_s: float
 ) -> None:
     """Hands tasks of one step to an agent, where they may wait for room."""
+    if not view.tasks:
+        view.busy_s = board.now_s
     first = tasks[0]
     job = first.job
     room = first.spec.room
@@ -177,7 +212,7 @@
                 room.cpu,
                 room.memory_mb,
                 room.gpu,
-                int(job.expected_s[first.step] * 1000),
+                int(job.expected_s[first.step] * first.stretch * 1000),
                 job.route.priority,
                 view.clock_ms,
                 int(waits_s * 1000),
@@ -199,8 +234,16 @@
         if candidate.node != task.agent and candidate.node not in task.avoided
     ]
     expected_s = task.job.expected_s[task.step]
-    chosen = placing.choose(others, task.spec, expected_s, frozenset())
-    return chosen is not None
+    chosen = placing.choose(
+        others,
+        task.spec,
+        expected_s,
+        frozenset(),
+        remote_factor=board.remote_factor,
+    )
+    if chosen is None:
+        return False
+    return task.stretch > 1 or not placing.is_remote(chosen, task.spec)
 
 
 def load(
@@ -220,7 +263,7 @@
         if task.job.route.service == route.service:
             work = _work_cpu_s(task)
             waiting_cpu_s += work
-            if waitorder.sort_key(task, board.now_s) < key:
+            if waitorder.sort_key(task, board.now_s) <= key:
                 ahead_cpu_s += work
     if ahead_cpu_s:
         ahead_cpu_s += own_cpu_s
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -193,7 +193,9 @@
     task.state = TaskState.DONE
     # Speeds are told against what this learns, so they must not enter it.
     board.run_times.note(
-        job.route.name, task.spec.estimated_s, row.run_ms / 1000
+        job.route.name,
+        task.spec.estimated_s,
+        row.run_ms / 1000 / task.stretch,
     )
     _go_on(board, job)
 
--- a/egretthread/scheduling/nodesettings.py
+++ b/egretthread/scheduling/nodesettings.py
@@ -27,6 +27,8 @@
             empty for an entry.
         server_address: `host:port` of the backend server; empty for an entry.
         metrics_port: Port for metrics and the state dump; 0 for none.
+        remote_factor: How many times as long a task takes on a rack that is
+            not its data's.
         shutdown_s: Time in which a graceful shutdown must be over.
         keepalive_s: Longest time without sending on a link.
         liveness_s: Time without receiving after which a link is closed.
@@ -50,6 +52,7 @@
     heartbeat_address: str = ""
     server_address: str = ""
     metrics_port: int = 0
+    remote_factor: float = 2.0
     shutdown_s: float = 6.0
     keepalive_s: float = 1.0
     liveness_s: float = 2.5
--- a/egretthread/scheduling/placing.py
+++ b/egretthread/scheduling/placing.py
@@ -35,6 +35,7 @@
         room: Room left; falls with each task that it is given.
         capacity: Its room when empty.
         speed: Speed of its backend server.
+        labels: Labels of its backend server, its rack among them.
         jitter: Random factor of its cost, so that entries that know the same
             do not all choose the same agent.
     """
@@ -44,6 +45,7 @@
     room: Room
     capacity: Room
     speed: float
+    labels: tuple[str, ...] = ()
     jitter: float = 1.0
 
 
@@ -53,6 +55,7 @@
     expected_s: float,
     avoided: set[str],
     reserve: float = 0.0,
+    remote_factor: float = 1.0,
 ) -> Candidate | None:
     """Returns the agent for one task, None when none has room.
 
@@ -63,6 +66,8 @@
         avoided: Agents that are taken only when there is no other: a task
             that failed there waits for room elsewhere.
         reserve: Share of a busy agent's room that must stay free.
+        remote_factor: How many times as long a task takes on a rack that is
+            not its data's.
     """
     best = None
     best_cost = None
@@ -76,7 +81,8 @@
         left_cpu = candidate.room.cpu - spec.room.cpu
         if left_cpu < reserve * candidate.capacity.cpu:
             continue
-        cost = _cost_s(candidate, expected_s)
+        stretch = remote_factor if is_remote(candidate, spec) else 1.0
+        cost = _cost_s(candidate, expected_s * stretch)
         if best is None or cost < best_cost:
             best, best_cost = candidate, cost
     return best
@@ -110,6 +116,11 @@
     return best[1] if best else None
 
 
+def is_remote(candidate: Candidate, spec: StepSpec) -> bool:
+    """Whether a step's data is on another rack than a backend server."""
+    return bool(spec.data_rack) and spec.data_rack not in candidate.labels
+
+
 def take(candidate: Candidate, spec: StepSpec) -> None:
     """Takes a task's room off a candidate."""
     candidate.room -= spec.room
--- a/tests/scheduling/fakeserver.py
+++ b/tests/scheduling/fakeserver.py
@@ -58,6 +58,7 @@
         self.noted = []
         self.ends_s = {}
         self.is_draining = False
+        self.rack = "r1"
         self.begin(now_s)
 
     def begin(self, now_s):
@@ -95,7 +96,7 @@
             int(self.born_s * 1000) + 1,
             "match",
             self.zone,
-            ("a", "r1"),
+            ("a", self.rack),
             self.capacity,
             self.is_draining,
             2.0 if self.is_draining else 0.0,
--- a/tests/scheduling/test_placing.py
+++ b/tests/scheduling/test_placing.py
@@ -1,5 +1,7 @@
 """Tests of where work goes, each for one pattern of load."""
 
+import dataclasses
+
 import testtools
 
 from egretthread.scheduling import placing
@@ -15,6 +17,9 @@
     return placing.Candidate(node, near, room, WHOLE, speed)
 
 
+NEAR_DATA = dataclasses.replace(SPEC, data_rack="r1")
+
+
 def place(candidates, count=1, avoided=frozenset(), reserve=0.0):
     nodes = []
     for _ in range(count):
@@ -34,6 +39,24 @@
         candidates = [candidate("full", cpu=2000), candidate("a", speed=0.5)]
         self.assertEqual(["a"], place(candidates))
 
+    def test_a_task_goes_where_its_data_is(self):
+        """All workers elsewhere are empty, one on the data's rack is busy."""
+        near = candidate("near", cpu=4000)
+        near.labels = ("a", "r1")
+        for others in ([candidate("far")], [candidate("fast", speed=1.5)]):
+            chosen = placing.choose(
+                [*others, near], NEAR_DATA, 0.1, set(), remote_factor=2.0
+            )
+            self.assertEqual("near", chosen.node)
+
+    def test_a_much_faster_server_wins_over_the_data_s_rack(self):
+        near = candidate("near", speed=0.3)
+        near.labels = ("a", "r1")
+        chosen = placing.choose(
+            [candidate("far"), near], NEAR_DATA, 0.1, set(), remote_factor=2.0
+        )
+        self.assertEqual("far", chosen.node)
+
     def test_a_wide_job_spreads_over_servers_that_are_alike(self):
         candidates = [candidate("a"), candidate("b")]
         nodes = place(candidates, 8)
--- a/tests/scheduling/test_region.py
+++ b/tests/scheduling/test_region.py
@@ -1,10 +1,11 @@
 """Tests of entries and agents together, under faults."""
 
+import dataclasses
 import random
 
 import testtools
 
-from egretthread.scheduling import agentengine, entryengine
+from egretthread.scheduling import agentengine, agentviews, entryengine
 from egretthread.scheduling.entryboard import Outcome
 from egretthread.scheduling.jobspec import JobSpec, StepSpec
 from egretthread.scheduling.room import Room
@@ -65,6 +66,30 @@
         self.assertEqual({Outcome.REFUSED}, outcomes)
 
 
+class TestFirstOrder(testtools.TestCase):
+    def test_an_idle_agent_stays_in_use_after_its_first_order(self):
+        """Many jobs come after a lull, when heartbeats are a second apart."""
+        world = region.Region(entries=1, agents=1)
+        world.run(3.95)
+        board = world.entries["e0"].board
+        (view,) = board.agents.values()
+        self.assertGreater(world.now_s - view.heard_s, 0.5)
+        world.submit(region.job("first"), "e0")
+        self.assertTrue(agentviews.is_usable(board, view))
+        world.submit(region.job("second"), "e0")
+        self.assertEqual([], board.waiting)
+
+    def test_an_agent_that_says_nothing_after_an_order_is_left_out(self):
+        world = region.Region(entries=1, agents=1)
+        world.run(2.0)
+        world.cut("e0", "a0", 5.0)
+        world.submit(region.job("j"), "e0")
+        board = world.entries["e0"].board
+        (view,) = board.agents.values()
+        world.run(agentviews.SUSPECT_BUSY_S + 0.1)
+        self.assertFalse(agentviews.is_usable(board, view))
+
+
 class TestSteps(testtools.TestCase):
     def submit(self, world, **fields):
         step = StepSpec(4, Room(1000, 64, 0), 0.1, **fields)
@@ -79,6 +104,29 @@
         runs = [len(server.history) for server in world.servers.values()]
         self.assertEqual([1, 1, 1, 1], runs)
 
+    def rack_starts(self, objective_s):
+        """Two jobs want one rack that has room for one of them."""
+        world = region.Region(entries=1, agents=2, cpu=4000)
+        world.servers["a1"].rack = "r2"
+        world.run(3.0)
+        for process in world.entries.values():
+            process.board.remote_factor = 3.0
+        route = dataclasses.replace(region.ROUTE, objective_s=objective_s)
+        step = StepSpec(4, Room(1000, 64, 0), 0.1, data_rack="r1")
+        for name in ("j", "k"):
+            spec = JobSpec(name, "payload", (step,))
+            world.submit(spec, "e0", 3.0, route)
+        world.finish(3.0)
+        self.assertEqual(2, len(completed(world)))
+        return [len(server.history) for server in world.servers.values()]
+
+    def test_tasks_wait_for_their_rack_while_they_can_be_in_time(self):
+        """Many jobs want the same rack, and elsewhere they would be late."""
+        self.assertEqual([8, 0], self.rack_starts(objective_s=0.08))
+
+    def test_tasks_leave_their_rack_when_they_are_in_time_elsewhere(self):
+        self.assertEqual([4, 4], self.rack_starts(objective_s=0.5))
+
     def test_urgent_tasks_wait_only_where_they_may_run(self):
         world = region.Region(entries=1, agents=2, cpu=1000)
         world.run(2.0)
