--- a/egretthread/commands/__init__.py
+++ b/egretthread/commands/__init__.py
@@ -10,6 +10,7 @@
     "job": "egretthread.commands.job",
     "request": "egretthread.commands.request",
     "state": "egretthread.commands.state",
+    "explain": "egretthread.commands.explain",
     "settings": "egretthread.commands.settings",
     "bench": "egretthread_bench.cmdline",
 }
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,111 @@
+"""Tests of the stories that logs tell of requests."""
+
+import testtools
+
+from egretthread import logline, story
+
+ANSWERED = {
+    "took_s": "0.9",
+    "objective_left_s": "-0.5",
+    "expected_s": "0.1",
+    "handed_s": "0.01",
+    "tasks": "4",
+    "runs": "4",
+}
+
+
+def line(event, at_s, source="entry", **fields):
+    fields = {"job": "j", **{k: str(v) for k, v in fields.items()}}
+    return logline.LogLine(source, at_s, event, fields)
+
+
+def answered(outcome, at_s=10.0, **fields):
+    fields = {**ANSWERED, "outcome": outcome, "reason": "deadline", **fields}
+    return line("job_answered", at_s, **fields)
+
+
+class TestOutcome(testtools.TestCase):
+    def check(self, lines, outcome, *words):
+        told = story.tell(lines, "j")
+        self.assertEqual(outcome, told.outcome)
+        for word in words:
+            self.assertIn(word, told.cause)
+        return told
+
+    def test_a_request_of_which_nothing_is_known(self):
+        self.assertIsNone(story.tell([answered("completed")], "other"))
+
+    def test_a_refusal_for_lack_of_room(self):
+        refused = line(
+            "job_refused", 10.0, reason="overload", wait_s=3, usable_cpu=32
+        )
+        self.check([refused], "refused", "3 s", "32 usable")
+
+    def test_a_task_that_failed_too_often(self):
+        lines = [
+            line("run_failed", 9.5, failures=1, allowed=2, agent="a#1"),
+            line("run_failed", 9.8, failures=2, allowed=2, agent="b#1"),
+            answered("failed", reason="task failed"),
+        ]
+        self.check(lines, "failed", "2 times of 2", "b#1")
+
+    def test_a_late_answer_after_its_agent_was_lost(self):
+        state = line("agent_lost", 9.7, agent="a#1", silent_s=2.1, job="")
+        slow = line("slow_run", 9.4, agent="a#1", room_elsewhere="true")
+        told = self.check(
+            [state, slow, answered("completed", runs=8)], "late", "2.1 s"
+        )
+        self.assertEqual(state, told.deciding)
+
+    def test_a_late_answer_after_a_wait_for_room(self):
+        lines = [answered("completed", handed_s=0.7)]
+        self.check(lines, "late", "waited 0.7 s")
+
+    def test_a_task_that_stood_still(self):
+        lines = [
+            line("run_slow", 9.6, "agent", stalled="true", percent=40),
+            answered("given_up"),
+        ]
+        self.check(lines, "given_up", "stood still at 40 %")
+
+    def test_an_answer_in_time_needs_no_cause(self):
+        lines = [answered("completed", objective_left_s=0.1)]
+        self.check(lines, "completed", "in time")
+
+    def test_an_entry_that_ended_leaves_the_word_of_its_agents(self):
+        lines = [line("run_lapsed", 9.0, "agent", entry="e#1", silent_s=0.9)]
+        self.check(lines, "unknown", "e#1", "0.9 s")
+
+    def test_each_outcome_has_a_sentence_without_gaps(self):
+        for cause in story.CAUSES:
+            self.assertNotIn("{}", cause.text)
+            for outcome in cause.outcomes:
+                self.assertNotEqual("", outcome)
+
+
+class TestOrder(testtools.TestCase):
+    def events(self, shift_s):
+        lines = [
+            line("run_slow", 9.5 + shift_s, "agent"),
+            line("run_slow", 9.7 + shift_s, "agent"),
+            line("slow_run", 9.71),
+            answered("completed"),
+        ]
+        return [item.event for item in story.tell(lines, "j").lines]
+
+    def test_clocks_that_differ_do_not_change_the_order(self):
+        for shift_s in (-7200.0, -3.0, 0.0, 3.0, 7200.0):
+            events = self.events(shift_s)
+            self.assertEqual("job_answered", events[-1])
+
+    def test_lines_that_fit_stay_where_they_are(self):
+        self.assertEqual(
+            ["run_slow", "run_slow", "slow_run", "job_answered"],
+            self.events(0.0),
+        )
+
+    def test_what_processes_believed_long_before_is_left_out(self):
+        old = line("store_lost", 1.0, job="")
+        near = line("store_lost", 8.0, job="")
+        told = story.tell([old, near, answered("given_up")], "j")
+        self.assertEqual((near,), told.around)
