--- a/egretthread/scheduling/nodesettings.py
+++ b/egretthread/scheduling/nodesettings.py
@@ -18,6 +18,8 @@
         link_port: Port for links between the system's processes.
         shared_key: Key that the system's processes prove to one another.
         store_address: `host:port` of the platform's store.
+        store_parts: Partitions of a topic there.
+        store_writes_per_s: Writes that it takes from all processes together.
         seeds: `host:port` of instances that may hold entries.
         callers_address: `host:port` for callers; empty for an agent.
         ready_address: `host:port` for readiness checks; empty for an agent.
@@ -25,6 +27,8 @@
             empty for an entry.
         server_address: `host:port` of the backend server; empty for an entry.
         metrics_port: Port for metrics and the state dump; 0 for none.
+        remote_factor: How many times as long a task takes on a rack that is
+            not its data's.
         shutdown_s: Time in which a graceful shutdown must be over.
         keepalive_s: Longest time without sending on a link.
         liveness_s: Time without receiving after which a link is closed.
@@ -40,12 +44,15 @@
     link_port: int
     shared_key: str = dataclasses.field(repr=False)
     store_address: str
+    store_parts: int = 12
+    store_writes_per_s: int = 800
     seeds: tuple[str, ...] = ()
     callers_address: str = ""
     ready_address: str = ""
     heartbeat_address: str = ""
     server_address: str = ""
     metrics_port: int = 0
+    remote_factor: float = 2.0
     shutdown_s: float = 6.0
     keepalive_s: float = 1.0
     liveness_s: float = 2.5
