Hand waiting tasks out when a heartbeat tells of room, not at the next tick

Cause: with tasks waiting, room that a run had left stayed free for a tick of 20 ms or more, a tenth of the run time of the short tasks.

Change: a heartbeat starts a pass, at most every 4 ms. Ruled out: a pass on every message; the report of an end comes before the heartbeat that tells of its room, so the pause swallowed the one that counts. Measured: idle time between two runs 20.2 ms before, below 12 ms after (TestBacklog).

--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -217,6 +217,7 @@
         run_times: What was learned of run times.
         drained: Work that got room lately.
         arrived: Work that came lately, refused work included.
+        handed_s: When waiting tasks were last handed out.
         reviewed_s: When the waiting jobs were last reviewed.
         outbox: Messages to be sent, by agent.
         answers: Answers to be given.
@@ -254,6 +255,7 @@
     arrived: workmeter.WorkMeter = dataclasses.field(
         default_factory=workmeter.WorkMeter
     )
+    handed_s: float = 0.0
     reviewed_s: float = 0.0
     outbox: list[tuple[str, object]] = dataclasses.field(default_factory=list)
     answers: list[Answer] = dataclasses.field(default_factory=list)
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -136,6 +136,7 @@
 
 def _on_beat(board: EntryBoard, view: AgentView, beat: AgentBeat) -> None:
     agentviews.take_beat(board, view, beat)
+    handout.run_soon(board)
     if board.now_s - view.replied_s >= REPLY_S:
         agentviews.send_beat(board, view)
 
--- a/egretthread/scheduling/handout.py
+++ b/egretthread/scheduling/handout.py
@@ -22,6 +22,10 @@
 # no agents. Agents that start at the same time are there within 0.5 s, or at
 # the next heartbeat of their backend server, 1.5 s later.
 STARTING_S = 2.0
+# Least time between two passes that news of room causes. Room that is free
+# for a tick on average would cost short tasks a tenth of the capacity; many
+# ends come at once, and each pass looks at all that waits.
+PAUSE_S = 0.004
 # Largest random factor of what an agent costs.
 JITTER = 1.2
 # A run that finds no room waits at its agent this long for a run to end; then
@@ -56,6 +60,7 @@
     """Hands out what fits, the most urgent first."""
     if not board.waiting or board.now_s < board.thawed_s:
         return
+    board.handed_s = board.now_s
     board.waiting.sort(key=lambda task: waitorder.sort_key(task, board.now_s))
     priorities = {route.priority for route in board.operators.routes}
     most_urgent = min(priorities) if len(priorities) > 1 else None
@@ -67,6 +72,12 @@
         _order(board, board.agents[node], tasks, waits_s)
 
 
+def run_soon(board: EntryBoard) -> None:
+    """Hands out what fits after news of room, unless that was just done."""
+    if board.now_s - board.handed_s >= PAUSE_S:
+        run(board)
+
+
 def _place(board: EntryBoard, this: _Round, task: Task) -> bool:
     """Chooses an agent for a task; returns whether there is one."""
     if task.job.id in board.leftovers:
--- a/tests/scheduling/test_region.py
+++ b/tests/scheduling/test_region.py
@@ -1,6 +1,7 @@
 """Tests of entries and agents together, under faults."""
 
 import dataclasses
+import itertools
 import random
 
 import testtools
@@ -90,6 +91,22 @@
         self.assertFalse(agentviews.is_usable(board, view))
 
 
+class TestBacklog(testtools.TestCase):
+    def test_room_that_was_freed_is_used_at_once(self):
+        """Short tasks queue up for a server that is full."""
+        world = region.Region(entries=1, agents=1, cpu=1000)
+        world.run(2.5)
+        world.submit(region.job("j", count=5), "e0", 9.0)
+        world.finish(2.0)
+        rows = sorted(row for rows in world.runs().values() for row in rows)
+        self.assertEqual(5, len(rows))
+        idle_s = [
+            later[0] - earlier[1] for earlier, later in itertools.pairwise(rows)
+        ]
+        # Two ways of a message, an order and a pause of the entry.
+        self.assertLess(max(idle_s), 0.012)
+
+
 class TestSteps(testtools.TestCase):
     def submit(self, world, **fields):
         step = StepSpec(4, Room(1000, 64, 0), 0.1, **fields)
