--- a/egretthread/adminapi.py
+++ b/egretthread/adminapi.py
@@ -97,8 +97,8 @@
         samples = self.board.samples
         taken = tuple(samples)
         samples.clear()
-        for name, value_s in taken:
-            self.metrics.observe(name, value_s)
+        for name, value_s, *labels in taken:
+            self.metrics.observe(name, value_s, *labels)
 
     def gauge_values(self) -> dict[str, float]:
         """Returns every gauge's present value."""
--- a/egretthread/logs.py
+++ b/egretthread/logs.py
@@ -9,6 +9,8 @@
 
 from pythonjsonlogger import core
 
+from egretthread import loglimit
+
 # Values of these characters alone are written without quotes.
 BARE_VALUE = re.compile(r"[A-Za-z0-9._:/#@+,*%&()\[\]{}<>|~^!?;-]+")
 KEY_CHARACTERS = re.compile(r"[^A-Za-z0-9_.]")
@@ -66,6 +68,7 @@
             static_fields={"process": process_name},
         )
     )
+    handler.addFilter(loglimit.LineLimit())
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
--- a/egretthread/metrics.py
+++ b/egretthread/metrics.py
@@ -68,6 +68,7 @@
     Metric("claim_seconds", HISTOGRAM, "Time to register a job."),
     Metric("queue_seconds", HISTOGRAM, "Wait of tasks for a slot."),
     Metric("task_seconds", HISTOGRAM, "Run time of a task."),
+    Metric("store_seconds", HISTOGRAM, "Time of a call.", ("call", "result")),
     Metric("queued_tasks", GAUGE, "Tasks waiting for a slot."),
     Metric("running_tasks", GAUGE, "Tasks running now."),
     Metric("open_jobs", GAUGE, "Jobs without an answer yet."),
--- a/egretthread/platform/programs.py
+++ b/egretthread/platform/programs.py
@@ -32,8 +32,8 @@
 
     def __init__(self, settings: NodeSettings):
         self.settings = settings
-        self.store = Store(settings.store_address)
         self.server = EntryServer(settings, operators.decode_relay)
+        self.store = Store(settings.store_address, self.server.board.samples)
         self.feed = operators.OperatorFeed(
             self.store, self.server.take_operators
         )
@@ -100,12 +100,12 @@
 
     def __init__(self, settings: NodeSettings):
         self.settings = settings
-        self.store = Store(settings.store_address)
         self.server = AgentServer(
             settings,
             servers.BackendServerClient(settings.server_address),
             self.find_entries,
         )
+        self.store = Store(settings.store_address, self.server.board.samples)
         self.http = None
         self.admin = None
 
--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store: keyed topics of its log."""
 
 import base64
+import collections
 import dataclasses
 import struct
 import urllib.parse
@@ -9,7 +10,7 @@
 import orjson
 from tornado import iostream
 
-from egretthread import backendpool, util
+from egretthread import backendpool, clock, util
 
 # Offsets before the records of a read: the partition's end, its first record.
 SPAN = struct.Struct(">QQ")
@@ -132,9 +133,12 @@
 
     Attributes:
         pool: Connections to it.
+        samples: Takes the time of each call, as (metric, seconds, call,
+            result).
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, samples: collections.deque):
+        self.samples = samples
         self.pool = backendpool.ConnectionPool(
             f"http://{address}",
             CONNECTIONS,
@@ -310,15 +314,22 @@
         query = query or {}
         where = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         headers = RAW_HEADERS if query else JSON_HEADERS
+        begin_s = clock.monotonic_s()
+        result = "lost"
         try:
             response = await self.pool.request(
                 where, body, TIMEOUT_S + wait_s, method, headers
             )
+            result = str(response.code)
         except LOST_ERRORS as error:
             raise StoreUnavailableError(
                 f"no answer to {path}: {type(error).__name__} {error}",
                 "ask again later",
             ) from error
+        finally:
+            took_s = clock.monotonic_s() - begin_s
+            call = path.removeprefix("/log-")
+            self.samples.append(("store_seconds", took_s, call, result))
         if response.code == 410:
             raise HistoryGoneError(
                 f"{path} from {query.get('from')}: deleted",
--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -227,7 +227,7 @@
         outbox: Messages to be sent, by entry.
         reports: Ends to be reported, by entry.
         counters: Events counted by name.
-        samples: Durations measured, by name.
+        samples: Durations measured: name, seconds and values of labels.
     """
 
     node: str
@@ -268,7 +268,7 @@
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    samples: collections.deque[tuple[str, float]] = dataclasses.field(
+    samples: collections.deque[tuple] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
     )
 
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -223,7 +223,7 @@
         answers: Answers to be given.
         kept: Kept jobs that this entry coordinates.
         counters: Events counted by name.
-        samples: Durations measured, by name.
+        samples: Durations measured: name, seconds and values of labels.
         thawed_s: Until when nothing is handed out after a pause.
         ticked_s: Time of the last tick.
     """
@@ -265,7 +265,7 @@
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    samples: collections.deque[tuple[str, float]] = dataclasses.field(
+    samples: collections.deque[tuple] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
     )
     thawed_s: float = 0.0
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -329,6 +329,7 @@
 ) -> None:
     """Logs a refusal with what decided it."""
     board.counters["jobs_refused"] += 1
+    board.counters[f"refused_{answer.reason.replace(' ', '_')}"] += 1
     logs.info(
         "job_refused",
         job=answer.job,
--- a/tests/platform/test_joblog.py
+++ b/tests/platform/test_joblog.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from egretthread import metrics
 from egretthread.platform import joblog, programs
 from tests.platform import test_path
 from tests.platform.test_operators import until
@@ -48,6 +49,18 @@
 
         self.play(scene)
 
+    def test_calls_to_the_store_are_measured(self):
+        async def scene(path):
+            await path.submit(1, KEPT)
+            table = metrics.Metrics()
+            for name, value_s, *labels in path.entry.server.board.samples:
+                table.observe(name, value_s, *labels)
+            text, _ = table.render()
+            row = b'store_seconds_count{call="append",result="200"}'
+            self.assertIn(row, text)
+
+        self.play(scene)
+
     def test_another_entry_goes_on_with_the_jobs(self):
         async def scene(path):
             await path.submit(1, KEPT)
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -1,6 +1,7 @@
 """Tests of what operators publish, decoded and followed."""
 
 import asyncio
+import collections
 import json
 
 import testtools
@@ -51,7 +52,7 @@
     async def __aenter__(self):
         self.fake = fakes.FakeStore()
         self.fake.put(operators.TOPIC, "config", fakes.CONFIG)
-        self.store = Store(self.fake.address)
+        self.store = Store(self.fake.address, collections.deque())
         self.states = []
         self.feed = operators.OperatorFeed(
             self.store, lambda state, text: self.states.append(state)
