--- /dev/null
+++ b/tests/scheduling/test_runlooks.py
@@ -0,0 +1,37 @@
+"""Tests of what an agent sees at its backend server."""
+
+import testtools
+
+from egretthread.scheduling import agentengine, runlooks
+from egretthread.scheduling.agentboard import ServerRecord, StopCall, TaskName
+from egretthread.scheduling.room import Room
+from egretthread.scheduling.servercall import Look, RunningRow, Verdict
+
+
+class TestLooks(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.board = agentengine.new_board("a#2", 5, 100.0)
+        record = ServerRecord(
+            "i-1", 1, "match", "a", (), Room(8000, 64, 0), False, 0.0, 1
+        )
+        agentengine.on_heartbeat(self.board, record, 1000)
+
+    def look(self, *rows, born=1):
+        call = runlooks.next_look(self.board)
+        look = Look(Verdict.OK, 1000, born, rows, ())
+        agentengine.on_look(self.board, call, look)
+
+    def test_runs_that_an_earlier_agent_started_are_stopped(self):
+        """Nobody renews their coordinator's word, and their tasks run again."""
+        name = TaskName("j", 0, 1)
+        self.look(RunningRow(name, 4, 50))
+        (stop,) = self.board.calls
+        self.assertIsInstance(stop, StopCall)
+        self.assertEqual(
+            (name, 4, "i-1"), (stop.name, stop.number, stop.server)
+        )
+
+    def test_another_incarnation_is_another_server(self):
+        self.look(born=2)
+        self.assertEqual("absent", self.board.state)
