--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -39,15 +39,80 @@
         path: The file that is edited, below egretthread.
         old: The text that is replaced; it must stand there once.
         new: The text that replaces it.
+        tests: Tests that may catch it before the histories are played.
+        histories: Module that plays the histories; none when empty.
     """
 
     name: str
     path: str
     old: str
     new: str
+    tests: tuple[str, ...] = FOCUSED
+    histories: str = "tests.fuzz"
 
 
+# Breaks of the engines in egretthread/scheduling, whose tests play histories.
+SCHEDULING_MUTATIONS = tuple(
+    Mutation(name, f"scheduling/{path}", old, new, ("tests/scheduling",), "")
+    for name, path, old, new in (
+        (
+            "carry out an order of any age",
+            "leaserule.py",
+            "    return clock_ms - echo_ms <= ORDER_AGE_MS",
+            "    return True",
+        ),
+        (
+            "let runs of an earlier agent go on",
+            "runlooks.py",
+            "            _stop_unknown(board, row.name, row.number)",
+            "            pass",
+        ),
+        (
+            "say that what was handed out did not run",
+            "jobs.py",
+            "        outcome = Outcome.GIVEN_UP",
+            "        pass",
+        ),
+        (
+            "never send the stops of barred runs",
+            "runorders.py",
+            "            for call in board.barred",
+            "            for call in ()",
+        ),
+        (
+            "forget the ends of kept jobs at once",
+            "heldends.py",
+            "    board.held[row.sequence] = held",
+            "    pass",
+        ),
+        (
+            "forget void ends while the lease goes on",
+            "heldends.py",
+            "    board.void |= void",
+            "    [board.held.pop(number) for number in void]",
+        ),
+        (
+            "renew the lease over void ends",
+            "agentboard.py",
+            "        return bool(self.barred or self.void)",
+            "        return bool(self.barred)",
+        ),
+        (
+            "coordinate at once what others did before",
+            "keeping.py",
+            "        ready_s = leaserule.fence_s(board.now_s, ordered=True)",
+            "        ready_s = board.now_s",
+        ),
+        (
+            "go on coordinating without the store's leave",
+            "keeping.py",
+            "    if board.kept.parts and board.now_s >= board.kept.until_s:",
+            "    if False:",
+        ),
+    )
+)
 MUTATIONS = (
+    *SCHEDULING_MUTATIONS,
     Mutation(
         "skip the registration",
         "controllers/claims.py",
@@ -196,9 +261,15 @@
     Mutation(
         "believe in an outage of the log without a majority",
         "lease.py",
-        "    needed = len(entries) // 2\n",
+        "    needed = len(entries) // 2 + 1 - holds_lease\n",
         "    needed = 0\n",
     ),
+    Mutation(
+        "count lapsed leases towards the majority",
+        "lease.py",
+        "        and peer.holds_lease\n",
+        "",
+    ),
     Mutation(
         "forget the expired keys without refusing them for good",
         "agent.py",
@@ -263,18 +334,22 @@
         for name in ("egretthread", "tests"):
             shutil.copytree(ROOT / name, root / name)
         apply(mutation, root)
-        tests = _run(root, "pytest", "-q", "--tb=no", *FOCUSED)
-        fuzz = _run(
-            root,
-            *("tests.fuzz", "--stop", "--seed", str(seed)),
-            *("--histories", str(histories)),
-            *("--workers", str(workers)),
-        )
+        tests = _run(root, "pytest", "-q", "--tb=no", *mutation.tests)
+        fuzz = None
+        if mutation.histories:
+            fuzz = _run(
+                root,
+                *(mutation.histories, "--stop", "--seed", str(seed)),
+                *("--histories", str(histories)),
+                *("--workers", str(workers)),
+            )
     failed = tuple(
         line.rpartition("::")[2].partition(" ")[0]
         for line in tests.stdout.splitlines()
         if line.startswith("FAILED")
     )
+    if fuzz is None:
+        return Result(mutation, failed, "not played", "")
     lines = fuzz.stdout.splitlines()
     played = next((x for x in lines if x.startswith("played=")), "crashed")
     found = ""
