--- a/egretthread/platform/joblog.py
+++ b/egretthread/platform/joblog.py
@@ -76,7 +76,7 @@
     """
 
     def __init__(
-        self, store: Store, server: EntryServer, count: int, writes_per_s: int
+        self, store: Store, server: EntryServer, count: int, writes_per_s: float
     ):
         self.store = store
         self.server = server
--- a/egretthread/scheduling/nodesettings.py
+++ b/egretthread/scheduling/nodesettings.py
@@ -45,7 +45,7 @@
     shared_key: str = dataclasses.field(repr=False)
     store_address: str
     store_parts: int = 12
-    store_writes_per_s: int = 800
+    store_writes_per_s: float = 800.0
     seeds: tuple[str, ...] = ()
     callers_address: str = ""
     ready_address: str = ""
--- /dev/null
+++ b/tests/scheduling/test_nodesettings.py
@@ -0,0 +1,66 @@
+"""Tests of the settings of the scheduling path's processes."""
+
+import pathlib
+import tempfile
+
+import testtools
+
+from egretthread import util
+from egretthread.scheduling import nodesettings
+
+ENTRY = {
+    "name": '"entry-1"',
+    "zone": '"a"',
+    "host": '"10.1.0.13"',
+    "link_port": "7720",
+    "shared_key": '"0123456789abcdef"',
+    "store_address": '"10.2.0.1:80"',
+    "callers_address": '"10.1.0.13:8161"',
+    "ready_address": '"10.1.0.13:8167"',
+    "seeds": '["10.1.0.13:8166", "10.2.0.30:8166"]',
+    "remote_factor": "3",
+    "store_writes_per_s": "1500",
+    "from_a_later_release": "true",
+}
+
+
+class TestNodeSettings(testtools.TestCase):
+    def load(self, load=nodesettings.load_entry, **changes):
+        table = {**ENTRY, **changes}
+        lines = [f"{k} = {v}" for k, v in table.items() if v is not None]
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory, "settings.toml")
+            path.write_text("\n".join(lines))
+            return load(path)
+
+    def faults(self, **changes):
+        error = self.assertRaises(util.OptionError, self.load, **changes)
+        return [str(fault) for fault in error.faults]
+
+    def test_settings_of_an_entry(self):
+        settings = self.load()
+        self.assertEqual("10.1.0.13:7720", settings.peer_address)
+        self.assertEqual(
+            ("10.1.0.13:7720", "10.2.0.30:7720"), settings.seed_peers
+        )
+        self.assertEqual(
+            (3, 1500), (settings.remote_factor, settings.store_writes_per_s)
+        )
+
+    def test_what_is_left_out_has_a_default(self):
+        settings = self.load(remote_factor=None, store_writes_per_s=None)
+        self.assertEqual(
+            (2.0, 800.0), (settings.remote_factor, settings.store_writes_per_s)
+        )
+
+    def test_every_fault_is_listed(self):
+        faults = self.faults(name=None, link_port='"x"', remote_factor="-1")
+        self.assertEqual(3, len(faults))
+
+    def test_an_agent_needs_its_backend_server(self):
+        self.assertRaises(util.OptionError, self.load, nodesettings.load_agent)
+
+    def test_secrets_are_not_shown(self):
+        self.assertNotIn("0123456789abcdef", repr(self.load()))
+        (fault,) = self.faults(shared_key='"short"')
+        self.assertNotIn("short", fault)
