Keep an agent's links to five entries; pace its words by the square of them

Agents told each of nine entries of their room, up to a hundred times a second, and each entry answered all of 75 agents.

Change: an agent links with five entries chosen by a hash, replaces those that cannot be reached, and goes back to them later. Sites of up to five entries have all links as before. Ruled out: fewer looks at the backend server, which delays every end; lazy imports, 0.3 s a start and most of it tornado and codecs.

--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -277,7 +277,9 @@
     """Sends the heartbeats that are due, by time or for news of room."""
     busy = {run.entry for run in board.runs.values()}
     free_cpu = board.free.cpu
-    pace = max(1.0, len(board.coordinators) / FULL_PACE_ENTRIES)
+    linked = sum(c.is_connected for c in board.coordinators.values())
+    # Fewer words to each of more entries, so that they grow with neither.
+    pace = max(1.0, linked / FULL_PACE_ENTRIES) ** 2
     for coordinator in board.coordinators.values():
         if not coordinator.is_connected:
             continue
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -4,7 +4,7 @@
 import typing
 
 from egretthread import clock, link, logs, message, routes
-from egretthread.scheduling import agentengine, runlooks
+from egretthread.scheduling import agentengine, linkchoice, runlooks
 from egretthread.scheduling.agentboard import (
     AgentBoard,
     ServerRecord,
@@ -22,6 +22,11 @@
 SHUTDOWN_MARGIN_S = 0.8
 # Time without a link to any entry before others are looked for.
 LONELY_S = 1.0
+# Time between two reviews of the links, in seconds.
+DIAL_S = 0.5
+# An entry that can't be reached for this long is replaced by another: longer
+# than a link takes to open again.
+REPLACE_S = 1.0
 # Time between two questions to whoever may know of entries.
 SEARCH_S = 2.0
 
@@ -53,7 +58,8 @@
             link is open.
         clients: Links to the entries by address.
         routes: Open links by the entry's node id.
-        wanted: Addresses of the entries to keep links with.
+        known: Addresses of the entries that it knows.
+        down_s: Since when an entry could not be reached, by address.
         busy: Set while the backend server has to be looked at.
     """
 
@@ -71,14 +77,20 @@
         self.find_entries = find_entries
         self.clients: dict[str, link.LinkClient] = {}
         self.routes = routes.Routes()
-        self.wanted: tuple[str, ...] = settings.seed_peers
+        self.known: tuple[str, ...] = settings.seed_peers
+        self.down_s: dict[str, float] = {}
         self.busy = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Starts to serve."""
         self._dial()
-        for loop in (self._tick_loop, self._look_loop, self._search_loop):
+        for loop in (
+            self._tick_loop,
+            self._look_loop,
+            self._dial_loop,
+            self._search_loop,
+        ):
             self._spawn(loop())
 
     async def close(self) -> None:
@@ -181,10 +193,10 @@
             await asyncio.sleep(SEARCH_S)
 
     def _want(self, addresses) -> None:
-        new = [item for item in addresses if item not in self.wanted]
+        new = [item for item in addresses if item not in self.known]
         if new:
             logs.info("entries_found", addresses=",".join(new))
-            self.wanted += tuple(new)
+            self.known += tuple(new)
             self._dial()
 
     def _on_messages(self, peer: link.Peer, items: tuple) -> None:
@@ -200,13 +212,25 @@
         """Takes over an entry's list; keeps the links that are open."""
         linked = {a for a, c in self.clients.items() if c.peer}
         seeds = set(self.settings.seed_peers)
-        kept = [a for a in self.wanted if a in linked or a in seeds]
-        self.wanted = tuple(dict.fromkeys((*addresses, *kept)))
+        kept = [a for a in self.known if a in linked or a in seeds]
+        self.known = tuple(dict.fromkeys((*addresses, *kept)))
         self._dial()
 
+    async def _dial_loop(self) -> None:
+        while True:
+            await asyncio.sleep(DIAL_S)
+            self._dial()
+
     def _dial(self) -> None:
-        """Opens the links that are wanted and closes the others."""
-        for address in self.wanted:
+        """Opens the links that are wanted and closes idle other ones."""
+        now_s = clock.monotonic_s()
+        unreachable = {
+            address
+            for address, since_s in self.down_s.items()
+            if now_s - since_s > REPLACE_S
+        }
+        wanted = linkchoice.choose(self.settings.name, self.known, unreachable)
+        for address in wanted:
             if address in self.clients:
                 continue
             client = link.LinkClient(
@@ -219,17 +243,25 @@
                 self._on_close,
             )
             self.clients[address] = client
+            self.down_s[address] = now_s
             client.start()
-        for address in set(self.clients) - set(self.wanted):
-            self._spawn(self.clients.pop(address).close())
+        busy = {run.entry for run in self.board.runs.values()}
+        for address in self.clients.keys() - set(wanted):
+            peer = self.clients[address].peer
+            if peer is None or peer.node not in busy:
+                self.down_s.pop(address, None)
+                self._spawn(self.clients.pop(address).close())
 
     def _on_open(self, peer: link.Peer) -> None:
         self._turn()
+        self.down_s.pop(peer.address, None)
         self.routes.add(peer)
         agentengine.on_link(self.board, peer.node)
         self._pump()
 
     def _on_close(self, peer: link.Peer) -> None:
+        if peer.address in self.clients:
+            self.down_s[peer.address] = clock.monotonic_s()
         if self.routes.remove(peer):
             self._turn()
             agentengine.on_link_closed(self.board, peer.node)
--- /dev/null
+++ b/tests/scheduling/test_linkchoice.py
@@ -0,0 +1,50 @@
+"""Tests of which entries an agent keeps links with."""
+
+import collections
+
+import testtools
+
+from egretthread.scheduling import linkchoice
+
+ENTRIES = tuple(f"10.1.0.{number}:7720" for number in range(12))
+AGENTS = tuple(f"side-{number}" for number in range(400))
+
+
+class TestChoice(testtools.TestCase):
+    def test_a_small_site_has_all_links(self):
+        few = ENTRIES[: linkchoice.LINKS]
+        self.assertEqual(set(few), set(linkchoice.choose("a", few, ())))
+
+    def test_every_entry_has_its_share_of_a_large_fleet(self):
+        counts = collections.Counter()
+        for agent in AGENTS:
+            counts.update(linkchoice.choose(agent, ENTRIES, ()))
+        mean = len(AGENTS) * linkchoice.LINKS / len(ENTRIES)
+        self.assertEqual(set(ENTRIES), set(counts))
+        self.assertLess(max(counts.values()), 1.3 * mean)
+        self.assertGreater(min(counts.values()), 0.7 * mean)
+
+    def test_an_entry_that_is_lost_is_replaced_and_stays_wanted(self):
+        for agent in AGENTS[:50]:
+            before = linkchoice.choose(agent, ENTRIES, ())
+            lost = before[:2]
+            after = linkchoice.choose(agent, ENTRIES, lost)
+            self.assertEqual(before, after[: linkchoice.LINKS])
+            reachable = [entry for entry in after if entry not in lost]
+            self.assertEqual(linkchoice.LINKS, len(reachable))
+
+    def test_a_zone_of_entries_that_is_lost_leaves_as_many_links(self):
+        lost = ENTRIES[:8]
+        for agent in AGENTS[:50]:
+            chosen = linkchoice.choose(agent, ENTRIES, lost)
+            self.assertTrue(set(ENTRIES[8:]) <= set(chosen))
+
+    def test_a_new_entry_changes_few_links(self):
+        changed = 0
+        for agent in AGENTS:
+            before = set(linkchoice.choose(agent, ENTRIES[:-1], ()))
+            after = set(linkchoice.choose(agent, ENTRIES, ()))
+            changed += len(before - after)
+            self.assertTrue(after - before <= {ENTRIES[-1]})
+        share = linkchoice.LINKS / len(ENTRIES)
+        self.assertLess(changed, 1.3 * share * len(AGENTS))
