Move the log of kept jobs out of the adapter, and the store's errors with it

Change: joblog.py and the store's data and errors (storecall.py) are in scheduling/; the adapter alone knows how topics of newest records are named.

--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -10,13 +10,9 @@
 
 from egretthread import clock, logs
 from egretthread.platform import bodies, listener
-from egretthread.platform.joblog import JobLog
-from egretthread.platform.store import (
-    StoreRefusedError,
-    StoreUnavailableError,
-)
 from egretthread.scheduling.entryboard import Answer, Job, Outcome, TaskState
 from egretthread.scheduling.entryserver import EntryServer
+from egretthread.scheduling.joblog import JobLog
 from egretthread.scheduling.jobrecord import Submission
 from egretthread.scheduling.jobspec import (
     JobSpec,
@@ -24,6 +20,10 @@
     StepSpec,
     find_route,
 )
+from egretthread.scheduling.storecall import (
+    StoreRefusedError,
+    StoreUnavailableError,
+)
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 # How long the caller waits for a response.
--- a/egretthread/platform/directory.py
+++ b/egretthread/platform/directory.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from egretthread import logs
-from egretthread.platform.store import Entry, Store, StoreUnavailableError
+from egretthread.platform.store import Store
+from egretthread.scheduling.storecall import Entry, StoreUnavailableError
 
-TOPIC = "keyed.entries"
+TOPIC = "entries"
 # Pause after a failed call; doubles up to the longest.
 RETRY_S = 0.5
 LONGEST_RETRY_S = 5.0
--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -7,19 +7,19 @@
 
 from egretthread import logs
 from egretthread.platform import bodies
-from egretthread.platform.store import (
-    Entry,
-    HistoryGoneError,
-    Store,
-    StoreUnavailableError,
-)
+from egretthread.platform.store import Store
 from egretthread.scheduling.jobspec import (
     CallerLimits,
     OperatorState,
     Route,
 )
+from egretthread.scheduling.storecall import (
+    Entry,
+    HistoryGoneError,
+    StoreUnavailableError,
+)
 
-TOPIC = "keyed.op"
+TOPIC = "op"
 CONFIG_KEY = "config"
 # A zone is withdrawn while there is a record with this prefix and its name.
 WITHDRAWN_PREFIX = "evacuate/"
--- a/egretthread/platform/programs.py
+++ b/egretthread/platform/programs.py
@@ -5,12 +5,11 @@
 from egretthread.platform import (
     callers,
     directory,
-    joblog,
     operators,
     servers,
 )
 from egretthread.platform.store import Store
-from egretthread.scheduling import gauges
+from egretthread.scheduling import gauges, joblog
 from egretthread.scheduling.agentserver import AgentServer
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.nodesettings import NodeSettings
--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -2,7 +2,6 @@
 
 import base64
 import collections
-import dataclasses
 import struct
 import urllib.parse
 from collections.abc import Sequence
@@ -10,8 +9,22 @@
 import orjson
 from tornado import iostream
 
-from egretthread import backendpool, clock, util
-
+from egretthread import backendpool, clock
+from egretthread.scheduling.storecall import (
+    Assignment,
+    Batch,
+    Entry,
+    FencedError,
+    HistoryGoneError,
+    OrderError,
+    StoreError,
+    StoreRefusedError,
+    StoreUnavailableError,
+    Writer,
+)
+
+# Begins the names of topics that keep the newest record of each key.
+KEYED = "keyed."
 # Offsets before the records of a read: the partition's end, its first record.
 SPAN = struct.Struct(">QQ")
 LENGTH = struct.Struct(">I")
@@ -31,103 +44,6 @@
 LOST_ERRORS = (OSError, TimeoutError, iostream.StreamClosedError)
 
 
-class StoreError(util.EgretthreadError):
-    """The store did not do what it was asked to."""
-
-    kind = "store"
-
-
-class StoreUnavailableError(StoreError):
-    """The store gave no answer, or refused; a write may have been done."""
-
-    kind = "store_unavailable"
-
-
-class StoreRefusedError(StoreUnavailableError):
-    """The store did nothing, since it is busy or full."""
-
-    kind = "store_refused"
-
-
-class FencedError(StoreError):
-    """Another process has taken over the partition."""
-
-    kind = "fenced"
-
-
-class OrderError(StoreError):
-    """An append has another number than the store expects.
-
-    Attributes:
-        expected: The number that it expects.
-    """
-
-    kind = "append_order"
-
-    def __init__(self, message: str, remedy: str, expected: int):
-        super().__init__(message, remedy)
-        self.expected = expected
-
-
-class HistoryGoneError(StoreError):
-    """The records asked for have been deleted."""
-
-    kind = "history_gone"
-
-
-@dataclasses.dataclass(frozen=True)
-class Entry:
-    """One record of a keyed topic.
-
-    Attributes:
-        key: Its key.
-        value: Its value; None when the key is dropped.
-    """
-
-    key: str
-    value: bytes | None
-
-
-@dataclasses.dataclass(frozen=True)
-class Writer:
-    """Orders the appends of the processes that may write to a partition.
-
-    Attributes:
-        epoch: An append of a lower one is refused.
-        number: Number of the append within the epoch; a repeated one is
-            carried out once.
-    """
-
-    epoch: int
-    number: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Assignment:
-    """What a member of a group is to work on.
-
-    Attributes:
-        generation: Rises with each change of the group.
-        parts: The partitions.
-    """
-
-    generation: int
-    parts: tuple[int, ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class Batch:
-    """Part of a keyed topic.
-
-    Attributes:
-        entries: The records, in order.
-        end: Offset behind the last of them.
-    """
-
-    entries: tuple[Entry, ...]
-    end: int
-
-
 class Store:
     """The platform's store.
 
@@ -191,7 +107,7 @@
             part: The partition.
             after: The key that they follow; None for the first ones.
         """
-        query = {"topic": topic, "part": part}
+        query = {"topic": KEYED + topic, "part": part}
         if after is not None:
             query["after"] = after
         response = await self.call("GET", "/log-newest", query)
@@ -218,7 +134,7 @@
             HistoryGoneError: Records from the offset on were deleted.
         """
         query = {
-            "topic": topic,
+            "topic": KEYED + topic,
             "part": part,
             "from": offset,
             "max_kb": MAX_READ_KB,
@@ -256,7 +172,7 @@
             StoreUnavailableError: It may have been written.
             FencedError: There was an append of a higher epoch.
         """
-        query: dict = {"topic": topic, "part": part}
+        query: dict = {"topic": KEYED + topic, "part": part}
         if writer is not None:
             query["producer"] = PRODUCER
             query["epoch"] = writer.epoch
@@ -283,14 +199,16 @@
         table = {
             "group": group,
             "member": member,
-            "topics": [topic],
+            "topics": [KEYED + topic],
             "ttl_ms": int(ttl_s * 1000),
             "generation": generation,
         }
         response = await self.call("POST", "/log-join", body=_json(table))
         answer = orjson.loads(response.body)
         # Each row is topic, partition and committed offset.
-        parts = tuple(row[1] for row in answer["parts"] if row[0] == topic)
+        parts = tuple(
+            row[1] for row in answer["parts"] if row[0] == KEYED + topic
+        )
         return Assignment(answer["generation"], parts)
 
     async def leave(self, group: str, member: str) -> None:
--- a/egretthread/platform/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -4,25 +4,25 @@
 import dataclasses
 
 from egretthread import clock, logs
-from egretthread.platform.store import (
+from egretthread.scheduling import jobrecord
+from egretthread.scheduling.entryserver import EntryServer
+from egretthread.scheduling.jobrecord import JobState, Progress, Submission
+from egretthread.scheduling.keptboard import Part, ProgressBatch
+from egretthread.scheduling.storecall import (
     Entry,
     FencedError,
     HistoryGoneError,
+    JobStore,
     OrderError,
-    Store,
     StoreRefusedError,
     StoreUnavailableError,
     Writer,
 )
-from egretthread.scheduling import jobrecord
-from egretthread.scheduling.entryserver import EntryServer
-from egretthread.scheduling.jobrecord import JobState, Progress, Submission
-from egretthread.scheduling.keptboard import Part, ProgressBatch
 
 # Submissions and cancellations, by job; read by the partition's coordinator.
-JOBS = "keyed.jobs"
+JOBS = "jobs"
 # Progress, by job; written by the partition's coordinator alone.
-PROGRESS = "keyed.progress"
+PROGRESS = "progress"
 GROUP = "coordinators"
 # Silence after which the store assigns a coordinator's partitions to others,
 # and time between two calls that prevent it, in seconds. Some calls may be
@@ -76,7 +76,11 @@
     """
 
     def __init__(
-        self, store: Store, server: EntryServer, count: int, writes_per_s: float
+        self,
+        store: JobStore,
+        server: EntryServer,
+        count: int,
+        writes_per_s: float,
     ):
         self.store = store
         self.server = server
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -13,14 +13,15 @@
 
 from egretthread.platform import servers
 from egretthread.platform.store import (
+    KEYED,
     SPAN,
-    Entry,
     decode_batch,
     encode_record,
 )
 from egretthread.scheduling.agentboard import Run, StartCall, StopCall
 from egretthread.scheduling.room import Room
 from egretthread.scheduling.servercall import LookCall, Verdict
+from egretthread.scheduling.storecall import Entry
 from tests.scheduling.fakeserver import FakeServer
 
 # Partitions of a topic, and records in one page of the newest ones.
@@ -169,7 +170,7 @@
 
 class StoreHandler(ModeHandler):
     async def get(self, verb):
-        topic = self.get_argument("topic")
+        topic = self.get_argument("topic").removeprefix(KEYED)
         key = (topic, int(self.get_argument("part")))
         if verb == "newest":
             after = self.get_argument("after", "")
@@ -214,7 +215,7 @@
 
     async def post(self, verb):
         body = self.request.body
-        topic = self.get_argument("topic")
+        topic = self.get_argument("topic").removeprefix(KEYED)
         part = int(self.get_argument("part"))
         epoch = self.get_argument("epoch", "")
         if epoch:
--- a/tests/platform/test_joblog.py
+++ b/tests/platform/test_keptpath.py
@@ -6,7 +6,8 @@
 import testtools
 
 from egretthread import metrics
-from egretthread.platform import joblog, programs
+from egretthread.platform import programs
+from egretthread.scheduling import joblog
 from tests.platform import test_path
 from tests.platform.test_operators import until
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -31,7 +31,7 @@
 
     async def __aenter__(self):
         self.store = fakes.FakeStore()
-        self.store.put("keyed.op", "config", fakes.CONFIG)
+        self.store.put("op", "config", fakes.CONFIG)
         self.backend = fakes.FakeBackendServer("b")
         link_port = free_port()
         common = {
@@ -162,14 +162,14 @@
 
     def test_a_withdrawn_zone_gets_nothing_until_it_is_back(self):
         async def scene(path):
-            path.store.put("keyed.op", "evacuate/a", {})
+            path.store.put("op", "evacuate/a", {})
             board = path.entry.server.board
             await until(lambda: board.operators.withdrawn)
             code, _, headers = await path.submit(6)
             self.assertEqual(503, code)
             self.assertIn("Retry-After", headers)
             await until(lambda: path.agent.server.board.is_withdrawn)
-            path.store.put("keyed.op", "evacuate/a", None)
+            path.store.put("op", "evacuate/a", None)
             await until(lambda: not board.operators.withdrawn)
             await until(lambda: not path.agent.server.board.is_withdrawn)
             self.assertEqual(200, (await path.submit(7))[0])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,7 +3,7 @@
 import testtools
 
 from egretthread.platform import store
-from egretthread.platform.store import Entry
+from egretthread.scheduling.storecall import Entry
 
 
 class TestRecords(testtools.TestCase):
