--- a/egretthread/platform/programs.py
+++ b/egretthread/platform/programs.py
@@ -42,12 +42,7 @@
             settings.peer_address,
             self.server.add_entries,
         )
-        self.log = joblog.JobLog(
-            self.store,
-            self.server,
-            settings.store_parts,
-            settings.store_writes_per_s,
-        )
+        self.log = joblog.JobLog(settings, self.store, self.server)
         self.https = []
         self.admin = None
 
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -1,6 +1,7 @@
 """The agent of the scheduling path: links, calls and timers."""
 
 import asyncio
+import itertools
 import typing
 
 from egretthread import clock, link, logs, message, routes
@@ -58,7 +59,8 @@
             link is open.
         clients: Links to the entries by address.
         routes: Open links by the entry's node id.
-        known: Addresses of the entries that it knows.
+        lists: Addresses of entries, as each linked entry last told them.
+        found: Addresses of entries that were found elsewhere.
         down_s: Since when an entry could not be reached, by address.
         busy: Set while the backend server has to be looked at.
     """
@@ -77,7 +79,8 @@
         self.find_entries = find_entries
         self.clients: dict[str, link.LinkClient] = {}
         self.routes = routes.Routes()
-        self.known: tuple[str, ...] = settings.seed_peers
+        self.lists: dict[str, tuple[str, ...]] = {}
+        self.found: tuple[str, ...] = ()
         self.down_s: dict[str, float] = {}
         self.busy = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
@@ -193,29 +196,35 @@
             await asyncio.sleep(SEARCH_S)
 
     def _want(self, addresses) -> None:
-        new = [item for item in addresses if item not in self.known]
+        new = set(addresses) - set(self._known())
+        self.found = tuple(addresses)
         if new:
-            logs.info("entries_found", addresses=",".join(new))
-            self.known += tuple(new)
+            logs.info("entries_found", addresses=",".join(sorted(new)))
             self._dial()
 
+    def _known(self) -> tuple[str, ...]:
+        """Returns the addresses of entries that anybody told of.
+
+        What one entry knows may lack some, as long as the store is out.
+        """
+        linked = [a for a, c in self.clients.items() if c.peer]
+        told = itertools.chain.from_iterable(self.lists.values())
+        return tuple(
+            dict.fromkeys(
+                (*self.settings.seed_peers, *told, *self.found, *linked)
+            )
+        )
+
     def _on_messages(self, peer: link.Peer, items: tuple) -> None:
         self._turn()
         for item in items:
             if isinstance(item, EntryBeat) and item.entries:
-                self._follow(item.entries)
+                self.lists[peer.node] = item.entries
+                self._dial()
             agentengine.on_message(self.board, peer.node, item)
         agentengine.after_event(self.board)
         self._pump()
 
-    def _follow(self, addresses: tuple[str, ...]) -> None:
-        """Takes over an entry's list; keeps the links that are open."""
-        linked = {a for a, c in self.clients.items() if c.peer}
-        seeds = set(self.settings.seed_peers)
-        kept = [a for a in self.known if a in linked or a in seeds]
-        self.known = tuple(dict.fromkeys((*addresses, *kept)))
-        self._dial()
-
     async def _dial_loop(self) -> None:
         while True:
             await asyncio.sleep(DIAL_S)
@@ -229,7 +238,9 @@
             for address, since_s in self.down_s.items()
             if now_s - since_s > REPLACE_S
         }
-        wanted = linkchoice.choose(self.settings.name, self.known, unreachable)
+        wanted = linkchoice.choose(
+            self.settings.name, self._known(), unreachable
+        )
         for address in wanted:
             if address in self.clients:
                 continue
@@ -263,5 +274,6 @@
         if peer.address in self.clients:
             self.down_s[peer.address] = clock.monotonic_s()
         if self.routes.remove(peer):
+            self.lists.pop(peer.node, None)
             self._turn()
             agentengine.on_link_closed(self.board, peer.node)
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -8,6 +8,7 @@
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.jobrecord import JobState, Progress, Submission
 from egretthread.scheduling.keptboard import Part, ProgressBatch
+from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.storecall import (
     Entry,
     FencedError,
@@ -76,16 +77,12 @@
     """
 
     def __init__(
-        self,
-        store: JobStore,
-        server: EntryServer,
-        count: int,
-        writes_per_s: float,
+        self, settings: NodeSettings, store: JobStore, server: EntryServer
     ):
         self.store = store
         self.server = server
-        self.count = count
-        self.writes_per_s = writes_per_s
+        self.count = settings.store_parts
+        self.writes_per_s = settings.store_writes_per_s
         self.generation = 0
         self.waiting: dict[int, list[_Waiting]] = {}
         self.appending: set[int] = set()
@@ -93,7 +90,7 @@
         self.numbers: dict[int, int] = {}
         self.tasks: set[asyncio.Task] = set()
         self.joining: asyncio.Task | None = None
-        server.board.kept.count = count
+        server.board.kept.count = self.count
 
     def start(self) -> None:
         """Begins to coordinate."""
