--- a/egretthread/platform/programs.py
+++ b/egretthread/platform/programs.py
@@ -5,12 +5,11 @@
 from egretthread.platform import (
     callers,
     directory,
-    joblog,
     operators,
     servers,
 )
 from egretthread.platform.store import Store
-from egretthread.scheduling import gauges
+from egretthread.scheduling import gauges, joblog
 from egretthread.scheduling.agentserver import AgentServer
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.nodesettings import NodeSettings
@@ -43,12 +42,7 @@
             settings.peer_address,
             self.server.add_entries,
         )
-        self.log = joblog.JobLog(
-            self.store,
-            self.server,
-            settings.store_parts,
-            settings.store_writes_per_s,
-        )
+        self.log = joblog.JobLog(settings, self.store, self.server)
         self.https = []
         self.admin = None
 
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -1,10 +1,11 @@
 """The agent of the scheduling path: links, calls and timers."""
 
 import asyncio
+import itertools
 import typing
 
 from egretthread import clock, link, logs, message, routes
-from egretthread.scheduling import agentengine, runlooks
+from egretthread.scheduling import agentengine, linkchoice, runlooks
 from egretthread.scheduling.agentboard import (
     AgentBoard,
     ServerRecord,
@@ -22,6 +23,11 @@
 SHUTDOWN_MARGIN_S = 0.8
 # Time without a link to any entry before others are looked for.
 LONELY_S = 1.0
+# Time between two reviews of the links, in seconds.
+DIAL_S = 0.5
+# An entry that can't be reached for this long is replaced by another: longer
+# than a link takes to open again.
+REPLACE_S = 1.0
 # Time between two questions to whoever may know of entries.
 SEARCH_S = 2.0
 
@@ -53,7 +59,9 @@
             link is open.
         clients: Links to the entries by address.
         routes: Open links by the entry's node id.
-        wanted: Addresses of the entries to keep links with.
+        lists: Addresses of entries, as each linked entry last told them.
+        found: Addresses of entries that were found elsewhere.
+        down_s: Since when an entry could not be reached, by address.
         busy: Set while the backend server has to be looked at.
     """
 
@@ -71,14 +79,21 @@
         self.find_entries = find_entries
         self.clients: dict[str, link.LinkClient] = {}
         self.routes = routes.Routes()
-        self.wanted: tuple[str, ...] = settings.seed_peers
+        self.lists: dict[str, tuple[str, ...]] = {}
+        self.found: tuple[str, ...] = ()
+        self.down_s: dict[str, float] = {}
         self.busy = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Starts to serve."""
         self._dial()
-        for loop in (self._tick_loop, self._look_loop, self._search_loop):
+        for loop in (
+            self._tick_loop,
+            self._look_loop,
+            self._dial_loop,
+            self._search_loop,
+        ):
             self._spawn(loop())
 
     async def close(self) -> None:
@@ -181,32 +196,52 @@
             await asyncio.sleep(SEARCH_S)
 
     def _want(self, addresses) -> None:
-        new = [item for item in addresses if item not in self.wanted]
+        new = set(addresses) - set(self._known())
+        self.found = tuple(addresses)
         if new:
-            logs.info("entries_found", addresses=",".join(new))
-            self.wanted += tuple(new)
+            logs.info("entries_found", addresses=",".join(sorted(new)))
             self._dial()
 
+    def _known(self) -> tuple[str, ...]:
+        """Returns the addresses of entries that anybody told of.
+
+        What one entry knows may lack some, as long as the store is out.
+        """
+        linked = [a for a, c in self.clients.items() if c.peer]
+        told = itertools.chain.from_iterable(self.lists.values())
+        return tuple(
+            dict.fromkeys(
+                (*self.settings.seed_peers, *told, *self.found, *linked)
+            )
+        )
+
     def _on_messages(self, peer: link.Peer, items: tuple) -> None:
         self._turn()
         for item in items:
             if isinstance(item, EntryBeat) and item.entries:
-                self._follow(item.entries)
+                self.lists[peer.node] = item.entries
+                self._dial()
             agentengine.on_message(self.board, peer.node, item)
         agentengine.after_event(self.board)
         self._pump()
 
-    def _follow(self, addresses: tuple[str, ...]) -> None:
-        """Takes over an entry's list; keeps the links that are open."""
-        linked = {a for a, c in self.clients.items() if c.peer}
-        seeds = set(self.settings.seed_peers)
-        kept = [a for a in self.wanted if a in linked or a in seeds]
-        self.wanted = tuple(dict.fromkeys((*addresses, *kept)))
-        self._dial()
+    async def _dial_loop(self) -> None:
+        while True:
+            await asyncio.sleep(DIAL_S)
+            self._dial()
 
     def _dial(self) -> None:
-        """Opens the links that are wanted and closes the others."""
-        for address in self.wanted:
+        """Opens the links that are wanted and closes idle other ones."""
+        now_s = clock.monotonic_s()
+        unreachable = {
+            address
+            for address, since_s in self.down_s.items()
+            if now_s - since_s > REPLACE_S
+        }
+        wanted = linkchoice.choose(
+            self.settings.name, self._known(), unreachable
+        )
+        for address in wanted:
             if address in self.clients:
                 continue
             client = link.LinkClient(
@@ -219,17 +254,26 @@
                 self._on_close,
             )
             self.clients[address] = client
+            self.down_s[address] = now_s
             client.start()
-        for address in set(self.clients) - set(self.wanted):
-            self._spawn(self.clients.pop(address).close())
+        busy = {run.entry for run in self.board.runs.values()}
+        for address in self.clients.keys() - set(wanted):
+            peer = self.clients[address].peer
+            if peer is None or peer.node not in busy:
+                self.down_s.pop(address, None)
+                self._spawn(self.clients.pop(address).close())
 
     def _on_open(self, peer: link.Peer) -> None:
         self._turn()
+        self.down_s.pop(peer.address, None)
         self.routes.add(peer)
         agentengine.on_link(self.board, peer.node)
         self._pump()
 
     def _on_close(self, peer: link.Peer) -> None:
+        if peer.address in self.clients:
+            self.down_s[peer.address] = clock.monotonic_s()
         if self.routes.remove(peer):
+            self.lists.pop(peer.node, None)
             self._turn()
             agentengine.on_link_closed(self.board, peer.node)
