Look at the kept jobs that changed, not at all of them

Cause, found by reading: every tick and every batch of progress went through all kept jobs of a partition, those that had ended included; at 10,000 of them that is half a million looks a second.

Change: a partition opens once, and keeps the jobs whose progress has to be written.

--- a/egretthread/scheduling/keeping.py
+++ b/egretthread/scheduling/keeping.py
@@ -158,7 +158,8 @@
         kept.state = kept.written = progress.state
         kept.ended_unix_s = progress.ended_unix_s
         _restore(job, progress)
-    _open_if_ready(board, part, kept)
+    if part.is_open:
+        _open(board, kept)
 
 
 def _restore(job: Job, progress: Progress) -> None:
@@ -169,22 +170,27 @@
         job.tasks[step][index].failures = count
 
 
-def _open_if_ready(board: EntryBoard, part: Part, kept: KeptJob) -> None:
+def _open_if_ready(board: EntryBoard, part: Part) -> None:
+    """Lets a partition's tasks be handed out once earlier runs are over."""
+    if board.now_s >= part.ready_s:
+        part.is_open = True
+        for kept in tuple(part.jobs.values()):
+            _open(board, kept)
+
+
+def _open(board: EntryBoard, kept: KeptJob) -> None:
     """Lets a job's tasks be handed out."""
-    if kept.is_open or kept.state in FINAL_STATES:
-        return
-    if board.now_s < part.ready_s:
-        return
-    kept.is_open = True
-    jobs.open_job(board, kept.job)
+    if kept.state not in FINAL_STATES:
+        kept.is_open = True
+        jobs.open_job(board, kept.job)
 
 
 def on_tick(board: EntryBoard) -> None:
     """Does what is due by time."""
     expire(board)
     for part in board.kept.parts.values():
-        for kept in part.jobs.values():
-            _open_if_ready(board, part, kept)
+        if part.is_loaded and not part.is_open:
+            _open_if_ready(board, part)
     if board.now_s - board.kept.swept_s >= SWEEP_S:
         board.kept.swept_s = board.now_s
         _sweep(board)
@@ -280,9 +286,8 @@
     part = board.kept.parts.get(number)
     if part is None:
         return None
-    dirty = [kept for kept in part.jobs.values() if kept.is_dirty]
-    if len(dirty) > MAX_BATCH_JOBS:
-        del dirty[MAX_BATCH_JOBS:]
+    dirty = [part.dirty.pop(job) for job in tuple(part.dirty)[:MAX_BATCH_JOBS]]
+    if part.dirty:
         board.kept.dirty.add(number)
     if not dirty and not part.dropped:
         return None
@@ -290,7 +295,6 @@
     part.dropped = set()
     settles: dict[tuple[str, str], list[int]] = {}
     for kept in dirty:
-        kept.is_dirty = False
         progress[kept.id] = _progress(kept)
         for (server, sequence), node in kept.unsettled.items():
             settles.setdefault((node, server), []).append(sequence)
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -20,7 +20,6 @@
         job: The job with its tasks.
         is_open: Whether its tasks may be handed out.
         ended_unix_s: When it ended; 0 while it is open.
-        is_dirty: Whether its progress has to be written.
         written: The state on the store.
         taken: Ends that were taken in, as (server, number).
         unsettled: Ends that agents may forget once the progress is on the
@@ -33,7 +32,6 @@
     state: JobState = JobState.RUNNING
     is_open: bool = False
     ended_unix_s: float = 0.0
-    is_dirty: bool = False
     written: JobState = JobState.RUNNING
     taken: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     unsettled: dict[tuple[str, int], str] = dataclasses.field(
@@ -56,7 +54,9 @@
             coordinators.
         ready_s: When all runs that an earlier coordinator ordered are over.
         is_loaded: Whether its jobs have been read from the store.
+        is_open: Whether their tasks may be handed out.
         jobs: Its jobs by id.
+        dirty: Those whose progress has to be written.
         dropped: Ids of jobs whose records are no longer needed.
     """
 
@@ -64,7 +64,9 @@
     generation: int
     ready_s: float
     is_loaded: bool = False
+    is_open: bool = False
     jobs: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
+    dirty: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
     dropped: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -121,5 +123,7 @@
 
     def mark(self, kept: KeptJob) -> None:
         """Notes that a job's progress has to be written."""
-        kept.is_dirty = True
-        self.dirty.add(kept.part)
+        part = self.parts.get(kept.part)
+        if part is not None:
+            part.dirty[kept.id] = kept
+            self.dirty.add(kept.part)
