Name the explanation of a request for what it is; test its commands

Cause: story.py said little to a newcomer, and the commands had no test. Change: explanation.py; three tests of the commands, one of missing lines and files. Behaviour stays as it is.

--- a/egretthread/commands/explain.py
+++ b/egretthread/commands/explain.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from egretthread import console, logline, story, util
+from egretthread import console, explanation, logline, util
 from egretthread.commands import options
 
 app = typer.Typer(no_args_is_help=True, help="What the logs tell.")
@@ -28,15 +28,15 @@
     files: Files,
     as_json: options.AsJson = False,
 ) -> None:
-    """Tells what became of a request, and why."""
-    told = story.tell(logline.read_files(files), id)
-    if told is None:
+    """Prints what became of a request, and why."""
+    found = explanation.explain(logline.read_files(files), id)
+    if found is None:
         raise NoLineError(
             f"no line mentions {id}",
             "give the logs of all entries; one that ended before it answered"
             " leaves no line",
         )
-    console.emit(as_json, _as_table(told), _as_text(told))
+    console.emit(as_json, _as_table(found), _as_text(found))
 
 
 @app.command()
@@ -68,24 +68,24 @@
             typer.echo(logline.show(line, begin_s))
 
 
-def _as_text(told: story.Story) -> str:
-    begin_s = told.lines[0].at_s
-    rows = [f"outcome: {told.outcome}", f"cause: {told.cause}", ""]
-    for line in told.lines:
-        mark = ">" if line == told.deciding else " "
+def _as_text(found: explanation.Explanation) -> str:
+    begin_s = found.lines[0].at_s
+    rows = [f"outcome: {found.outcome}", f"cause: {found.cause}", ""]
+    for line in found.lines:
+        mark = ">" if line == found.deciding else " "
         rows.append(f"{mark} {logline.show(line, begin_s)}")
-    if told.around:
+    if found.around:
         rows += ["", "at that time:"]
-        for line in told.around:
-            mark = ">" if line == told.deciding else " "
+        for line in found.around:
+            mark = ">" if line == found.deciding else " "
             rows.append(f"{mark} {logline.show(line, begin_s)}")
     return "\n".join(rows)
 
 
-def _as_table(told: story.Story) -> dict:
+def _as_table(found: explanation.Explanation) -> dict:
     return {
-        "outcome": told.outcome,
-        "cause": told.cause,
-        "lines": [line.fields for line in told.lines],
-        "around": [line.fields for line in told.around],
+        "outcome": found.outcome,
+        "cause": found.cause,
+        "lines": [line.fields for line in found.lines],
+        "around": [line.fields for line in found.around],
     }
--- a/egretthread/story.py
+++ b/egretthread/explanation.py
@@ -1,4 +1,4 @@
-"""What became of one request, told from the logs of several processes.
+"""What became of one request, from the logs of several processes.
 
 The clocks of processes differ. A line of another process about the request
 is moved by no more than it takes to stand between the first and the last line
@@ -34,8 +34,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Story:
-    """What became of one request.
+class Explanation:
+    """What became of one request, and why.
 
     Attributes:
         lines: Its lines, in order.
@@ -77,7 +77,7 @@
     return lambda line: line.fields.get("reason") == text
 
 
-# The first one that holds is told. `late` is a completed request whose
+# The first one that holds is given. `late` is a completed request whose
 # objective had passed.
 CAUSES = (
     Cause(
@@ -192,8 +192,8 @@
 )
 
 
-def tell(lines: Sequence[LogLine], request: str) -> Story | None:
-    """Returns the story of a request; None when no line mentions it.
+def explain(lines: Sequence[LogLine], request: str) -> Explanation | None:
+    """Returns what became of a request; None when no line mentions it.
 
     Args:
         lines: Events of all processes.
@@ -221,7 +221,7 @@
     ]
     outcome = _outcome(own)
     cause, deciding = _cause(outcome, [*own, *around])
-    return Story(tuple(own), tuple(around), outcome, cause, deciding)
+    return Explanation(tuple(own), tuple(around), outcome, cause, deciding)
 
 
 def _longest_s(lines: Sequence[LogLine]) -> float:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -104,7 +104,7 @@
             "        ready_s = board.now_s",
         ),
         (
-            "go on coordinating without the store's leave",
+            "go on coordinating after the assignment has lapsed",
             "keeping.py",
             "    if board.kept.parts and board.now_s >= board.kept.until_s:",
             "    if False:",
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -276,3 +276,39 @@
             code=console.EXIT_REFUSED,
         )
         self.assertIn("slots = 0", result.stderr)
+
+
+class ExplainTest(CommandTest):
+    LINES = """\
+  10.1 entry-1 time=2026-12-04T02:00:00.100Z event=store_lost error=silent
+  10.2 entry-1 time=2026-12-04T02:00:00.200Z event=job_refused job=j \
+reason="no backend server"
+noise
+  10.0 agent-1 time=2026-12-04T02:00:00.000Z event=started name=agent-1
+"""
+
+    def test_a_request_is_explained(self):
+        path = self.file(self.LINES)
+        result = self.run_command("explain", "request", "j", path)
+        self.assertIn("outcome: refused", result.stdout)
+        self.assertIn("no backend server", result.stdout)
+        self.assertIn("store_lost", result.stdout)
+        found = self.run_json("explain", "request", "j", path)
+        self.assertEqual("refused", found["outcome"])
+
+    def test_a_request_without_lines_or_files_is_an_error(self):
+        path = self.file(self.LINES)
+        for arguments in (("other", path), ("j", path + ".gone")):
+            self.run_command(
+                "explain", "request", *arguments, code=console.EXIT_REFUSED
+            )
+
+    def test_lines_are_printed_in_order(self):
+        path = self.file(self.LINES)
+        result = self.run_command("explain", "lines", path)
+        events = [line.split()[3] for line in result.stdout.splitlines()]
+        self.assertEqual(["started", "store_lost", "job_refused"], events)
+        result = self.run_command(
+            "explain", "lines", "--event", "started", path
+        )
+        self.assertEqual(1, len(result.stdout.splitlines()))
--- a/tests/test_story.py
+++ b/tests/test_explanation.py
@@ -1,8 +1,8 @@
-"""Tests of the stories that logs tell of requests."""
+"""Tests of what logs say of a request."""
 
 import testtools
 
-from egretthread import logline, story
+from egretthread import explanation, logline
 
 ANSWERED = {
     "took_s": "0.9",
@@ -26,14 +26,14 @@
 
 class TestOutcome(testtools.TestCase):
     def check(self, lines, outcome, *words):
-        told = story.tell(lines, "j")
-        self.assertEqual(outcome, told.outcome)
+        found = explanation.explain(lines, "j")
+        self.assertEqual(outcome, found.outcome)
         for word in words:
-            self.assertIn(word, told.cause)
-        return told
+            self.assertIn(word, found.cause)
+        return found
 
     def test_a_request_of_which_nothing_is_known(self):
-        self.assertIsNone(story.tell([answered("completed")], "other"))
+        self.assertIsNone(explanation.explain([answered("completed")], "other"))
 
     def test_a_refusal_for_lack_of_room(self):
         refused = line(
@@ -52,10 +52,10 @@
     def test_a_late_answer_after_its_agent_was_lost(self):
         state = line("agent_lost", 9.7, agent="a#1", silent_s=2.1, job="")
         slow = line("slow_run", 9.4, agent="a#1", room_elsewhere="true")
-        told = self.check(
+        found = self.check(
             [state, slow, answered("completed", runs=8)], "late", "2.1 s"
         )
-        self.assertEqual(state, told.deciding)
+        self.assertEqual(state, found.deciding)
 
     def test_a_late_answer_after_a_wait_for_room(self):
         lines = [answered("completed", handed_s=0.7)]
@@ -77,7 +77,7 @@
         self.check(lines, "unknown", "e#1", "0.9 s")
 
     def test_each_outcome_has_a_sentence_without_gaps(self):
-        for cause in story.CAUSES:
+        for cause in explanation.CAUSES:
             self.assertNotIn("{}", cause.text)
             for outcome in cause.outcomes:
                 self.assertNotEqual("", outcome)
@@ -91,7 +91,7 @@
             line("slow_run", 9.71),
             answered("completed"),
         ]
-        return [item.event for item in story.tell(lines, "j").lines]
+        return [item.event for item in explanation.explain(lines, "j").lines]
 
     def test_clocks_that_differ_do_not_change_the_order(self):
         for shift_s in (-7200.0, -3.0, 0.0, 3.0, 7200.0):
@@ -107,5 +107,5 @@
     def test_what_processes_believed_long_before_is_left_out(self):
         old = line("store_lost", 1.0, job="")
         near = line("store_lost", 8.0, job="")
-        told = story.tell([old, near, answered("given_up")], "j")
-        self.assertEqual((near,), told.around)
+        found = explanation.explain([old, near, answered("given_up")], "j")
+        self.assertEqual((near,), found.around)
