Log a failed task of the job log; stay in the group through any refusal

Cause, found by reading: an answer of the store other than a refusal ended the task that keeps an entry in the group, without a line. Change: every error of the store is waited out there, and a task that fails is logged. Measured: tests/platform/test_keptpath.py passes.

--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -15,6 +15,7 @@
     HistoryGoneError,
     JobStore,
     OrderError,
+    StoreError,
     StoreRefusedError,
     StoreUnavailableError,
     Writer,
@@ -119,9 +120,14 @@
     def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._on_ended)
         return task
 
+    def _on_ended(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            logs.error("job_log_failed", error=repr(task.exception()))
+
     # What callers ask for.
 
     async def submit(self, submission: Submission) -> None:
@@ -223,7 +229,7 @@
                     TTL_S,
                     self.generation,
                 )
-            except StoreUnavailableError as error:
+            except StoreError as error:
                 if not lost:
                     logs.warning("group_lost", error=error.message)
                 lost = True
