Hold ends of unknown runs only where there are kept jobs

Cause, found by reading: after an agent's restart the ends of its predecessor's runs wait for the coordinator of their jobs. With more than five entries that one may have no link with the agent; all later ends then count as not known to the system, and after 400 of them the lease lapses on purpose.

Change: entries say whether there may be kept jobs at all, also while they cannot tell; without any, such ends are forgotten at once. Left open: kept jobs with more than five entries, whose held ends reach only linked entries. Measured: a test that fails without it; tests of kept jobs pass.

--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -133,6 +133,7 @@
         received: Runs it ordered over the present link.
         told_facts: Whether it knows the present backend server.
         is_near: Whether it is in the same zone.
+        kept_jobs: Whether it says that there may be kept jobs.
         told_cpu: Free processor that it was last told.
         record_sent_s: When it was last sent the operators' records.
     """
@@ -145,6 +146,7 @@
     received: int = 0
     told_facts: bool = False
     is_near: bool = False
+    kept_jobs: bool = True
     told_cpu: int = 0
     record_sent_s: float = 0.0
 
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -74,6 +74,7 @@
 ) -> None:
     """Renews an entry's lease and takes over what operators have in force."""
     coordinator.is_near = beat.is_near
+    coordinator.kept_jobs = beat.kept_jobs
     coordinator.lease_s = max(
         coordinator.lease_s, leaserule.lease_end_s(beat.echo_ms)
     )
--- a/egretthread/scheduling/agentviews.py
+++ b/egretthread/scheduling/agentviews.py
@@ -67,6 +67,7 @@
         zone in board.operators.withdrawn,
         zone == board.zone,
         entries,
+        board.kept.may_exist,
     )
     view.replied_s = board.now_s
     board.outbox.append((view.node, beat))
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -353,6 +353,8 @@
     def _on_hello(self, hello: EntryHello) -> None:
         self.add_entries((hello.address,))
         self.hellos[hello.address] = (hello, self.board.now_s)
+        if hello.kept_jobs:
+            self.board.kept.elsewhere = True
         client = self.clients.get(hello.address)
         behind = hello.operator_offset < self.board.operators.offset
         if behind and self.relay_text and client and client.peer:
@@ -396,6 +398,7 @@
             self.board.operators.offset,
             tuple(self.board.kept.parts),
             keeping.pending(self.board),
+            any(part.jobs for part in self.board.kept.parts.values()),
         )
 
     async def _tick_loop(self) -> None:
@@ -411,9 +414,18 @@
             for client in self.clients.values():
                 if client.peer:
                     client.peer.send(self._hello())
+            self._note_elsewhere()
             self._leave_records()
             self._drop_gone()
 
+    def _note_elsewhere(self) -> None:
+        """Notes whether other entries coordinate kept jobs."""
+        now_s = clock.monotonic_s()
+        self.board.kept.elsewhere = any(
+            hello.kept_jobs and now_s - at_s < HELLO_KEPT_S
+            for hello, at_s in self.hellos.values()
+        )
+
     def _leave_records(self) -> None:
         """Leaves the operators' records with a few agents."""
         if not self.relay_text:
--- a/egretthread/scheduling/heldends.py
+++ b/egretthread/scheduling/heldends.py
@@ -65,8 +65,15 @@
     """
     if run is not None:
         return run.kept
-    known = board.numbers.get(row.name)
-    return known is None or row.name in board.kept_names
+    if row.name in board.numbers:
+        return row.name in board.kept_names
+    return _kept_jobs_may_exist(board)
+
+
+def _kept_jobs_may_exist(board: AgentBoard) -> bool:
+    """Whether an entry says that there may be kept jobs, or none is heard."""
+    linked = [c for c in board.coordinators.values() if c.is_connected]
+    return not linked or any(c.kept_jobs for c in linked)
 
 
 def offer(board: AgentBoard) -> None:
@@ -76,12 +83,25 @@
         board.void.update(board.held)
     if not board.held or board.now_s - board.held_told_s < OFFER_S:
         return
+    if not _kept_jobs_may_exist(board):
+        _forget_unknown(board)
     board.held_told_s = board.now_s
     for coordinator in board.coordinators.values():
         if coordinator.is_connected:
             tell(board, coordinator.node)
 
 
+def _forget_unknown(board: AgentBoard) -> None:
+    """Forgets the ends of runs that an earlier process of this agent started.
+
+    They were held in case that their jobs are kept.
+    """
+    for number, held in tuple(board.held.items()):
+        if not held.entry:
+            del board.held[number]
+            board.void.discard(number)
+
+
 def tell(board: AgentBoard, node: str) -> None:
     """Tells an entry of all held ends."""
     waiting = [h for n, h in board.held.items() if n not in board.void]
--- a/egretthread/scheduling/keeping.py
+++ b/egretthread/scheduling/keeping.py
@@ -64,6 +64,7 @@
     numbers = set(numbers)
     expire(board)
     kept.until_s = until_s
+    kept.is_member = True
     for number in tuple(kept.parts):
         if number not in numbers:
             release(board, number, "assigned elsewhere")
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -94,6 +94,9 @@
     Attributes:
         count: Partitions of the job log.
         parts: Those that it coordinates, by number.
+        is_member: Whether the store has assigned it any yet, or told it that
+            there are none for it.
+        elsewhere: Whether another entry coordinates a kept job.
         until_s: Until when it may coordinate them.
         dirty: Those with progress that has to be written.
         swept_s: When jobs that ended long ago were last looked for.
@@ -101,10 +104,21 @@
 
     count: int = 1
     parts: dict[int, Part] = dataclasses.field(default_factory=dict)
+    is_member: bool = False
+    elsewhere: bool = False
     until_s: float = 0.0
     dirty: set[int] = dataclasses.field(default_factory=set)
     swept_s: float = 0.0
 
+    @property
+    def may_exist(self) -> bool:
+        """Whether there may be kept jobs in the system."""
+        return (
+            not self.is_member
+            or self.elsewhere
+            or any(p.jobs or not p.is_loaded for p in self.parts.values())
+        )
+
     def find(self, job: str) -> KeptJob | None:
         """Returns a job that this entry coordinates, if it is known."""
         for part in self.parts.values():
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -93,6 +93,7 @@
         withdrawn: Whether the agent's zone is withdrawn as of that offset.
         is_near: Whether the entry is in the agent's zone.
         entries: Addresses of the entries known; empty when unchanged.
+        kept_jobs: Whether there may be kept jobs in the system.
     """
 
     echo_ms: int
@@ -100,6 +101,7 @@
     withdrawn: bool
     is_near: bool
     entries: tuple[str, ...] = ()
+    kept_jobs: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -279,12 +281,14 @@
         operator_offset: Offset of what operators have in force.
         parts: Partitions of the job log that it coordinates.
         pending: Kept jobs that wait there, by route.
+        kept_jobs: Whether it coordinates any kept job.
     """
 
     address: str
     operator_offset: int
     parts: tuple[int, ...] = ()
     pending: tuple[PendingJobs, ...] = ()
+    kept_jobs: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -283,6 +283,7 @@
   withdrawn @2 :Bool;
   isNear @3 :Bool;
   entries @4 :List(Text);
+  keptJobs @5 :Bool;
 }
 
 struct RunOrder {
@@ -363,6 +364,7 @@
   operatorOffset @1 :Int64;
   parts @2 :List(Int64);
   pending @3 :List(PendingJobs);
+  keptJobs @4 :Bool;
 }
 
 struct JobQuestion {
--- a/tests/scheduling/test_heldends.py
+++ b/tests/scheduling/test_heldends.py
@@ -5,7 +5,7 @@
 from egretthread.scheduling import agentengine, heldends, runlooks
 from egretthread.scheduling.agentboard import ServerRecord, TaskName
 from egretthread.scheduling.room import Room
-from egretthread.scheduling.runmessage import SettleEnds
+from egretthread.scheduling.runmessage import EntryBeat, SettleEnds
 from egretthread.scheduling.servercall import (
     EndedRow,
     Look,
@@ -53,6 +53,23 @@
         self.settle(taken=(1, 3), server="i-0")
         self.assertEqual(0, self.board.last_seen)
 
+    def beat(self, entry, kept_jobs):
+        beat = EntryBeat(self.board.clock_ms, 1, False, True, (), kept_jobs)
+        agentengine.on_message(self.board, entry, beat)
+
+    def test_ends_are_not_held_where_there_are_no_kept_jobs(self):
+        agentengine.on_link(self.board, "e#2")
+        self.beat("e#1", kept_jobs=False)
+        self.board.now_s += 2 * heldends.OFFER_S
+        agentengine.on_tick(self.board)
+        self.assertEqual(0, self.board.last_seen)
+        self.beat("e#2", kept_jobs=False)
+        self.board.now_s += 2 * heldends.OFFER_S
+        agentengine.on_tick(self.board)
+        self.assertEqual(3, self.board.last_seen)
+        self.look(EndedRow(4, TaskName("k", 0, 7), 1, ServerEnd.DONE))
+        self.assertEqual(4, self.board.last_seen)
+
     def test_void_ends_are_forgotten_once_the_lease_has_lapsed(self):
         lease_end_s = self.board.lease_end_s
         self.settle(taken=(3,), void=(1,))
