Let stand-ins heed interrupts when the tests run in the background

A shell has what it starts in the background ignore it, and a child inherits that; the script had been started so. With SIGINT ignored the test fails each time, else it passes. Change: children start with the default. Measured: a test that ignores SIGINT fails before and passes after.

--- a/egretthread_standins/children.py
+++ b/egretthread_standins/children.py
@@ -61,6 +61,7 @@
             *(sys.executable, "-m", module, *arguments),
             stdout=asyncio.subprocess.PIPE,
             stderr=file,
+            preexec_fn=_heed_interrupts,
         )
     try:
         addresses = await listen(name, process, log)
@@ -71,6 +72,11 @@
     return Child(name, process, addresses, drain)
 
 
+def _heed_interrupts() -> None:
+    """Undoes what a shell does to what it starts in the background."""
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 async def listen(
     name: str, process: asyncio.subprocess.Process, log: pathlib.Path
 ) -> dict[str, str]:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -61,6 +61,12 @@
 
         self.assertEqual(0, asyncio.run(run()))
 
+    def test_a_child_of_a_background_job_heeds_interrupts(self):
+        """A shell has what it starts with & ignore them."""
+        handler = signal.signal(signal.SIGINT, signal.SIG_IGN)
+        self.addCleanup(signal.signal, signal.SIGINT, handler)
+        self.test_a_child_starts_and_ends()
+
     def test_a_child_that_does_not_start_is_reported(self):
         start = children.start("x", "egretthread.nosuch", (), self.log)
         self.assertRaises(children.ChildError, asyncio.run, start)
