Start processes with the messages of their own role only

The wire module derived codecs for all 30 messages, 17 of which no process on the platform sends, and loaded their data classes.

Change: codecs are derived on first use, from the module that defines the class; the hand-written ones of the tasks' messages are a module of their own. Node ids have a module too, so that the scheduling path loads nothing of message.py. The test of the codecs goes through the members of the schema, which are the same 30 messages as before.

Ruled out: data classes that are not frozen or tuples instead, which the house style excludes.

--- a/egretthread/agent.py
+++ b/egretthread/agent.py
@@ -4,7 +4,7 @@
 messages to send in the blackboard's outbox.
 """
 
-from egretthread import message, settings, witness
+from egretthread import message, nodeid, settings, witness
 from egretthread.agentboard import AgentBoard, StartCall
 from egretthread.controllers import agent_leases, agent_tasks, agent_witness
 from egretthread.outcome import Outcome
@@ -28,7 +28,7 @@
     name = agent_settings.name
     return AgentBoard(
         settings=agent_settings,
-        node=message.node_id(name, incarnation),
+        node=nodeid.node_id(name, incarnation),
         witness=witness.WitnessRegister(name),
         slots=agent_settings.slots,
     )
--- a/egretthread/controllers/entry_members.py
+++ b/egretthread/controllers/entry_members.py
@@ -1,6 +1,6 @@
 """Entry controller: known agents and entries, leases and witness table."""
 
-from egretthread import lease, members, message
+from egretthread import lease, members, message, nodeid
 from egretthread.blackboard import AgentState, EntryBoard, PeerState
 from egretthread.controllers import dispatch, pool, reports
 
@@ -48,11 +48,11 @@
     board: EntryBoard, heartbeat: message.Heartbeat
 ) -> AgentState | None:
     """Adds an agent, unless a newer incarnation of it is known."""
-    name = message.node_name(heartbeat.agent)
+    name = nodeid.node_name(heartbeat.agent)
     known = board.agent_names.get(name)
     if known is not None:
-        newer = message.node_incarnation(known)
-        if newer > message.node_incarnation(heartbeat.agent):
+        newer = nodeid.node_incarnation(known)
+        if newer > nodeid.node_incarnation(heartbeat.agent):
             board.counters["old_incarnations"] += 1
             return None
         remove_agent(board, known)
@@ -83,8 +83,8 @@
 def remove_agent(board: EntryBoard, node: str) -> None:
     """Removes a lost agent and ends its assignments."""
     del board.agents[node]
-    if board.agent_names.get(message.node_name(node)) == node:
-        del board.agent_names[message.node_name(node)]
+    if board.agent_names.get(nodeid.node_name(node)) == node:
+        del board.agent_names[nodeid.node_name(node)]
     board.counters["agents_gone"] += 1
     dispatch.on_agent_lost(board, node)
 
@@ -94,7 +94,7 @@
     if board.configuration is None:
         return
     heartbeat = agent.heartbeat
-    name = message.node_name(agent.node)
+    name = nodeid.node_name(agent.node)
     limits = board.configuration.service(heartbeat.service)
     board.send(
         agent.node,
@@ -131,7 +131,7 @@
     These are the shards of the agent that changed since they were last sent
     over this link, and those that it adopted but no longer belongs to.
     """
-    name = message.node_name(agent.node)
+    name = nodeid.node_name(agent.node)
     numbers = board.membership.shards_by_agent.get(name, ())
     adopted = dict(agent.heartbeat.shard_epochs)
     views = [_shard_view(board, number) for number in numbers]
@@ -166,7 +166,7 @@
         return True
     shard = board.membership.shards[number]
     adopted = {
-        message.node_name(agent.node)
+        nodeid.node_name(agent.node)
         for agent in board.agents.values()
         if (number, shard.epoch) in agent.heartbeat.shard_epochs
     }
@@ -194,7 +194,7 @@
         for name in shard.members + shard.previous
     }
     for agent in board.agents.values():
-        if agent.is_connected and message.node_name(agent.node) in names:
+        if agent.is_connected and nodeid.node_name(agent.node) in names:
             send_heartbeat_reply(board, agent)
 
 
@@ -233,7 +233,7 @@
 
 
 def _entry_names(board: EntryBoard) -> tuple[str, ...]:
-    own = message.node_name(board.node)
+    own = nodeid.node_name(board.node)
     return tuple({own, *board.membership.entries})
 
 
@@ -241,7 +241,7 @@
     """Returns the other entries' states, with ages by this entry's clock."""
     return [
         lease.PeerView(
-            name=message.node_name(node),
+            name=nodeid.node_name(node),
             state_age_s=board.now_s - peer.state.echo_s,
             config_offset=peer.state.config_offset,
             log_age_s=peer.state.log_age_s,
@@ -257,7 +257,7 @@
 ) -> None:
     """Records the state that another entry sent."""
     for known in list(board.peers):
-        same_name = message.node_name(known) == message.node_name(node)
+        same_name = nodeid.node_name(known) == nodeid.node_name(node)
         if same_name and known != node:
             del board.peers[known]
     board.peers[node] = PeerState(state, board.now_s)
@@ -328,14 +328,14 @@
 
 
 def _is_proposer(board: EntryBoard) -> bool:
-    own = message.node_name(board.node)
-    alive = [message.node_name(node) for node in board.peers]
+    own = nodeid.node_name(board.node)
+    alive = [nodeid.node_name(node) for node in board.peers]
     return own <= min(alive, default=own)
 
 
 def _track_absent_entries(board: EntryBoard) -> None:
     """Tracks since when entries are absent, also while another one proposes."""
-    present = {message.node_name(node) for node in (board.node, *board.peers)}
+    present = {nodeid.node_name(node) for node in (board.node, *board.peers)}
     for name in board.membership.entries:
         if name in present:
             board.absent_since_s.pop(name, None)
@@ -386,7 +386,7 @@
     candidates = {}
     for agent in board.agents.values():
         heartbeat = agent.heartbeat
-        name = message.node_name(agent.node)
+        name = nodeid.node_name(agent.node)
         leaving = heartbeat.draining or pool.is_drained(board, name)
         if not leaving:
             candidates[name] = members.Candidate(name, heartbeat.zone)
--- a/egretthread/controllers/recovery.py
+++ b/egretthread/controllers/recovery.py
@@ -1,6 +1,6 @@
 """Entry controller: takes over a job whose coordinator was lost."""
 
-from egretthread import message, outcome
+from egretthread import message, nodeid, outcome
 from egretthread.blackboard import EntryBoard
 from egretthread.controllers import answers, claims, pool, rounds
 from egretthread.jobstate import Assignment, JobState, Phase
@@ -96,10 +96,10 @@
 
 def _is_replaced(board: EntryBoard, node: str) -> bool:
     """Whether a newer incarnation of the same agent is known."""
-    newest = board.agent_names.get(message.node_name(node))
+    newest = board.agent_names.get(nodeid.node_name(node))
     if newest is None:
         return False
-    return message.node_incarnation(newest) > message.node_incarnation(node)
+    return nodeid.node_incarnation(newest) > nodeid.node_incarnation(node)
 
 
 def on_seal_reply(
--- a/egretthread/controllers/requests.py
+++ b/egretthread/controllers/requests.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from egretthread import jobform, jobkey, message, retry
+from egretthread import jobform, jobkey, nodeid, retry
 from egretthread.blackboard import EntryBoard
 from egretthread.controllers import submissions
 from egretthread.jobkey import JobRef
@@ -40,7 +40,7 @@
 
 
 def _new_job(board: EntryBoard, organisation: str) -> JobRef:
-    incarnation = message.node_incarnation(board.node)
+    incarnation = nodeid.node_incarnation(board.node)
     name = f"request-{incarnation}-{board.rng.getrandbits(64):016x}"
     # The key must not be in the future by the clock of any process.
     issued_s = board.unix_s - board.configuration.clock_error_s
--- a/egretthread/entry.py
+++ b/egretthread/entry.py
@@ -6,7 +6,7 @@
 
 import random
 
-from egretthread import config, members, message, settings
+from egretthread import config, members, message, nodeid, settings
 from egretthread.blackboard import EntryBoard
 from egretthread.controllers import (
     answers,
@@ -58,7 +58,7 @@
     """Returns the blackboard of an entry that has just started."""
     return EntryBoard(
         settings=entry_settings,
-        node=message.node_id(entry_settings.name, incarnation),
+        node=nodeid.node_id(entry_settings.name, incarnation),
         rng=random.Random(seed),
         now_s=now_s,
         started_s=now_s,
--- a/egretthread/entryserver.py
+++ b/egretthread/entryserver.py
@@ -16,6 +16,7 @@
     logfeed,
     message,
     metrics,
+    nodeid,
 )
 from egretthread.blackboard import EntryBoard
 from egretthread.jobkey import JobRef
@@ -201,7 +202,7 @@
 
     def _update_links(self) -> None:
         """Opens and closes links so that there is one to each other entry."""
-        own_name = message.node_name(self.board.node)
+        own_name = nodeid.node_name(self.board.node)
         addresses = {
             member.address
             for member in self.board.membership.entries.values()
--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -17,8 +17,8 @@
 from tornado import iostream, netutil, tcpserver
 
 from egretthread import framing, handshake, logs, settings, tls, util, wire
-from egretthread.message import Message
 from egretthread.settings import AgentSettings, EntrySettings
+from egretthread.wire import Message
 
 CHUNK_BYTES = 65_536
 WRITE_BUFFER_BYTES = 2 * wire.MAX_FRAME_BYTES
--- a/egretthread/logfeed.py
+++ b/egretthread/logfeed.py
@@ -11,7 +11,7 @@
     logclient,
     logs,
     members,
-    message,
+    nodeid,
 )
 from egretthread.blackboard import EntryBoard
 from egretthread.settings import EntrySettings
@@ -92,8 +92,8 @@
     def _own_member(self) -> members.EntryMember:
         node = self.board.node
         return members.EntryMember(
-            message.node_name(node),
-            message.node_incarnation(node),
+            nodeid.node_name(node),
+            nodeid.node_incarnation(node),
             self.board.address,
         )
 
--- a/egretthread/message.py
+++ b/egretthread/message.py
@@ -1,9 +1,7 @@
 """Messages between the system's processes, as frozen data classes.
 
-A node is one process, identified by `name#incarnation`. The name is that of
-the instance, from its settings. The incarnation is the Unix time of the
-process's start in milliseconds, so a restarted process is a different node.
-Durations are in seconds.
+A node is one process, identified by its node id (see `nodeid`). Durations are
+in seconds.
 """
 
 import dataclasses
@@ -11,22 +9,6 @@
 
 from egretthread.jobkey import JobRef
 from egretthread.outcome import Outcome
-from egretthread.scheduling import runmessage
-
-
-def node_id(name: str, incarnation: int) -> str:
-    """Returns the node id for a name and an incarnation."""
-    return f"{name}#{incarnation}"
-
-
-def node_name(node: str) -> str:
-    """Returns the name in a node id."""
-    return node.rpartition("#")[0]
-
-
-def node_incarnation(node: str) -> int:
-    """Returns the incarnation in a node id."""
-    return int(node.rpartition("#")[2])
 
 
 @dataclasses.dataclass(frozen=True, order=True)
@@ -490,17 +472,4 @@
     | Ask
     | AskReply
     | CancelJob
-    | runmessage.ServerFacts
-    | runmessage.AgentBeat
-    | runmessage.EntryBeat
-    | runmessage.StartRuns
-    | runmessage.StopRuns
-    | runmessage.RunReports
-    | runmessage.LiveRuns
-    | runmessage.EntryHello
-    | runmessage.HeldEnds
-    | runmessage.SettleEnds
-    | runmessage.JobQuestion
-    | runmessage.JobReply
-    | runmessage.OperatorRecord
 )
--- a/egretthread/routes.py
+++ b/egretthread/routes.py
@@ -1,6 +1,6 @@
 """Open links of a process by node id."""
 
-from egretthread import link, message
+from egretthread import link, wire
 
 
 class Routes:
@@ -31,7 +31,7 @@
         del self.peers[peer.node]
         return True
 
-    def send(self, node: str, outgoing: message.Message) -> bool:
+    def send(self, node: str, outgoing: wire.Message) -> bool:
         """Sends a message; returns whether the node has a link."""
         peers = self.peers.get(node)
         if not peers:
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -4,7 +4,7 @@
 import itertools
 import typing
 
-from egretthread import clock, link, logs, message, routes
+from egretthread import clock, link, logs, nodeid, routes
 from egretthread.scheduling import agentengine, linkchoice, serverpoll
 from egretthread.scheduling.agentboard import (
     AgentBoard,
@@ -78,7 +78,7 @@
         self.settings = settings
         incarnation = clock.new_incarnation()
         self.board: AgentBoard = agentengine.new_board(
-            message.node_id(settings.name, incarnation),
+            nodeid.node_id(settings.name, incarnation),
             incarnation,
             clock.monotonic_s(),
         )
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -2,7 +2,7 @@
 
 import random
 
-from egretthread import logs, message
+from egretthread import logs, nodeid
 from egretthread.scheduling import (
     agentviews,
     dispatch,
@@ -225,9 +225,9 @@
 
 def on_link_open(board: EntryBoard, node: str) -> None:
     """Records a new link to an agent."""
-    name = message.node_name(node)
+    name = nodeid.node_name(node)
     for earlier in board.agents.values():
-        if earlier.node != node and message.node_name(earlier.node) == name:
+        if earlier.node != node and nodeid.node_name(earlier.node) == name:
             # An earlier process of the same agent. The backend server drops its
             # runs when their lease expires.
             closed_s = earlier.closed_at_s or board.now_s
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from egretthread import clock, link, logs, message, routes
+from egretthread import clock, link, logs, nodeid, routes
 from egretthread.scheduling import dispatch, entryengine, jobrecord, keptjobs
 from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
 from egretthread.scheduling.jobrecord import Progress, Submission
@@ -63,7 +63,7 @@
         self.settings = settings
         incarnation = clock.new_incarnation()
         self.board: EntryBoard = entryengine.new_board(
-            message.node_id(settings.name, incarnation),
+            nodeid.node_id(settings.name, incarnation),
             settings.zone,
             clock.monotonic_s(),
         )
--- a/egretthread/wire.py
+++ b/egretthread/wire.py
@@ -1,28 +1,16 @@
 """Encodes messages as Cap'n Proto frames and decodes them."""
 
 import dataclasses
-import enum
+import functools
+import importlib
 import pathlib
-import types
-import typing
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import capnp
 
-from egretthread import util
-from egretthread.jobkey import JobRef
-from egretthread.message import (
-    Assign,
-    Ballot,
-    Message,
-    Refusal,
-    Report,
-    SealReply,
-    TaskAssignment,
-    TaskReport,
-    TaskState,
-)
-from egretthread.outcome import Outcome, OutcomeKind
+from egretthread import codec, util
+from egretthread.codec import Codec
+from egretthread.scheduling import runmessage
 
 WIRE_VERSION = 1
 MAX_FRAME_BYTES = 16 * 2**20
@@ -32,15 +20,6 @@
 # malicious frame whose pointers refer to the same data many times.
 TRAVERSAL_LIMIT_WORDS = 2 * MAX_FRAME_BYTES // WORD_BYTES
 
-# Number that encodes a task report's state, outcome kind and refusal.
-REPORT_CODES = {
-    (state, kind, refusal): state_number + 16 * kind_number + 256 * number
-    for state_number, state in enumerate(TaskState)
-    for kind_number, kind in enumerate((None, *OutcomeKind))
-    for number, refusal in enumerate(Refusal)
-}
-REPORT_FIELDS = {code: fields for fields, code in REPORT_CODES.items()}
-
 # Errors that pycapnp raises for malformed frames and for values that do not
 # fit their field.
 CODEC_ERRORS = (
@@ -54,8 +33,11 @@
     ValueError,
 )
 
-Write = Callable[[object, object], None]
-Read = Callable[[object], object]
+# One of the data classes in the modules below.
+Message = object
+# Modules that define messages. The processes on the operators' platform use
+# only the first, and start faster without the second.
+MESSAGE_MODULES = (runmessage.__name__, "egretthread.message")
 
 capnp.remove_import_hook()
 schema = capnp.load(str(pathlib.Path(__file__).with_name("wire.capnp")))
@@ -123,19 +105,6 @@
 Handshake = Hello | Proof | HandshakeRefusal
 
 
-@dataclasses.dataclass(frozen=True)
-class Codec:
-    """Writes and reads values of one data class or field.
-
-    Attributes:
-        write: Fills a struct builder from a value.
-        read: Returns the value held by a struct reader.
-    """
-
-    write: Write
-    read: Read
-
-
 def encode(messages: Sequence[Message]) -> bytes:
     """Encodes messages, in order, as one frame.
 
@@ -148,8 +117,8 @@
     try:
         builders = batch.init("messages", len(messages))
         for builder, message in zip(builders, messages, strict=True):
-            variant = VARIANTS[type(message)]
-            CODECS[variant].write(builder.init(variant), message)
+            cls = type(message)
+            _class_codec(cls).write(builder.init(_variant(cls)), message)
     except CODEC_ERRORS as error:
         raise _malformed(error) from error
     data = batch.to_bytes()
@@ -226,7 +195,34 @@
 
 def _read_message(reader) -> Message:
     variant = reader.which()
-    return CODECS[variant].read(getattr(reader, variant))
+    cls = variant_class(variant)
+    return _class_codec(cls).read(getattr(reader, variant))
+
+
+@functools.cache
+def _variant(cls: type) -> str:
+    """Returns the member for a class in the schema's union of messages."""
+    return cls.__name__[0].lower() + cls.__name__[1:]
+
+
+@functools.cache
+def variant_class(variant: str) -> type:
+    """Returns the message class for a member of that union."""
+    class_name = variant[0].upper() + variant[1:]
+    for module_name in MESSAGE_MODULES:
+        cls = getattr(importlib.import_module(module_name), class_name, None)
+        if cls is not None:
+            return cls
+    raise KeyError(variant)
+
+
+@functools.cache
+def _class_codec(cls: type) -> Codec:
+    """Returns the codec of a message class, derived from it unless written."""
+    if cls.__module__ == runmessage.__name__:
+        return codec.derive(cls)
+    taskcodec = importlib.import_module("egretthread.taskcodec")
+    return taskcodec.BY_CLASS.get(cls) or codec.derive(cls)
 
 
 def _check_size(data: bytes, limit_bytes: int) -> None:
@@ -243,246 +239,3 @@
         f"the frame does not match the schema: {lines[0]}",
         "run the same release of egretthread at both ends",
     )
-
-
-# The codecs of Assign, Report and SealReply are written by hand, because these
-# messages carry the tasks.
-
-
-def _write_assign(builder, message: Assign) -> None:
-    _write_common_fields(builder, message)
-    builder.service = message.service
-    tasks = message.tasks
-    numbers = []
-    for task in tasks:
-        numbers += (task.index, task.attempt)
-    builder.numbers = numbers
-    builder.payloads = [task.payload for task in tasks]
-    builder.timeouts = [task.timeout_s for task in tasks]
-    builder.want = message.want
-    builder.urgentS = message.urgent_s
-    builder.mayQueue = message.may_queue
-
-
-def _read_assign(reader) -> Assign:
-    numbers = list(reader.numbers)
-    tasks = zip(
-        numbers[0::2],
-        numbers[1::2],
-        reader.payloads,
-        reader.timeouts,
-        strict=True,
-    )
-    return Assign(
-        JobRef(reader.organisation, reader.key),
-        reader.service,
-        Ballot(reader.generation, reader.coordinator),
-        reader.agent,
-        tuple([TaskAssignment(*task) for task in tasks]),
-        reader.want,
-        reader.urgentS,
-        reader.mayQueue,
-    )
-
-
-def _write_report(builder, message: Report) -> None:
-    _write_common_fields(builder, message)
-    _write_task_reports(builder, message.tasks)
-    builder.free = message.free
-    builder.received = message.received
-
-
-def _read_report(reader) -> Report:
-    return Report(
-        JobRef(reader.organisation, reader.key),
-        Ballot(reader.generation, reader.coordinator),
-        reader.agent,
-        _read_task_reports(reader),
-        reader.free,
-        reader.received,
-    )
-
-
-def _write_seal_reply(builder, message: SealReply) -> None:
-    _write_common_fields(builder, message)
-    _write_task_reports(builder, message.tasks)
-
-
-def _read_seal_reply(reader) -> SealReply:
-    return SealReply(
-        JobRef(reader.organisation, reader.key),
-        Ballot(reader.generation, reader.coordinator),
-        reader.agent,
-        _read_task_reports(reader),
-    )
-
-
-def _write_common_fields(builder, message: Assign | Report | SealReply) -> None:
-    job = message.job
-    builder.organisation = job.organisation
-    builder.key = job.key
-    ballot = message.ballot
-    builder.generation = ballot.generation
-    builder.coordinator = ballot.coordinator
-    builder.agent = message.agent
-
-
-def _write_task_reports(builder, tasks: tuple[TaskReport, ...]) -> None:
-    numbers = []
-    texts = []
-    for task in tasks:
-        outcome = task.outcome
-        kind = None
-        if outcome is not None:
-            kind = outcome.kind
-            texts += (outcome.result, outcome.reason)
-        code = REPORT_CODES[task.state, kind, task.refusal]
-        numbers += (task.index, task.attempt, code)
-    builder.numbers = numbers
-    builder.texts = texts
-    builder.runs = [task.run_s for task in tasks]
-
-
-def _read_task_reports(reader) -> tuple[TaskReport, ...]:
-    numbers = list(reader.numbers)
-    texts = list(reader.texts)
-    results = zip(texts[0::2], texts[1::2], strict=True)
-    columns = zip(
-        numbers[0::3], numbers[1::3], numbers[2::3], reader.runs, strict=True
-    )
-    tasks = []
-    for index, attempt, code, run_s in columns:
-        state, kind, refusal = REPORT_FIELDS[code]
-        outcome = Outcome(kind, *next(results)) if kind else None
-        tasks.append(TaskReport(index, attempt, state, outcome, refusal, run_s))
-    return tuple(tasks)
-
-
-# The codecs of all other messages are derived from the data class's fields.
-
-
-def _camel_case(name: str) -> str:
-    first, *rest = name.split("_")
-    return first + "".join(word.capitalize() for word in rest)
-
-
-def _struct_codec(cls: type) -> Codec:
-    """Returns a codec derived from the fields of a data class."""
-    hints = typing.get_type_hints(cls)
-    fields = [
-        (field.name, _field_codec(_camel_case(field.name), hints[field.name]))
-        for field in dataclasses.fields(cls)
-    ]
-
-    def write(builder, value) -> None:
-        for name, codec in fields:
-            codec.write(builder, getattr(value, name))
-
-    def read(reader):
-        return cls(*[codec.read(reader) for _, codec in fields])
-
-    return Codec(write, read)
-
-
-def _field_codec(field: str, hint: object) -> Codec:
-    """Returns a codec for one field, given its name and type hint."""
-    if hint in (bool, int, float, str):
-        return _plain_field(field)
-    if isinstance(hint, types.UnionType):
-        return _optional_field(field, _type_codec(typing.get_args(hint)[0]))
-    if typing.get_origin(hint) is tuple:
-        element_type = typing.get_args(hint)[0]
-        if element_type in (int, str):
-            return _plain_list_field(field)
-        return _struct_list_field(field, _type_codec(element_type))
-    if issubclass(hint, enum.Enum):
-        return _enum_field(field, tuple(hint))
-    return _struct_field(field, _type_codec(hint))
-
-
-def _type_codec(hint: object) -> Codec:
-    if typing.get_origin(hint) is tuple:
-        return Codec(_write_pair, _read_pair)
-    return HAND_WRITTEN.get(hint) or _struct_codec(hint)
-
-
-def _write_pair(builder, pair: tuple) -> None:
-    builder.first, builder.second = pair
-
-
-def _read_pair(reader) -> tuple:
-    return reader.first, reader.second
-
-
-def _plain_field(field: str) -> Codec:
-    return Codec(
-        lambda builder, value: setattr(builder, field, value),
-        lambda reader: getattr(reader, field),
-    )
-
-
-def _plain_list_field(field: str) -> Codec:
-    return Codec(
-        lambda builder, value: setattr(builder, field, list(value)),
-        lambda reader: tuple(getattr(reader, field)),
-    )
-
-
-def _enum_field(field: str, members: tuple[enum.Enum, ...]) -> Codec:
-    numbers = {member: number for number, member in enumerate(members)}
-    return Codec(
-        lambda builder, value: setattr(builder, field, numbers[value]),
-        lambda reader: members[getattr(reader, field)],
-    )
-
-
-def _struct_field(field: str, codec: Codec) -> Codec:
-    return Codec(
-        lambda builder, value: codec.write(builder.init(field), value),
-        lambda reader: codec.read(getattr(reader, field)),
-    )
-
-
-def _optional_field(field: str, codec: Codec) -> Codec:
-    def write(builder, value) -> None:
-        if value is not None:
-            codec.write(builder.init(field), value)
-
-    def read(reader):
-        if not reader._has(field):
-            return None
-        return codec.read(getattr(reader, field))
-
-    return Codec(write, read)
-
-
-def _struct_list_field(field: str, codec: Codec) -> Codec:
-    def write(builder, values) -> None:
-        elements = builder.init(field, len(values))
-        for element, value in zip(elements, values, strict=True):
-            codec.write(element, value)
-
-    def read(reader) -> tuple:
-        return tuple([codec.read(value) for value in getattr(reader, field)])
-
-    return Codec(write, read)
-
-
-def _variant(cls: type) -> str:
-    return cls.__name__[0].lower() + cls.__name__[1:]
-
-
-HAND_WRITTEN: dict[type, Codec] = {
-    Assign: Codec(_write_assign, _read_assign),
-    Report: Codec(_write_report, _read_report),
-    SealReply: Codec(_write_seal_reply, _read_seal_reply),
-}
-
-# Name of each message class in the union `Message` of the schema, and the
-# codec of each union member.
-VARIANTS: dict[type, str] = {
-    cls: _variant(cls) for cls in typing.get_args(Message)
-}
-CODECS: dict[str, Codec] = {
-    variant: _type_codec(cls) for cls, variant in VARIANTS.items()
-}
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,6 +1,8 @@
 """Tests of encoding messages as frames and decoding them."""
 
 import enum
+import subprocess
+import sys
 import types
 import typing
 
@@ -39,7 +41,11 @@
     return st.builds(hint, **{name: values(h) for name, h in hints.items()})
 
 
-MESSAGES = values(message.Message)
+MESSAGE_CLASSES = [
+    wire.variant_class(member)
+    for member in wire.schema.Message.schema.union_fields
+]
+MESSAGES = st.one_of([values(cls) for cls in MESSAGE_CLASSES])
 SETTINGS = hypothesis.settings(
     max_examples=100, deadline=None, derandomize=True, database=None
 )
@@ -59,7 +65,7 @@
 
 class WireTest(testtools.TestCase):
     def test_every_message_class_has_a_codec(self):
-        for cls in typing.get_args(message.Message):
+        for cls in MESSAGE_CLASSES:
             with self.subTest(cls.__name__):
                 self.assert_round_trip(values(cls))
 
@@ -131,3 +137,28 @@
         for frame in frames:
             data = wire.encode_handshake(frame)
             self.assertEqual(frame, wire.decode_handshake(data))
+
+
+class TestLoadedModules(testtools.TestCase):
+    def test_programs_on_the_platform_load_only_their_role(self):
+        for program, absent in (
+            (
+                "agentprogram",
+                ("egretthread.message", "egretthread.scheduling.entryserver"),
+            ),
+            (
+                "entryprogram",
+                ("egretthread.message", "egretthread.scheduling.agentserver"),
+            ),
+        ):
+            script = (
+                f"import sys, egretthread.platform.{program};"
+                f"print([m for m in {absent} if m in sys.modules])"
+            )
+            output = subprocess.run(
+                [sys.executable, "-c", script],
+                capture_output=True,
+                text=True,
+                check=True,
+            ).stdout
+            self.assertEqual("[]", output.strip())
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,6 +21,7 @@
     jobkey,
     members,
     message,
+    nodeid,
     outcome,
     settings,
 )
@@ -892,7 +893,7 @@
 
 def _member(process: Process) -> members.EntryMember:
     return members.EntryMember(
-        process.name, message.node_incarnation(process.node), process.name
+        process.name, nodeid.node_incarnation(process.node), process.name
     )
 
 
