End an entry's start once it knows its agents

Cause: an entry took every job for two seconds after its start and then refused in one pass what could not be served.

Change: the start ends when no further backend server was found for 0.25 s, and after two seconds at the latest.

Ruled out: an entry that is not ready until it knows its agents. The balancer uses all entries of a zone if fewer than half are ready, and the callers of a full restart would be refused without need.

--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -24,6 +24,10 @@
 WRITE_BUFFER_BYTES = 2 * wire.MAX_FRAME_BYTES
 BACKOFF_BASE_S = 0.05
 BACKOFF_MAX_S = 2.0
+# Timeout of opening a TCP connection. An instance without power does not
+# answer, and an attempt that was begun before it is back would wait for the
+# retransmission of its first packet, which takes a second or more.
+CONNECT_TIMEOUT_S = 0.5
 CLOSE_TIMEOUT_S = 1.0
 # Reasons why a link was closed.
 REASON_LOCAL = "local"
@@ -358,6 +362,7 @@
     Attributes:
         address: The `host:port` it connects to.
         peer: The other end, or None while there is no link.
+        backoff_max_s: Upper bound of the wait between two attempts.
         last_error: The error of the last attempt; None after a success.
         traffic: Traffic counters; may be shared with other links.
     """
@@ -372,6 +377,7 @@
         on_open: OnPeer,
         on_close: OnPeer,
         rng: random.Random | None = None,
+        backoff_max_s: float = BACKOFF_MAX_S,
     ):
         self.address = address
         self.options = options
@@ -381,6 +387,7 @@
         self.on_open = on_open
         self.on_close = on_close
         self.rng = rng or random.Random()
+        self.backoff_max_s = backoff_max_s
         self.traffic = Traffic()
         self.peer: Peer | None = None
         self.last_error: Exception | None = None
@@ -416,7 +423,9 @@
             if self.last_error is None and duration_s > self.options.liveness_s:
                 self.failures = 0
             if not self.closing:
-                await asyncio.sleep(backoff_s(self.failures, self.rng))
+                await asyncio.sleep(
+                    backoff_s(self.failures, self.rng, self.backoff_max_s)
+                )
             self.failures += 1
 
     async def connect_once(self) -> None:
@@ -444,7 +453,8 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         stream = iostream.IOStream(socket.socket(family))
         try:
-            await stream.connect((host, port))
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await stream.connect((host, port))
             if self.tls:
                 stream = await stream.start_tls(False, self.tls)
             hello = handshake.new_hello(self.node, self.role)
@@ -464,14 +474,17 @@
             _report_close(peer, self.on_close)
 
 
-def backoff_s(failures: int, rng: random.Random) -> float:
+def backoff_s(
+    failures: int, rng: random.Random, max_s: float = BACKOFF_MAX_S
+) -> float:
     """Returns how long to wait before the next attempt to connect.
 
     Args:
         failures: Attempts since a link last stayed open for `liveness_s`.
         rng: Source of the jitter.
+        max_s: Upper bound of the wait.
     """
-    limit_s = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2 ** min(failures, 16))
+    limit_s = min(max_s, BACKOFF_BASE_S * 2 ** min(failures, 16))
     return limit_s * rng.uniform(0.5, 1.0)
 
 
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -33,6 +33,9 @@
 # An entry is replaced by another when it has been unreachable for this long,
 # which is longer than a link takes to reopen.
 REPLACE_AFTER_S = 1.0
+# Upper bound of the wait between two attempts to open a link. A restarted entry
+# refuses work until it has found its agents.
+RECONNECT_S = 0.4
 # Interval between attempts of discovery, which are made only while no link is
 # open.
 DISCOVERY_S = 2.0
@@ -278,6 +281,7 @@
                 self._on_messages,
                 self._on_open,
                 self._on_close,
+                backoff_max_s=RECONNECT_S,
             )
             self.entry_clients[address] = client
             self.unreachable_since_s[address] = now_s
--- a/egretthread/scheduling/agentviews.py
+++ b/egretthread/scheduling/agentviews.py
@@ -50,6 +50,9 @@
             before=view.state,
             runs=len(view.tasks),
         )
+        if heartbeat.state is ServerState.READY and not view.is_discovered:
+            view.is_discovered = True
+            board.discovered_s = board.now_s
     view.state = heartbeat.state
     view.free = Room(
         heartbeat.free_cpu, heartbeat.free_memory_mb, heartbeat.free_gpu
--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -18,10 +18,12 @@
     StartRuns,
 )
 
-# Start-up period during which an entry accepts jobs although it has discovered
-# few or no agents. Agents that start at the same time connect within 0.5 s, or
-# after the next heartbeat of their backend server, 1.5 s later.
+# Maximum start-up period during which an entry accepts jobs although it has
+# discovered few or no agents.
 STARTUP_S = 2.0
+# The start-up period ends when no further agent was discovered for this long.
+# Agents that start together are discovered within 0.5 s of one another.
+DISCOVERY_GAP_S = 0.25
 # Minimum time between two passes that reports of free capacity trigger. With
 # passes on ticks only, short tasks would leave a tenth of all capacity idle. A
 # pass on every report would be too many, since many runs end at once and each
@@ -368,7 +370,9 @@
 
 def is_starting(board: EntryBoard) -> bool:
     """Whether the entry may not yet have discovered its agents."""
-    return board.now_s - board.started_s < STARTUP_S
+    if board.now_s - board.started_s >= STARTUP_S:
+        return False
+    return board.now_s - board.discovered_s < DISCOVERY_GAP_S
 
 
 def _dispatch_rate(board: EntryBoard, priority: int) -> float:
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import math
 import random
 
 from egretthread.scheduling import estimates, keptboard, workmeter
@@ -143,6 +144,7 @@
         node: Its node id.
         facts: Its backend server; None until it has reported one.
         state: State of the backend server.
+        is_discovered: Whether the backend server has been ready at some time.
         free: Free capacity in the last heartbeat.
         speed: Speed in the last heartbeat.
         last_received_s: When the last heartbeat arrived.
@@ -167,6 +169,7 @@
     node: str
     facts: ServerFacts | None = None
     state: ServerState = ServerState.ABSENT
+    is_discovered: bool = False
     free: Room = ZERO_ROOM
     speed: float = 1.0
     last_received_s: float = 0.0
@@ -204,6 +207,8 @@
         now_s: Time of the event being handled, on the monotonic clock.
         unix_s: Time of that event on the wall clock.
         started_s: When the process started.
+        discovered_s: When a backend server was last found ready by this
+            process for the first time; infinite before the first one.
         operator_state: Published operator state in force.
         is_shutting_down: Whether the entry is shutting down.
         shutdown_end_s: When it must have answered every job.
@@ -236,6 +241,7 @@
     now_s: float
     unix_s: float = 0.0
     started_s: float = 0.0
+    discovered_s: float = math.inf
     operator_state: OperatorState = OperatorState()
     is_shutting_down: bool = False
     shutdown_end_s: float = 0.0
--- /dev/null
+++ b/tests/scheduling/test_start_load.py
@@ -0,0 +1,74 @@
+"""Load pattern: every entry and agent starts while callers keep coming.
+
+An entry that takes everything until a fixed time has passed keeps callers
+waiting whom it could have refused as soon as it knew its agents.
+"""
+
+import testtools
+
+from egretthread.scheduling import dispatch
+from egretthread.scheduling.entryboard import Outcome
+from tests.scheduling import loads, region
+
+# Agents are found 0.1 s after the start of a simulated region.
+DISCOVERY_S = 0.1
+
+
+def start_under_load(factor, **changes):
+    """Returns the results of a start at a multiple of the capacity."""
+    world = region.Region(entries=2, agents=8, **changes)
+    load = loads.Load(world)
+    load.offer(factor * loads.capacity_rate(world), 4.0, loads.lookup)
+    world.finish(8.0)
+    return world, load.results()
+
+
+class TestStartUnderLoad(testtools.TestCase):
+    def test_callers_that_will_not_be_served_learn_it_soon(self):
+        for factor in (1.3, 2.0, 4.0):
+            world, results = start_under_load(factor)
+            waits_s = sorted(
+                result.took_s
+                for result in results
+                if result.outcome is Outcome.REFUSED
+            )
+            self.assertGreater(len(waits_s), 50)
+            self.assertLessEqual(waits_s[len(waits_s) // 2], 0.05)
+            settled_s = DISCOVERY_S + dispatch.DISCOVERY_GAP_S + 0.3
+            self.assertLessEqual(waits_s[int(0.99 * len(waits_s))], settled_s)
+            self.assertEqual([], world.violations())
+
+    def test_nobody_is_refused_while_there_is_room(self):
+        _, results = start_under_load(0.6)
+        outcomes = {result.outcome for result in results}
+        self.assertEqual({Outcome.COMPLETED}, outcomes)
+
+    def test_the_capacity_is_used_in_the_first_second(self):
+        world, results = start_under_load(2.0)
+        early = [
+            result
+            for result in results
+            if result.submitted_s < 101.0
+            and result.outcome is Outcome.COMPLETED
+        ]
+        possible = loads.capacity_rate(world) * (1.0 - DISCOVERY_S)
+        self.assertGreater(len(early), 0.8 * possible)
+
+    def test_the_start_lasts_while_agents_are_being_found(self):
+        """Agents that become usable one after the other, 0.15 s apart."""
+        world = region.Region(entries=1, agents=8)
+        for number, agent in enumerate(world.agents.values()):
+            world.freeze(agent, 0.1 + 0.15 * number)
+        board = world.entries["e0"].board
+        world.run(1.1)
+        self.assertTrue(dispatch.is_starting(board))
+        world.run(0.2 + dispatch.DISCOVERY_GAP_S)
+        self.assertFalse(dispatch.is_starting(board))
+
+    def test_without_agents_the_start_ends_after_its_limit(self):
+        world = region.Region(entries=1, agents=0)
+        board = world.entries["e0"].board
+        world.run(dispatch.STARTUP_S - 0.1)
+        self.assertTrue(dispatch.is_starting(board))
+        world.run(0.2)
+        self.assertFalse(dispatch.is_starting(board))
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -334,6 +334,28 @@
         self.assertIsNotNone(client.peer.stream.socket.cipher())
         await client.close()
 
+    @run_async
+    async def test_an_attempt_that_nobody_answers_is_soon_repeated(self):
+        """The packets that open a connection are lost for some time.
+
+        A full queue of new connections stands in for an instance without
+        power: the kernel drops the first packet of a further connection, and
+        its retransmission would follow only after a second.
+        """
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        fillers = [socket.socket() for _ in range(3)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        client = self.start_client(f"127.0.0.1:{address[1]}")
+        await until(lambda: isinstance(client.last_error, TimeoutError))
+        await until(lambda: client.failures >= 1)
+        for each in (*fillers, listener):
+            each.close()
+
     @run_async
     async def test_plain_client_is_refused_by_a_tls_server(self):
         server = await self.start_server(**TLS)
@@ -350,6 +372,11 @@
         self.assertTrue(waits[-1] >= link.BACKOFF_MAX_S / 2)
         self.assertTrue(max(waits) <= link.BACKOFF_MAX_S)
 
+    def test_stays_below_a_lower_bound(self):
+        rng = random.Random(3)
+        waits = [link.backoff_s(failures, rng, 0.4) for failures in range(20)]
+        self.assertTrue(max(waits) <= 0.4)
+
 
 def _names(peer) -> tuple[str, str]:
     return peer.node, peer.role
