Point the mutation of node ids at their new module

Change: the path of the mutation; its old and new text are the same.

Figures: tests/test_mutations.py passes.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -167,7 +167,7 @@
     ),
     Mutation(
         "omit the incarnation from node ids",
-        "message.py",
+        "nodeid.py",
         '    return f"{name}#{incarnation}"\n',
         '    return f"{name}#0"\n',
     ),
