Listen before the program is loaded

Change: entries and agents bind and listen as soon as the settings are read, before asyncio and all else is imported. What arrives meanwhile waits in the socket's queue. Addresses in the settings are checked.

Ruled out: shorter intervals of the backend servers, which are not ours.

--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -292,10 +292,15 @@
         self.peers: dict[str, Peer] = {}
         self.streams: dict[iostream.IOStream, asyncio.Task] = {}
 
-    def start(self) -> None:
-        """Starts listening."""
+    def start(self, listening: socket.socket | None = None) -> None:
+        """Starts accepting links.
+
+        Args:
+            listening: The listening socket; None to open one at the peer
+                address from the settings.
+        """
         host, port = settings.split_address(self.options.peer_address)
-        sockets = netutil.bind_sockets(port, host)
+        sockets = [listening] if listening else netutil.bind_sockets(port, host)
         self.add_sockets(sockets)
         self.address = settings.join_address(*sockets[0].getsockname()[:2])
 
--- a/egretthread/platform/__main__.py
+++ b/egretthread/platform/__main__.py
@@ -1,26 +1,32 @@
-"""Command line that runs `entry` or `agent` on the operators' platform."""
+"""Command line that runs `entry` or `agent` on the operators' platform.
+
+Modules are loaded late, once the process listens at its addresses, and only
+those of its role.
+"""
 
 import os
 import sys
 
-from egretthread import daemon
+from egretthread import util
+from egretthread.listeners import Listeners
 from egretthread.scheduling import nodesettings
+from egretthread.scheduling.nodesettings import NodeSettings
 
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "EGRETTHREAD_BOOT"
+EXIT_BAD_USAGE = 2
 
 
-def _make_entry(settings: nodesettings.NodeSettings):
-    # Modules of the other role would add to the time that a start takes.
+def _make_entry(settings: NodeSettings, listeners: Listeners):
     from egretthread.platform import entryprogram
 
-    return entryprogram.Entry(settings)
+    return entryprogram.Entry(settings, listeners)
 
 
-def _make_agent(settings: nodesettings.NodeSettings):
+def _make_agent(settings: NodeSettings, listeners: Listeners):
     from egretthread.platform import agentprogram
 
-    return agentprogram.Agent(settings)
+    return agentprogram.Agent(settings, listeners)
 
 
 ROLES = {
@@ -39,9 +45,31 @@
             f" {'|'.join(ROLES)}",
             file=sys.stderr,
         )
-        sys.exit(daemon.EXIT_BAD_SETTINGS)
+        sys.exit(EXIT_BAD_USAGE)
     load, make_server = ROLES[role]
-    daemon.run(f"egretthread-{role}", path, load, make_server)
+    listeners = _listen(load, path)
+
+    from egretthread import daemon
+
+    daemon.run(
+        f"egretthread-{role}",
+        path,
+        load,
+        lambda settings: make_server(settings, listeners),
+    )
+
+
+def _listen(load, path: str) -> Listeners:
+    """Starts listening at the addresses in a settings file."""
+    listeners = Listeners()
+    try:
+        settings = load(path)
+    except util.OptionError:
+        # The daemon loads the file again and reports what is wrong with it.
+        return listeners
+    for address in settings.served_addresses:
+        listeners.open(address)
+    return listeners
 
 
 if __name__ == "__main__":
--- a/egretthread/platform/agentprogram.py
+++ b/egretthread/platform/agentprogram.py
@@ -1,6 +1,7 @@
 """The agent process, wired to the operators' platform."""
 
 from egretthread import adminapi
+from egretthread.listeners import Listeners
 from egretthread.platform import directory, servers
 from egretthread.platform.store import Store
 from egretthread.scheduling import agentgauges
@@ -13,14 +14,18 @@
 
     Attributes:
         settings: Settings of the agent.
+        listeners: Its listening sockets.
         store: Client of the store.
         server: Platform-independent part of the agent.
         http: HTTP server for the backend server's requests, once started.
         admin: Serves metrics and the state dump, once started.
     """
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(
+        self, settings: NodeSettings, listeners: Listeners | None = None
+    ):
         self.settings = settings
+        self.listeners = listeners or Listeners()
         self.server = AgentServer(
             settings,
             servers.BackendServerClient(settings.server_address),
@@ -36,8 +41,8 @@
 
     async def start(self) -> None:
         """Starts listening and all background tasks."""
-        self.http = servers.listen(
-            self.settings.heartbeat_address,
+        self.http = servers.serve(
+            self.listeners.take(self.settings.heartbeat_address),
             self.server.on_heartbeat,
             self.server.on_leave,
         )
--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import re
+import socket
 from collections.abc import Awaitable
 
 import orjson
@@ -395,10 +396,12 @@
         self.finish()
 
 
-def listen(address: str, handler: type, server: EntryServer, log: JobLog):
+def serve(
+    listening: socket.socket, handler: type, server: EntryServer, log: JobLog
+):
     """Starts an HTTP server with one handler for all paths."""
-    return listener.listen(
-        address,
+    return listener.serve(
+        listening,
         [(r".*", handler, {"server": server, "log": log})],
         max_body_size=MAX_BODY_BYTES,
         idle_connection_timeout=IDLE_TIMEOUT_S,
--- a/egretthread/platform/entryprogram.py
+++ b/egretthread/platform/entryprogram.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from egretthread import adminapi
+from egretthread.listeners import Listeners
 from egretthread.platform import callers, directory, operators
 from egretthread.platform.store import Store
 from egretthread.scheduling import entrygauges, joblog
@@ -15,6 +16,7 @@
 
     Attributes:
         settings: Settings of the entry.
+        listeners: Its listening sockets.
         store: Client of the store.
         server: Platform-independent part of the entry.
         feed: Follows the records that operators publish.
@@ -25,9 +27,14 @@
         admin: Serves metrics and the state dump, once started.
     """
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(
+        self, settings: NodeSettings, listeners: Listeners | None = None
+    ):
         self.settings = settings
-        self.server = EntryServer(settings, operators.decode_relay)
+        self.listeners = listeners or Listeners()
+        self.server = EntryServer(
+            settings, operators.decode_relay, self.listeners
+        )
         self.store = Store(settings.store_address, self.server.board.samples)
         self.feed = operators.OperatorFeed(
             self.store, self.server.apply_operators
@@ -45,7 +52,9 @@
     async def start(self) -> None:
         """Starts listening and all background tasks."""
         self.http_servers = [
-            callers.listen(address, handler, self.server, self.log)
+            callers.serve(
+                self.listeners.take(address), handler, self.server, self.log
+            )
             for address, handler in (
                 (self.settings.callers_address, callers.CallerHandler),
                 (self.settings.ready_address, callers.ReadyHandler),
--- a/egretthread/platform/servers.py
+++ b/egretthread/platform/servers.py
@@ -1,5 +1,7 @@
 """HTTP between an agent and its backend server: heartbeats and calls."""
 
+import socket
+
 import orjson
 import tornado.web
 
@@ -290,10 +292,10 @@
         self.finish("{}")
 
 
-def listen(address: str, on_heartbeat, on_leave):
+def serve(listening: socket.socket, on_heartbeat, on_leave):
     """Starts the HTTP server that receives the backend server's requests."""
-    return listener.listen(
-        address,
+    return listener.serve(
+        listening,
         [
             (
                 r"/Instances\.Heartbeat/([^/]+)",
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from egretthread import clock, link, logs, nodeid, routes
+from egretthread.listeners import Listeners
 from egretthread.scheduling import dispatch, entryengine, jobrecord, keptjobs
 from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
 from egretthread.scheduling.jobrecord import Progress, Submission
@@ -42,6 +43,7 @@
 
     Attributes:
         settings: Its settings.
+        listeners: Listening sockets of the process.
         board: Its blackboard.
         link_server: Accepts links from agents and other entries.
         agent_links: Open links of agents by node id, the newest last.
@@ -59,8 +61,11 @@
         tasks: Background tasks, which are cancelled when the entry is closed.
     """
 
-    def __init__(self, settings: NodeSettings, decode_state):
+    def __init__(
+        self, settings: NodeSettings, decode_state, listeners: Listeners
+    ):
         self.settings = settings
+        self.listeners = listeners
         incarnation = clock.new_incarnation()
         self.board: EntryBoard = entryengine.new_board(
             nodeid.node_id(settings.name, incarnation),
@@ -92,7 +97,7 @@
 
     async def start(self) -> None:
         """Starts serving agents and other entries."""
-        self.link_server.start()
+        self.link_server.start(self.listeners.take(self.settings.peer_address))
         self.add_entries(self.settings.seed_peers)
         for loop in (self._tick_loop, self._hello_loop):
             self._spawn(loop())
--- a/egretthread/scheduling/nodesettings.py
+++ b/egretthread/scheduling/nodesettings.py
@@ -73,6 +73,16 @@
         """`host:port` of metrics and the state dump."""
         return f"{self.host}:{self.metrics_port}"
 
+    @property
+    def served_addresses(self) -> tuple[str, ...]:
+        """`host:port` of all addresses at which other processes call.
+
+        An agent accepts no links.
+        """
+        if self.heartbeat_address:
+            return (self.heartbeat_address,)
+        return (self.callers_address, self.ready_address, self.peer_address)
+
     @property
     def seed_peers(self) -> tuple[str, ...]:
         """`host:port` at which the seeds accept links."""
@@ -143,4 +153,7 @@
         return checker.number(table, name, name, minimum=0.01)
     if table.get(name) == "" and not required:
         return ""
-    return checker.text(table, name, name)
+    value = checker.text(table, name, name)
+    if value and name.endswith("_address"):
+        settings.check_address(checker, name, value)
+    return value
--- a/egretthread/settings.py
+++ b/egretthread/settings.py
@@ -238,18 +238,19 @@
 def _address(checker, table, key, default):
     value = checker.text(table, key, key, default)
     if value:
-        _check_address(checker, key, value)
+        check_address(checker, key, value)
     return value
 
 
 def _optional_address(checker, table, key, default):
     value = table.get(key, default)
     if value != "":
-        _check_address(checker, key, value)
+        check_address(checker, key, value)
     return value
 
 
-def _check_address(checker, key, value):
+def check_address(checker, key, value):
+    """Records a fault unless a value is an IP address and a port."""
     try:
         split_address(value)
     except (ValueError, AttributeError):
@@ -264,7 +265,7 @@
         )
         return ()
     for index, address in enumerate(value):
-        _check_address(checker, f"{key}[{index}]", address)
+        check_address(checker, f"{key}[{index}]", address)
     return tuple(value)
 
 
--- a/tests/scheduling/test_agentserver.py
+++ b/tests/scheduling/test_agentserver.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from egretthread.listeners import Listeners
 from egretthread.scheduling import agentserver, entryserver, linkchoice
 from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.servercall import PollResult, Verdict
@@ -44,7 +45,7 @@
         entries = {}
         for number in range(ENTRIES):
             settings = self.settings(number, port)
-            entry = entryserver.EntryServer(settings, None)
+            entry = entryserver.EntryServer(settings, None, Listeners())
             entries[settings.peer_address] = entry
             await entry.start()
         agent = agentserver.AgentServer(
@@ -65,7 +66,7 @@
         )
         number = int(lost.partition(":")[0].rpartition(".")[2]) - 1
         settings = self.settings(number, port)
-        entries[lost] = entryserver.EntryServer(settings, None)
+        entries[lost] = entryserver.EntryServer(settings, None, Listeners())
         await entries[lost].start()
         await until(lambda: self.linked(agent) == wanted)
         await agent.close()
--- a/tests/scheduling/test_nodesettings.py
+++ b/tests/scheduling/test_nodesettings.py
@@ -57,6 +57,18 @@
         faults = self.faults(name=None, link_port='"x"', remote_factor="-1")
         self.assertEqual(3, len(faults))
 
+    def test_a_malformed_address_is_a_fault(self):
+        for value in ("entry-1", "10.1.0.13", "10.1.0.13:x", "host:80"):
+            faults = self.faults(ready_address=f'"{value}"')
+            self.assertEqual(1, len(faults))
+            self.assertIn("host:port", faults[0])
+
+    def test_an_entry_is_called_at_three_addresses(self):
+        self.assertEqual(
+            ("10.1.0.13:8161", "10.1.0.13:8167", "10.1.0.13:7720"),
+            self.load().served_addresses,
+        )
+
     def test_an_agent_requires_the_address_of_its_backend_server(self):
         self.assertRaises(util.OptionError, self.load, nodesettings.load_agent)
 
