--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -23,7 +23,7 @@
 STARTUP_S = 2.0
 # The start-up period ends when no further agent was discovered for this long.
 # Agents that start together are discovered within 0.5 s of one another.
-DISCOVERY_GAP_S = 0.25
+DISCOVERY_GAP_S = 0.15
 # Minimum time between two passes that reports of free capacity trigger. With
 # passes on ticks only, short tasks would leave a tenth of all capacity idle. A
 # pass on every report would be too many, since many runs end at once and each
