--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -15,6 +15,7 @@
     entryengine,
     jobrecord,
     keptjobs,
+    linkchoice,
     serverpoll,
 )
 from egretthread.scheduling.agentboard import StartCall
@@ -99,9 +100,20 @@
         lost_share: Share of calls to backend servers that are not answered.
         late_share: Share of these calls that are carried out seconds later.
         log: The log of kept jobs.
+        is_partly_linked: Whether each agent links only with the entries that
+            it selects, as agents do, instead of with all.
     """
 
-    def __init__(self, entries=2, agents=4, cpu=8000, seed=1, work_s=None):
+    def __init__(
+        self,
+        entries=2,
+        agents=4,
+        cpu=8000,
+        seed=1,
+        work_s=None,
+        zones="xyz",
+        is_partly_linked=False,
+    ):
         self.now_s = 100.0
         self.rng = random.Random(seed)
         self.event_heap = []
@@ -111,6 +123,8 @@
         self.late_share = 0.0
         self.cuts = {}
         self.links = {}
+        self.is_partly_linked = is_partly_linked
+        self.entry_names = [f"e{number}" for number in range(entries)]
         self.work_s = work_s or (lambda name: 0.1)
         self.operators = OperatorState(
             offset=1, version=1, routes=(ROUTE, LONG_ROUTE)
@@ -123,13 +137,13 @@
         self.callers = {}
         for number in range(agents):
             name = f"a{number}"
-            zone = "xyz"[number % 3]
+            zone = zones[number % len(zones)]
             drift = 0.02 if number % 2 else 0.0
             self.servers[name] = FakeServer(
                 name, zone, cpu, self.now_s, self.work_s, drift
             )
         for number in range(entries):
-            self.start_entry(f"e{number}", "xyz"[number % 3])
+            self.start_entry(f"e{number}", zones[number % len(zones)])
         for name in self.servers:
             self.start_agent(name)
             self.at(0.01, self.heartbeat, name)
@@ -157,7 +171,7 @@
         self.at(TICK_S, self.tick, process)
         self.at(TICK_S, self.join, process)
         for agent in self.agents.values():
-            self.at(0.005, self.connect, process, agent)
+            self._link(process, agent)
         return process
 
     def start_agent(self, name):
@@ -167,9 +181,17 @@
         process = self.agents[name] = Process(name, "agent", board)
         self.at(TICK_S, self.tick, process)
         for entry in self.entries.values():
-            self.at(0.005, self.connect, entry, process)
+            self._link(entry, process)
         return process
 
+    def _link(self, entry, agent):
+        """Opens a link soon, if the agent selects the entry."""
+        if self.is_partly_linked:
+            chosen = linkchoice.choose(agent.name, self.entry_names, ())
+            if entry.name not in chosen:
+                return
+        self.at(0.005, self.connect, entry, agent)
+
     def kill(self, process, back_s):
         """Kills a process; a new one replaces it after `back_s`."""
         process.alive = False
