Run links on asyncio's transports

A read of tornado's IOStream costs a future, a second turn of the event loop and a read that finds nothing.

Change: a link is an asyncio protocol that reads into a buffer of its own and hands over frames in the same turn; the handshake awaits its bytes from the same object. Limits, stall and silence rules, half-close and TLS are as before; the test of the impostor drives the new stream, its assertions are unchanged.

--- a/egretthread/handshake.py
+++ b/egretthread/handshake.py
@@ -10,9 +10,8 @@
 import hmac
 import secrets
 
-from tornado import iostream
-
 from egretthread import framing, util, wire
+from egretthread.linkstream import LinkStream
 from egretthread.settings import AgentSettings, EntrySettings
 
 NONCE_BYTES = 32
@@ -41,7 +40,7 @@
 
 
 async def accept(
-    stream: iostream.IOStream, options: Settings, hello: wire.Hello
+    stream: LinkStream, options: Settings, hello: wire.Hello
 ) -> wire.Hello:
     """Performs the accepting end's part of the handshake.
 
@@ -59,27 +58,26 @@
     Raises:
         LinkError: The other end refused the link, or its key is wrong.
         wire.WireError: The other end uses another protocol or version.
-        iostream.StreamClosedError: The connection was lost.
+        StreamLostError: The connection was lost.
     """
-    stream.set_nodelay(True)
     client_hello = await read_hello(stream)
     if client_hello.version != wire.WIRE_VERSION:
-        await _refuse(stream, wire.VersionError.kind)
+        _refuse(stream, wire.VersionError.kind)
     wire.check_version(client_hello.version)
-    await write_frame(stream, hello)
+    write_frame(stream, hello)
     proof = await read_frame(stream, wire.Proof)
     try:
         _check_proof(proof, options, CLIENT_LABEL, client_hello, hello)
     except WrongKeyError:
-        await _refuse(stream, WrongKeyError.kind)
+        _refuse(stream, WrongKeyError.kind)
         raise
     digest = _digest(options, SERVER_LABEL, client_hello, hello)
-    await write_frame(stream, wire.Proof(digest))
+    write_frame(stream, wire.Proof(digest))
     return client_hello
 
 
 async def initiate(
-    stream: iostream.IOStream, options: Settings, hello: wire.Hello
+    stream: LinkStream, options: Settings, hello: wire.Hello
 ) -> wire.Hello:
     """Performs the connecting end's part of the handshake.
 
@@ -94,14 +92,13 @@
     Raises:
         LinkError: The other end refused the link, or its key is wrong.
         wire.WireError: The other end uses another protocol or version.
-        iostream.StreamClosedError: The connection was lost.
+        StreamLostError: The connection was lost.
     """
-    stream.set_nodelay(True)
-    await write_frame(stream, hello)
+    write_frame(stream, hello)
     server_hello = await read_hello(stream)
     wire.check_version(server_hello.version)
     digest = _digest(options, CLIENT_LABEL, hello, server_hello)
-    await write_frame(stream, wire.Proof(digest))
+    write_frame(stream, wire.Proof(digest))
     proof = await read_frame(stream, wire.Proof)
     _check_proof(proof, options, SERVER_LABEL, hello, server_hello)
     return server_hello
@@ -140,16 +137,16 @@
         )
 
 
-async def _refuse(stream: iostream.IOStream, kind: str) -> None:
-    await write_frame(stream, wire.HandshakeRefusal(kind))
+def _refuse(stream: LinkStream, kind: str) -> None:
+    write_frame(stream, wire.HandshakeRefusal(kind))
 
 
-async def write_frame(stream: iostream.IOStream, frame: wire.Handshake) -> None:
+def write_frame(stream: LinkStream, frame: wire.Handshake) -> None:
     """Sends one handshake frame."""
-    await stream.write(framing.add_length(wire.encode_handshake(frame)))
+    stream.write(framing.add_length(wire.encode_handshake(frame)))
 
 
-async def read_hello(stream: iostream.IOStream) -> wire.Hello:
+async def read_hello(stream: LinkStream) -> wire.Hello:
     """Returns the other end's hello."""
     hello = await read_frame(stream, wire.Hello)
     if len(hello.nonce) != NONCE_BYTES or not hello.node:
@@ -160,7 +157,7 @@
     return hello
 
 
-async def read_frame(stream: iostream.IOStream, expected: type):
+async def read_frame(stream: LinkStream, expected: type):
     """Returns the next handshake frame, which must be of the given class."""
     (length,) = framing.LENGTH.unpack(
         await stream.read_bytes(framing.LENGTH.size)
--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -14,13 +14,13 @@
 import socket
 from collections.abc import Callable
 
-from tornado import iostream, netutil, tcpserver
+from tornado import netutil
 
 from egretthread import framing, handshake, logs, settings, tls, util, wire
+from egretthread.linkstream import LinkStream
 from egretthread.settings import AgentSettings, EntrySettings
 from egretthread.wire import Message
 
-CHUNK_BYTES = 65_536
 WRITE_BUFFER_BYTES = 2 * wire.MAX_FRAME_BYTES
 BACKOFF_BASE_S = 0.05
 BACKOFF_MAX_S = 2.0
@@ -66,21 +66,22 @@
         close_reason: Why the link was closed; empty while it is open.
         received_at: Loop time at which bytes last arrived, in seconds.
         sent_at: Loop time at which a batch was last sent, in seconds.
-        stalled_at: Loop time since which written bytes have been waiting in
-            the buffer, or None if the buffer is empty.
+        stalled_at: Loop time since which no written byte has been passed to
+            the network although some are waiting; None if none are waiting.
+        sent_bytes: Bytes that had been passed to the network at the last check.
         traffic: Counters shared with the other links of the process.
     """
 
     def __init__(
         self,
-        stream: iostream.IOStream,
+        stream: LinkStream,
         hello: wire.Hello,
         address: str,
         options: Settings,
         traffic: Traffic,
     ):
-        stream.max_write_buffer_size = WRITE_BUFFER_BYTES
         self.stream = stream
+        stream.on_drained = self.on_drained
         self.node = hello.node
         self.role = hello.role
         self.address = address
@@ -92,6 +93,9 @@
         self.received_at = self.loop.time()
         self.sent_at = self.received_at
         self.stalled_at: float | None = None
+        self.sent_bytes = 0
+        self.buffer = bytearray()
+        self.on_messages: OnMessages | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.abort_timer: asyncio.TimerHandle | None = None
 
@@ -115,8 +119,7 @@
         self.abort_timer = self.loop.call_later(
             CLOSE_TIMEOUT_S, self.stream.close
         )
-        if self.stalled_at is None:
-            self.shutdown_writing()
+        self.stream.finish_writing()
 
     def abort(self, reason: str) -> None:
         """Closes the link at once and drops the queued messages."""
@@ -140,12 +143,15 @@
         frame = framing.add_length(data)
         self.traffic.frames_sent += 1
         self.traffic.bytes_sent += len(frame)
-        try:
-            self.track_write(self.stream.write(frame))
-        except iostream.StreamBufferFullError:
-            self.abort(REASON_SLOW)
-        except iostream.StreamClosedError:
+        if self.stream.closed():
             self.abort(REASON_LOST)
+            return
+        if self.stream.bytes_waiting + len(frame) > WRITE_BUFFER_BYTES:
+            self.abort(REASON_SLOW)
+            return
+        self.stream.write(frame)
+        if self.stream.is_stalled and self.stalled_at is None:
+            self.stalled_at = self.sent_at
 
     def write_split(
         self, messages: list[Message], error: wire.WireError
@@ -167,68 +173,39 @@
         self.write(messages[:middle])
         self.write(messages[middle:])
 
-    def track_write(self, written: asyncio.Future) -> None:
-        """Records since when bytes have been waiting to be written."""
-        if written.done():
-            return
-        if self.stalled_at is None:
-            self.stalled_at = self.loop.time()
-        written.add_done_callback(self.on_written)
-
-    def on_written(self, written: asyncio.Future) -> None:
-        """Records that the stream made progress."""
-        if written.cancelled() or written.exception():
-            return
-        if self.stream.writing():
-            self.stalled_at = self.loop.time()
-            return
+    def on_drained(self) -> None:
+        """Records that no written bytes are waiting."""
         self.stalled_at = None
-        if self.close_reason:
-            self.shutdown_writing()
-
-    def shutdown_writing(self) -> None:
-        """Shuts down the sending direction only.
-
-        Closing the socket at once could discard data that the other end has
-        not read yet.
-        """
-        if self.stream.closed():
-            return
-        if isinstance(self.stream, iostream.SSLIOStream):
-            self.stream.close()
-            return
-        try:
-            self.stream.socket.shutdown(socket.SHUT_WR)
-        except OSError:
-            self.stream.close()
 
     async def serve(self, on_messages: OnMessages) -> None:
-        """Reads batches until the link closes, and sets `close_reason`."""
+        """Delivers batches until the link closes, and sets `close_reason`."""
+        self.on_messages = on_messages
         self.schedule_tick()
-        buffer = bytearray()
         try:
-            while True:
-                chunk = await self.stream.read_bytes(CHUNK_BYTES, partial=True)
-                buffer += chunk
-                self.traffic.bytes_received += len(chunk)
-                self.received_at = self.loop.time()
-                for frame in framing.take_frames(buffer):
-                    self.deliver(frame, on_messages)
-        except iostream.StreamClosedError:
+            await self.stream.serve(self.on_bytes)
             self.abort(REASON_LOST)
-        except wire.WireError as error:
-            self.abort(error.kind)
         finally:
             self.abort(REASON_LOCAL)
             for timer in (self.timer, self.abort_timer):
                 if timer:
                     timer.cancel()
 
-    def deliver(self, frame: bytes, on_messages: OnMessages) -> None:
+    def on_bytes(self, data: memoryview) -> None:
+        """Delivers the batches that are complete with these bytes."""
+        self.buffer += data
+        self.traffic.bytes_received += len(data)
+        self.received_at = self.loop.time()
+        try:
+            for frame in framing.take_frames(self.buffer):
+                self.deliver(frame)
+        except wire.WireError as error:
+            self.abort(error.kind)
+
+    def deliver(self, frame: bytes) -> None:
         """Decodes one frame and passes its messages to the handler."""
         messages = wire.decode(frame)
         if messages:
-            _call(self, on_messages, self, messages)
+            _call(self, self.on_messages, self, messages)
 
     def schedule_tick(self) -> None:
         """Schedules the next liveness check."""
@@ -249,6 +226,7 @@
         if now_s - self.received_at > self.options.liveness_s:
             self.abort(REASON_SILENT)
             return
+        self.check_progress(now_s)
         if now_s - (self.stalled_at or now_s) > self.options.liveness_s:
             self.abort(REASON_SLOW)
             return
@@ -256,17 +234,28 @@
             self.send_keepalive()
         self.schedule_tick()
 
+    def check_progress(self, now_s: float) -> None:
+        """Records whether waiting bytes have been sent since the last check."""
+        if self.stalled_at is not None:
+            sent_bytes = self.stream.bytes_sent
+            if sent_bytes > self.sent_bytes > 0:
+                self.stalled_at = now_s
+            self.sent_bytes = sent_bytes
+
     def send_keepalive(self) -> None:
         """Writes an empty batch."""
         if not self.queue and not self.close_reason:
             self.write([])
 
 
-class LinkServer(tcpserver.TCPServer):
+class LinkServer:
     """Accepts links at the peer address from the settings.
 
     Attributes:
+        tls: TLS context; None for plain TCP.
         address: The `host:port` it listens on, once started.
+        sockets: The listening sockets.
+        stop_accepting: Functions that stop accepting at each of them.
         peers: The open links by node id.
         traffic: Traffic counters; may be shared with other links.
     """
@@ -280,7 +269,7 @@
         on_open: OnPeer,
         on_close: OnPeer,
     ):
-        super().__init__(ssl_options=tls.server_tls(options))
+        self.tls = tls.server_tls(options)
         self.options = options
         self.node = node
         self.role = role
@@ -290,7 +279,10 @@
         self.traffic = Traffic()
         self.address = ""
         self.peers: dict[str, Peer] = {}
-        self.streams: dict[iostream.IOStream, asyncio.Task] = {}
+        self.sockets: list[socket.socket] = []
+        self.stop_accepting: list[Callable[[], None]] = []
+        self.streams: dict[LinkStream, asyncio.Task] = {}
+        self.tasks: set[asyncio.Task] = set()
 
     def start(self, listening: socket.socket | None = None) -> None:
         """Starts accepting links.
@@ -300,29 +292,60 @@
                 address from the settings.
         """
         host, port = settings.split_address(self.options.peer_address)
-        sockets = [listening] if listening else netutil.bind_sockets(port, host)
-        self.add_sockets(sockets)
-        self.address = settings.join_address(*sockets[0].getsockname()[:2])
+        self.sockets = (
+            [listening] if listening else netutil.bind_sockets(port, host)
+        )
+        self.address = settings.join_address(*self.sockets[0].getsockname()[:2])
+        self.stop_accepting = [
+            netutil.add_accept_handler(each, self.on_accepted)
+            for each in self.sockets
+        ]
 
     async def close(self) -> None:
         """Stops listening and closes all links, within CLOSE_TIMEOUT_S."""
-        self.stop()
+        for stop in self.stop_accepting:
+            stop()
+        for listening in self.sockets:
+            listening.close()
         for peer in tuple(self.peers.values()):
             peer.close()
         peer_streams = {peer.stream for peer in self.peers.values()}
         for stream in tuple(self.streams):
             if stream not in peer_streams:
                 stream.close()
-        tasks = tuple(self.streams.values())
-        if tasks:
-            await asyncio.wait(tasks, timeout=2 * CLOSE_TIMEOUT_S)
+        if self.tasks:
+            await asyncio.wait(tuple(self.tasks), timeout=2 * CLOSE_TIMEOUT_S)
 
-    async def handle_stream(
-        self, stream: iostream.IOStream, address: tuple
+    def on_accepted(self, connection: socket.socket, address: tuple) -> None:
+        """Serves an accepted connection in the background."""
+        task = asyncio.get_running_loop().create_task(
+            self.handle_connection(connection, address)
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def handle_connection(
+        self, connection: socket.socket, address: tuple
     ) -> None:
         """Serves one connection until it closes."""
-        self.streams[stream] = asyncio.current_task()
         remote_address = settings.join_address(*address[:2])
+        try:
+            async with asyncio.timeout(self.options.liveness_s):
+                loop = asyncio.get_running_loop()
+                _, stream = await loop.connect_accepted_socket(
+                    LinkStream, connection, ssl=self.tls
+                )
+        except (OSError, TimeoutError) as error:
+            connection.close()
+            _log_failure(logging.WARNING, "link_refused", remote_address, error)
+            return
+        await self.handle_stream(stream, remote_address)
+
+    async def handle_stream(
+        self, stream: LinkStream, remote_address: str
+    ) -> None:
+        """Serves one open connection until it closes."""
+        self.streams[stream] = asyncio.current_task()
         try:
             hello = await _with_timeout(
                 self.options,
@@ -448,20 +471,23 @@
             Peer(stream, hello, self.address, self.options, self.traffic)
         )
 
-    async def connect(self) -> tuple[iostream.IOStream, wire.Hello]:
+    async def connect(self) -> tuple[LinkStream, wire.Hello]:
         """Connects and does the handshake.
 
         Returns:
             The stream, and the other end's hello.
         """
         host, port = settings.split_address(self.address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        stream = iostream.IOStream(socket.socket(family))
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            connection = await _open_socket(host, port)
+        loop = asyncio.get_running_loop()
+        _, stream = await loop.create_connection(
+            LinkStream,
+            sock=connection,
+            ssl=self.tls,
+            server_hostname=host if self.tls else None,
+        )
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await stream.connect((host, port))
-            if self.tls:
-                stream = await stream.start_tls(False, self.tls)
             hello = handshake.new_hello(self.node, self.role)
             return stream, await handshake.initiate(stream, self.options, hello)
         except BaseException:
@@ -493,6 +519,20 @@
     return limit_s * rng.uniform(0.5, 1.0)
 
 
+async def _open_socket(host: str, port: int) -> socket.socket:
+    """Opens a TCP connection."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    connection = socket.socket(family)
+    connection.setblocking(False)
+    try:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(connection, (host, port))
+    except BaseException:
+        connection.close()
+        raise
+    return connection
+
+
 async def _with_timeout(options: Settings, opening):
     """Awaits the opening of a link for at most liveness_s."""
     # Unlike wait_for of Python 3.11, this never swallows a cancellation.
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -9,9 +9,8 @@
 import socket
 
 import testtools
-from tornado import tcpserver
 
-from egretthread import handshake, link, logs, settings, wire
+from egretthread import handshake, link, linkstream, logs, settings, wire
 from egretthread.message import Credit
 from egretthread_standins import relay
 from tests.aio import TEST_TIMEOUT_S, run_async, until
@@ -65,21 +64,36 @@
         return [message for batch in self.batches for message in batch]
 
 
-class Impostor(tcpserver.TCPServer):
+class Impostor:
     """A server without the key that reflects the client's own proof.
 
     Attributes:
         reflected: Proofs sent back.
+        server: Accepts the connections, once started.
     """
 
-    reflected = 0
-
-    async def handle_stream(self, stream, address):
+    def __init__(self):
+        self.reflected = 0
+        self.server = None
+        self.tasks = set()
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.accept, "127.0.0.1", 0)
+        return settings.join_address(*self.server.sockets[0].getsockname()[:2])
+
+    def accept(self):
+        stream = linkstream.LinkStream()
+        task = asyncio.get_running_loop().create_task(self.reflect(stream))
+        self.tasks.add(task)
+        return stream
+
+    async def reflect(self, stream):
         await handshake.read_hello(stream)
         hello = handshake.new_hello("entry-1#1", "entry")
-        await handshake.write_frame(stream, hello)
+        handshake.write_frame(stream, hello)
         proof = await handshake.read_frame(stream, wire.Proof)
-        await handshake.write_frame(stream, proof)
+        handshake.write_frame(stream, proof)
         self.reflected += 1
 
 
@@ -200,12 +214,9 @@
     @run_async
     async def test_an_impostor_server_is_refused(self):
         impostor = Impostor()
-        impostor.listen(0, "127.0.0.1")
-        self.addCleanup(impostor.stop)
-        (listener,) = impostor._sockets.values()
-        address = settings.join_address(*listener.getsockname())
-        client = self.start_client(address)
+        client = self.start_client(await impostor.start())
         await until(lambda: client.failures > 1)
+        impostor.server.close()
         self.assertTrue(impostor.reflected)
         self.assertIsInstance(client.last_error, handshake.WrongKeyError)
         self.assertEqual([], self.client_events.opened)
@@ -331,7 +342,9 @@
         client = await self.connect(**TLS)
         client.peer.send(Credit("agent-1#2", 7, 0))
         await until(lambda: self.server_events.messages)
-        self.assertIsNotNone(client.peer.stream.socket.cipher())
+        self.assertIsNotNone(
+            client.peer.stream.transport.get_extra_info("cipher")
+        )
         await client.close()
 
     @run_async
