Send fewer frames between entries

Cause: every entry dials every other one. With 35 entries each of them sent and received a hello and a keepalive a second on 34 links dialled and as many accepted, some 270 frames a second, which grow with the square of the entries.

Change: with more than eight other entries a hello that has not changed is repeated every 2 s instead of every second; a changed one goes out as before. Links between entries have a keepalive of 2.5 s and count as dead after 6 s of silence. Links with agents stay as they are.

Ruled out: one link a pair of entries, which needs a rule for who dials while only one end knows the other.

--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -12,7 +12,7 @@
 import logging
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from tornado import netutil
 
@@ -256,6 +256,8 @@
         address: The `host:port` it listens on, once started.
         sockets: The listening sockets.
         stop_accepting: Functions that stop accepting at each of them.
+        options_by_role: Settings of the links with peers of a role, where they
+            differ from those of the process.
         peers: The open links by node id.
         traffic: Traffic counters; may be shared with other links.
     """
@@ -268,9 +270,11 @@
         on_messages: OnMessages,
         on_open: OnPeer,
         on_close: OnPeer,
+        options_by_role: Mapping[str, Settings] | None = None,
     ):
         self.tls = tls.server_tls(options)
         self.options = options
+        self.options_by_role = options_by_role or {}
         self.node = node
         self.role = role
         self.on_messages = on_messages
@@ -354,8 +358,9 @@
         except (util.EgretthreadError, OSError, TimeoutError) as error:
             _log_failure(logging.WARNING, "link_refused", remote_address, error)
         else:
+            options = self.options_by_role.get(hello.role, self.options)
             await self.serve(
-                Peer(stream, hello, remote_address, self.options, self.traffic)
+                Peer(stream, hello, remote_address, options, self.traffic)
             )
         finally:
             stream.close()
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -1,6 +1,7 @@
 """The server of an entry: connects its engine to links, timers and callers."""
 
 import asyncio
+import dataclasses
 
 from egretthread import clock, link, logs, nodeid, routes
 from egretthread.listeners import Listeners
@@ -18,8 +19,16 @@
 )
 
 TICK_S = 0.02
-# Time between two hellos to other entries.
+# Time between two checks whether the hello to other entries has changed.
 HELLO_INTERVAL_S = 1.0
+# Time after which a hello is repeated although it has not changed: each time
+# with few other entries, less often with many.
+HELLO_REPEAT_S = 2.0
+FEW_ENTRIES = 8
+# Keepalive and liveness of links between entries. Their number grows with the
+# square of the entries, and they carry no orders.
+ENTRY_KEEPALIVE_S = 2.5
+ENTRY_LIVENESS_S = 6.0
 # Time after which an unreachable entry is removed from the list of entries.
 ENTRY_RETENTION_S = 30.0
 # Part of the shutdown time that is reserved for transmitting the last answers.
@@ -45,6 +54,7 @@
         settings: Its settings.
         listeners: Listening sockets of the process.
         board: Its blackboard.
+        entry_link_settings: Settings of the links with other entries.
         link_server: Accepts links from agents and other entries.
         agent_links: Open links of agents by node id, the newest last.
         entry_clients: Links to other entries by address.
@@ -53,6 +63,8 @@
         encoded_state: Operator state in force, encoded for other entries.
         decode_state: Decodes an operator state that another entry has sent.
         is_drained: Whether jobs are no longer accepted.
+        sent_hello: The hello that was last sent to all entries.
+        hello_sent_s: When it was sent.
         hellos: Last hello of each other entry and when it arrived, by address.
         questions: Futures of the replies expected from other entries, by the
             number of the question.
@@ -72,6 +84,11 @@
             settings.zone,
             clock.monotonic_s(),
         )
+        self.entry_link_settings = dataclasses.replace(
+            settings,
+            keepalive_s=ENTRY_KEEPALIVE_S,
+            liveness_s=ENTRY_LIVENESS_S,
+        )
         self.link_server = link.LinkServer(
             settings,
             self.board.node,
@@ -79,6 +96,7 @@
             self._on_messages,
             self._on_open,
             self._on_close,
+            {"entry": self.entry_link_settings},
         )
         self.agent_links = routes.Routes()
         self.entry_clients: dict[str, link.LinkClient] = {}
@@ -87,6 +105,8 @@
         self.encoded_state = ""
         self.decode_state = decode_state
         self.is_drained = False
+        self.sent_hello: EntryHello | None = None
+        self.hello_sent_s = 0.0
         self.hellos: dict[str, tuple[EntryHello, float]] = {}
         self.questions: dict[int, asyncio.Future] = {}
         self.last_question = 0
@@ -325,7 +345,7 @@
             self.board.entries += (address,)
             client = link.LinkClient(
                 address,
-                self.settings,
+                self.entry_link_settings,
                 self.board.node,
                 "entry",
                 self._on_messages,
@@ -440,13 +460,24 @@
     async def _hello_loop(self) -> None:
         while True:
             await asyncio.sleep(HELLO_INTERVAL_S)
-            for client in self.entry_clients.values():
-                if client.peer:
-                    client.peer.send(self._make_hello())
+            self._repeat_hello()
             self._update_others_have_jobs()
             self._replicate_records()
             self._remove_unreachable()
 
+    def _repeat_hello(self) -> None:
+        """Sends the hello to the other entries if it has changed or is old."""
+        hello = self._make_hello()
+        now_s = clock.monotonic_s()
+        is_recent = now_s - self.hello_sent_s < HELLO_REPEAT_S
+        has_many_entries = len(self.entry_clients) > FEW_ENTRIES
+        if hello == self.sent_hello and is_recent and has_many_entries:
+            return
+        self.sent_hello, self.hello_sent_s = hello, now_s
+        for client in self.entry_clients.values():
+            if client.peer:
+                client.peer.send(hello)
+
     def _update_others_have_jobs(self) -> None:
         """Updates whether other entries coordinate kept jobs."""
         now_s = clock.monotonic_s()
--- /dev/null
+++ b/tests/scheduling/test_entryserver.py
@@ -0,0 +1,72 @@
+"""Tests of what an entry tells the other entries."""
+
+import asyncio
+
+import testtools
+
+from egretthread import clock
+from egretthread.listeners import Listeners
+from egretthread.scheduling import entryserver, nodesettings
+from egretthread.scheduling.jobspec import OperatorState
+
+
+class StubClient:
+    """A link to another entry that records what is sent."""
+
+    def __init__(self):
+        self.sent = []
+        self.peer = self
+
+    def send(self, outgoing):
+        self.sent.append(outgoing)
+
+
+class TestHellos(testtools.TestCase):
+    def entry(self, others):
+        settings = nodesettings.NodeSettings(
+            name="e0",
+            zone="a",
+            host="127.0.0.1",
+            link_port=7600,
+            shared_key="0123456789abcdef",
+            store_address="127.0.0.1:1",
+        )
+
+        async def make():
+            return entryserver.EntryServer(settings, None, Listeners())
+
+        entry = asyncio.run(make())
+        entry.entry_clients = {
+            f"127.0.0.{n + 2}:7600": StubClient() for n in range(others)
+        }
+        return entry
+
+    def count(self, entry, seconds, change_at=None):
+        """Returns the hellos that one other entry gets."""
+        now_s = [100.0]
+        self.patch(clock, "monotonic_s", lambda: now_s[0])
+        for second in range(seconds):
+            if second == change_at:
+                entry.board.operator_state = OperatorState(offset=7)
+            entry._repeat_hello()
+            now_s[0] += entryserver.HELLO_INTERVAL_S
+        return len(next(iter(entry.entry_clients.values())).sent)
+
+    def test_few_entries_get_each_hello(self):
+        self.assertEqual(10, self.count(self.entry(others=3), 10))
+
+    def test_many_entries_get_an_unchanged_hello_less_often(self):
+        self.assertEqual(5, self.count(self.entry(others=34), 10))
+
+    def test_a_changed_hello_is_sent_at_once(self):
+        entry = self.entry(others=34)
+        self.assertEqual(6, self.count(entry, 10, change_at=5))
+        offsets = [
+            hello.operator_offset
+            for hello in next(iter(entry.entry_clients.values())).sent
+        ]
+        self.assertIn(7, offsets[3:4])
+
+    def test_the_repetition_is_within_the_age_that_others_accept(self):
+        longest_s = entryserver.HELLO_REPEAT_S + entryserver.HELLO_INTERVAL_S
+        self.assertLessEqual(longest_s, entryserver.MAX_HELLO_AGE_S)
