Survive malformed responses and results of earlier incarnations

Change: calls name the incarnation, and results for another one are dropped; responses that cannot be decoded count as a store that is unavailable; loops in the background are run again after an unexpected error, with a log line.

--- a/egretthread/apierror.py
+++ b/egretthread/apierror.py
@@ -170,7 +170,10 @@
             between the caller and the entry may have sent the response.
     """
     body = body if isinstance(body, dict) else {}
-    kind = body.get("kind", KINDS_BY_STATUS.get(status, ""))
+    kind = body.get("kind")
+    if not isinstance(kind, str):
+        kind = KINDS_BY_STATUS.get(status, "")
+    faults = body.get("faults")
     nothing_started = body.get("started_by_this_request") is False
     error = ERRORS.get(kind, ApiError)(
         str(body.get("message", f"the entry answered HTTP {status}")),
@@ -178,10 +181,13 @@
         status=status,
         retry_after_s=non_negative(body.get("retry_after_s")),
         may_have_started=not nothing_started,
-        faults=tuple(fault_text(f) for f in body.get("faults", ())),
+        faults=tuple(
+            fault_text(fault)
+            for fault in (faults if isinstance(faults, list) else ())
+        ),
     )
     # Keeps a kind that this version does not know.
-    error.kind = str(kind) or error.kind
+    error.kind = kind or error.kind
     return error
 
 
--- a/egretthread/platform/bodies.py
+++ b/egretthread/platform/bodies.py
@@ -79,6 +79,20 @@
     return tuple(values)
 
 
+def objects(table: dict, name: str) -> list[dict]:
+    """Returns a field that holds a list of objects.
+
+    Raises:
+        BodyError: The field is not a list of objects.
+    """
+    values = field(table, name, list)
+    if not all(isinstance(value, dict) for value in values):
+        raise BodyError(
+            f"{name} is not a list of objects", f"put only objects into {name}"
+        )
+    return values
+
+
 def room(table: dict) -> Room:
     """Returns the amounts of CPU, memory and GPUs in an object.
 
--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -137,13 +137,14 @@
     Args:
         text: Value of DEADLINE_HEADER, if the request has it.
         route: The route, whose timeout applies if the header is missing or
-            not a positive number.
+            not a positive, finite number.
     """
     try:
         wait_limit_s = float(text or "") / 1000
     except ValueError:
         wait_limit_s = route.timeout_s
-    return wait_limit_s if wait_limit_s > 0 else route.timeout_s
+    is_valid = math.isfinite(wait_limit_s) and wait_limit_s > 0
+    return wait_limit_s if is_valid else route.timeout_s
 
 
 class CallerHandler(tornado.web.RequestHandler):
--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from egretthread import logs
+from egretthread import background, logs
 from egretthread.platform import bodies
 from egretthread.platform.store import Store
 from egretthread.scheduling.jobspec import (
@@ -56,8 +56,7 @@
         offset,
         bodies.count(table, "version"),
         tuple(
-            _decode_route(route)
-            for route in bodies.field(table, "routes", list)
+            _decode_route(route) for route in bodies.objects(table, "routes")
         ),
         _decode_limits(bodies.field(table, "limits", dict, {})),
         withdrawn,
@@ -122,7 +121,9 @@
 
     def start(self) -> None:
         """Starts following the topic."""
-        self.task = asyncio.get_running_loop().create_task(self._follow())
+        self.task = asyncio.get_running_loop().create_task(
+            background.keep_running(self._follow)
+        )
 
     async def close(self) -> None:
         """Stops following the topic."""
--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections
+import contextlib
 import struct
 import urllib.parse
 from collections.abc import Sequence
@@ -41,6 +42,15 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 # Rate limit reached, store down, or store full. The request had no effect.
 REFUSED_CODES = (429, 503, 507)
+# Errors in decoding a response that is not in the documented format.
+DECODE_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+    struct.error,
+)
 # All coordinators share one producer name, so that the store fences an older
 # coordinator by its epoch.
 PRODUCER = "coordinator"
@@ -120,12 +130,13 @@
         if after is not None:
             query["after"] = after
         response = await self.call("GET", "/log-newest", query)
-        table = orjson.loads(response.body)
-        page = [
-            Record(item["key"], base64.b64decode(item["value"]))
-            for item in table["items"]
-        ]
-        return page, table["end_offset"], table["has_more"]
+        with _decoding("/log-newest"):
+            table = orjson.loads(response.body)
+            page = [
+                Record(item["key"], base64.b64decode(item["value"]))
+                for item in table["items"]
+            ]
+            return page, table["end_offset"], table["has_more"]
 
     async def read(
         self, topic: str, offset: int, wait_s: float, partition: int = 0
@@ -151,7 +162,8 @@
             "wait_ms": int(wait_s * 1000),
         }
         response = await self.call("GET", "/log-read", query, wait_s=wait_s)
-        return decode_batch(response.body, offset)
+        with _decoding("/log-read"):
+            return decode_batch(response.body, offset)
 
     async def write(self, topic: str, record: Record) -> None:
         """Appends one record to a keyed topic.
@@ -220,14 +232,15 @@
             "generation": generation,
         }
         response = await self.call("POST", "/log-join", body=_json(table))
-        assigned = orjson.loads(response.body)
-        # Each row holds a topic, a partition and its committed offset.
-        partitions = tuple(
-            row[1]
-            for row in assigned["parts"]
-            if row[0] == KEYED_PREFIX + topic
-        )
-        return Assignment(assigned["generation"], partitions)
+        with _decoding("/log-join"):
+            assigned = orjson.loads(response.body)
+            # Each row holds a topic, a partition and its committed offset.
+            partitions = tuple(
+                row[1]
+                for row in assigned["parts"]
+                if row[0] == KEYED_PREFIX + topic
+            )
+            return Assignment(assigned["generation"], partitions)
 
     async def leave(self, group: str, member: str) -> None:
         """Leaves a consumer group.
@@ -291,8 +304,13 @@
 
 
 def _conflict(path: str, body: bytes) -> StoreError:
-    """Returns the error for an append with a wrong epoch or sequence number."""
-    table = orjson.loads(body)
+    """Returns the error for an append with a wrong epoch or sequence number.
+
+    Raises:
+        StoreUnavailableError: The body is malformed.
+    """
+    with _decoding(path):
+        table = dict(orjson.loads(body))
     if table.get("reason") == "seq":
         return AppendOrderError(
             f"{path}: the store expects another sequence number",
@@ -305,6 +323,18 @@
     )
 
 
+@contextlib.contextmanager
+def _decoding(path: str):
+    """Reports a malformed response as a store that did not answer."""
+    try:
+        yield
+    except DECODE_ERRORS as error:
+        raise StoreUnavailableError(
+            f"the response to {path} is malformed: {error!r}",
+            "check what listens at the store's address",
+        ) from error
+
+
 def _json(table: dict) -> bytes:
     return orjson.dumps(table)
 
@@ -317,7 +347,12 @@
 
 
 def decode_batch(body: bytes, offset: int) -> Batch:
-    """Returns the records in the response to a read from an offset."""
+    """Returns the records in the response to a read from an offset.
+
+    Raises:
+        struct.error: The body is too short to be a response.
+    """
+    READ_HEADER.unpack_from(body)
     position = READ_HEADER.size
     records = []
     while position + RECORD_LENGTH.size <= len(body):
--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -164,6 +164,7 @@
         until_ms: End of the lease, on the backend server's clock.
         token: Fencing token.
         timeout_s: How long to wait for the answer.
+        started_unix_ms: When that incarnation started.
     """
 
     run: Run
@@ -172,6 +173,7 @@
     until_ms: int
     token: int
     timeout_s: float
+    started_unix_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -186,6 +188,7 @@
         server: Id of the incarnation that the call is for.
         token: Fencing token.
         timeout_s: How long to wait for the answer.
+        started_unix_ms: When that incarnation started.
     """
 
     name: TaskName
@@ -193,6 +196,7 @@
     server: str
     token: int
     timeout_s: float = 0.1
+    started_unix_ms: int = 0
 
 
 @dataclasses.dataclass
@@ -281,6 +285,18 @@
         default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
     )
 
+    def is_current(self, call) -> bool:
+        """Whether a call was made to the present incarnation of the server.
+
+        Args:
+            call: A start, stop or poll.
+        """
+        server = self.server
+        return server is None or (
+            (call.server, call.started_unix_ms)
+            == (server.server, server.started_unix_ms)
+        )
+
     @property
     def clock_ms(self) -> int:
         """The agent's clock, in milliseconds."""
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -4,7 +4,7 @@
 import itertools
 import typing
 
-from egretthread import clock, link, logs, nodeid, routes
+from egretthread import background, clock, link, logs, nodeid, routes
 from egretthread.scheduling import agentengine, linkchoice, serverpoll
 from egretthread.scheduling.agentboard import (
     AgentBoard,
@@ -104,7 +104,7 @@
             self._link_loop,
             self._discovery_loop,
         ):
-            self._spawn(loop())
+            self._spawn(background.keep_running(loop))
 
     async def close(self) -> None:
         """Shuts down: refuses new runs and waits for the running ones.
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from egretthread import clock, link, logs, nodeid, routes
+from egretthread import background, clock, link, logs, nodeid, routes
 from egretthread.listeners import Listeners
 from egretthread.scheduling import dispatch, entryengine, jobrecord, keptjobs
 from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
@@ -120,7 +120,7 @@
         self.link_server.start(self.listeners.take(self.settings.peer_address))
         self.add_entries(self.settings.seed_peers)
         for loop in (self._tick_loop, self._hello_loop):
-            self._spawn(loop())
+            self._spawn(background.keep_running(loop))
 
     async def drain(self) -> None:
         """Answers all open jobs within shutdown_s and then refuses new ones.
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -158,6 +158,7 @@
             renew_lease(board),
             board.token,
             START_TIMEOUTS_S[min(run.tries, START_TRIES) - 1],
+            board.server.started_unix_ms,
         )
     )
 
@@ -175,6 +176,9 @@
     board: AgentBoard, call: StartCall, result: CallResult
 ) -> None:
     """Processes the result of a start call."""
+    if not board.is_current(call):
+        board.counters["outdated_results"] += 1
+        return
     run = call.run
     update_clock_offset(board, result)
     live = board.runs.get((run.entry, run.attempt)) is run
@@ -296,6 +300,9 @@
     board: AgentBoard, call: StopCall, result: CallResult
 ) -> None:
     """Processes the result of a stop call."""
+    if not board.is_current(call):
+        board.counters["outdated_results"] += 1
+        return
     update_clock_offset(board, result)
     board.counters[f"stop_{result.verdict.value}"] += 1
     if result.verdict in (Verdict.WRONG_INSTANCE, Verdict.NOT_LISTENING):
--- a/egretthread/scheduling/runs.py
+++ b/egretthread/scheduling/runs.py
@@ -5,6 +5,7 @@
     Run,
     RunPhase,
     StopCall,
+    TaskName,
 )
 from egretthread.scheduling.runmessage import RunEnd, RunReport
 
@@ -67,8 +68,21 @@
 
 def stop_call(board: AgentBoard, run: Run) -> StopCall:
     """Returns the call that stops a run."""
-    server = board.server.server if board.server else ""
-    return StopCall(run.name, run.number, server, board.token)
+    return stop_call_for(board, run.name, run.number)
+
+
+def stop_call_for(board: AgentBoard, name: TaskName, number: int) -> StopCall:
+    """Returns the call that stops the run of a task with this number."""
+    server = board.server
+    if server is None:
+        return StopCall(name, number, "", board.token)
+    return StopCall(
+        name,
+        number,
+        server.server,
+        board.token,
+        started_unix_ms=server.started_unix_ms,
+    )
 
 
 def drop_all(board: AgentBoard, end: RunEnd) -> None:
--- a/egretthread/scheduling/servercall.py
+++ b/egretthread/scheduling/servercall.py
@@ -102,6 +102,7 @@
             renew it.
         wait_ms: How long the answer may wait for a run to end.
         sent_s: When it was sent.
+        started_unix_ms: When that incarnation started.
     """
 
     server: str
@@ -110,6 +111,7 @@
     until_ms: int
     wait_ms: int
     sent_s: float
+    started_unix_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -10,7 +10,6 @@
     AgentBoard,
     Run,
     RunPhase,
-    StopCall,
 )
 from egretthread.scheduling.runmessage import RunEnd, ServerState
 from egretthread.scheduling.servercall import (
@@ -57,13 +56,17 @@
         until_ms,
         wait_ms,
         board.now_s,
+        board.server.started_unix_ms if board.server else 0,
     )
 
 
 def on_poll_result(
     board: AgentBoard, call: PollCall, result: PollResult
 ) -> None:
-    """Processes the result of a poll."""
+    """Processes the result of a poll, unless the server was replaced since."""
+    if not board.is_current(call):
+        board.counters["outdated_results"] += 1
+        return
     runorders.update_clock_offset(board, result)
     board.counters[f"look_{result.verdict.value}"] += 1
     if result.verdict is Verdict.FENCED:
@@ -137,8 +140,7 @@
 def _stop_unknown(board: AgentBoard, name, number: int) -> None:
     """Stops a run of an earlier agent process, or one that started too late."""
     logs.info("unknown_run_stopped", job=name.job, number=number)
-    server = board.server.server if board.server else ""
-    board.calls.append(StopCall(name, number, server, board.token))
+    board.calls.append(runs.stop_call_for(board, name, number))
 
 
 def _on_running(board: AgentBoard, run: Run, percent: int) -> None:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -65,7 +65,8 @@
     Attributes:
         mode: How requests are handled: normally if empty; `busy` refuses them;
             `silent` neither executes nor answers them; `lost` executes them
-            and does not answer.
+            and does not answer; `garbage` answers with a body that is none.
+        garbage_count: Number of such answers.
         records: Records by topic and partition.
         first: Offset of the first record that has not been deleted.
         epochs: Epoch and sequence number of the last fenced append.
@@ -75,6 +76,7 @@
 
     def __init__(self):
         self.mode = ""
+        self.garbage_count = 0
         self.records = collections.defaultdict(list)
         self.first = collections.defaultdict(int)
         self.epochs = {}
@@ -147,7 +149,10 @@
 
     async def prepare(self):
         self.store.calls[self.request.path] += 1
-        if self.store.mode == "busy":
+        if self.store.mode == "garbage":
+            self.store.garbage_count += 1
+            self.finish((b"[]", b"{", b"{}")[self.store.garbage_count % 3])
+        elif self.store.mode == "busy":
             self.set_status(503)
             self.finish()
         elif self.store.mode == "silent":
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -58,5 +58,5 @@
         self.assertEqual(2.5, callers.decode_wait_limit_s("2500", ROUTE))
 
     def test_without_a_valid_header_the_timeout_of_the_route_applies(self):
-        for text in (None, "", "soon", "-5"):
+        for text in (None, "", "soon", "-5", "inf", "nan", "1e999"):
             self.assertEqual(1.5, callers.decode_wait_limit_s(text, ROUTE))
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -28,7 +28,15 @@
         self.assertEqual({"a"}, state.withdrawn)
 
     def test_a_malformed_configuration_is_an_error(self):
-        for body in (b"[]", b"{", b'{"version": "7", "routes": []}'):
+        for body in (
+            b"[]",
+            b"{",
+            b'{"version": "7", "routes": []}',
+            b'{"version": 7, "routes": [3]}',
+            b'{"version": 7, "routes": [null]}',
+            b'{"version": 7, "routes": ["r"]}',
+            b'{"version": 7, "routes": [], "limits": []}',
+        ):
             with self.assertRaises(bodies.BodyError):
                 operators.decode({"config": body}, 1)
 
@@ -106,12 +114,25 @@
 
         self.run_scenario(scenario)
 
+    def test_following_continues_after_malformed_responses(self):
+        async def scenario(fixture):
+            fixture.fake.mode = "garbage"
+            fixture.fake.put(operators.TOPIC, "evacuate/a", {})
+            await until(lambda: fixture.fake.garbage_count >= 4)
+            fixture.fake.mode = ""
+            await until(lambda: fixture.states[-1].withdrawn)
+
+        self.run_scenario(scenario)
+
     def test_a_malformed_configuration_changes_nothing(self):
         async def scenario(fixture):
             before = fixture.states[-1]
             fixture.fake.put(operators.TOPIC, "config", ["nonsense"])
+            fixture.fake.put(
+                operators.TOPIC, "config", {"version": 8, "routes": [1]}
+            )
             fixture.fake.put(operators.TOPIC, "config", fakes.CONFIG)
-            await until(lambda: fixture.states[-1].offset == 3)
+            await until(lambda: fixture.states[-1].offset == 4)
             versions = {state.version for state in fixture.states}
             self.assertEqual({before.version}, versions)
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 import time
 
 import testtools
@@ -10,6 +9,7 @@
 
 from egretthread.platform import agentprogram, entryprogram, servers
 from egretthread.scheduling.nodesettings import NodeSettings
+from tests.aio import free_port
 from tests.platform import fakes
 from tests.platform.test_operators import until
 
@@ -20,12 +20,6 @@
 }
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Cluster:
     """One entry and one agent with a fake backend server and store."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,9 +1,13 @@
 """Tests of encoding and decoding records of the store."""
 
+import asyncio
+import collections
+
 import testtools
 
 from egretthread.platform import store
-from egretthread.scheduling.storecall import Record
+from egretthread.scheduling.storecall import Record, StoreUnavailableError
+from tests.platform import fakes
 
 
 class TestRecords(testtools.TestCase):
@@ -18,3 +22,24 @@
         rows = store.encode_record(Record("a", b"one"))[:-5]
         batch = store.decode_batch(store.READ_HEADER.pack(1, 0) + rows, 0)
         self.assertEqual(1, len(batch.records))
+
+
+class TestMalformedResponses(testtools.TestCase):
+    def test_every_call_reports_the_store_as_unavailable(self):
+        async def scenario():
+            fake = fakes.FakeStore()
+            fake.mode = "garbage"
+            client = store.Store(fake.address, collections.deque())
+            for _ in range(3):
+                for call in (
+                    lambda: client.newest("t"),
+                    lambda: client.find("t", 0, "key"),
+                    lambda: client.read("t", 0, 0.0),
+                    lambda: client.join("g", "m", "t", 1.0, 0),
+                ):
+                    with self.assertRaises(StoreUnavailableError):
+                        await call()
+            client.close()
+            await fake.close()
+
+        asyncio.run(scenario())
--- a/tests/scheduling/test_agentserver.py
+++ b/tests/scheduling/test_agentserver.py
@@ -8,8 +8,8 @@
 from egretthread.scheduling import agentserver, entryserver, linkchoice
 from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.servercall import PollResult, Verdict
+from tests.aio import free_port
 from tests.platform.test_operators import until
-from tests.platform.test_path import free_port
 
 ENTRIES = linkchoice.LINKS_PER_AGENT + 2
 
--- a/tests/scheduling/test_runorders.py
+++ b/tests/scheduling/test_runorders.py
@@ -2,7 +2,13 @@
 
 import testtools
 
-from egretthread.scheduling import agentengine, leaserule, runorders
+from egretthread.scheduling import (
+    agentengine,
+    leaserule,
+    runorders,
+    runs,
+    serverpoll,
+)
 from egretthread.scheduling.agentboard import (
     ServerRecord,
     StartCall,
@@ -16,7 +22,11 @@
     RunOrder,
     StartRuns,
 )
-from egretthread.scheduling.servercall import CallResult, Verdict
+from egretthread.scheduling.servercall import (
+    CallResult,
+    PollResult,
+    Verdict,
+)
 
 ENTRY = "e#1"
 
@@ -115,3 +125,70 @@
         )
         agentengine.on_call_result(board, second, CallResult(Verdict.OK))
         self.assertEqual([], board.blocked_runs)
+
+
+class TestEarlierIncarnation(testtools.TestCase):
+    """Results of calls to an incarnation that has been replaced meanwhile."""
+
+    def setUp(self):
+        super().setUp()
+        self.board = agentengine.new_board("a#1", 5, 100.0)
+        self.register("i-1", 1, clock_ms=1000)
+        agentengine.on_link_open(self.board, ENTRY)
+
+    def register(self, server, started_unix_ms, clock_ms):
+        record = ServerRecord(
+            server,
+            started_unix_ms,
+            "match",
+            "a",
+            (),
+            Room(8000, 64, 0),
+            False,
+            0.0,
+            1,
+        )
+        agentengine.on_heartbeat(self.board, record, clock_ms)
+
+    def start(self, attempt):
+        echo_ms = self.board.clock_ms
+        order = StartRuns(
+            "j", "x", 9, 1, 0, 100, 0, echo_ms, 10, (RunOrder(0, 0, attempt),)
+        )
+        agentengine.on_message(self.board, ENTRY, order)
+        agentengine.after_event(self.board)
+        return self.board.calls.pop()
+
+    def test_the_runs_of_the_new_incarnation_go_on(self):
+        """Their entry would run the tasks a second time otherwise."""
+        for server, started_unix_ms in (("i-2", 2), ("i-2", 3)):
+            self.start(attempt=started_unix_ms)
+            (run,) = self.board.runs.values()
+            stop = runs.stop_call(self.board, run)
+            poll = serverpoll.next_poll(self.board)
+            self.register(server, started_unix_ms, clock_ms=5)
+            self.start(attempt=started_unix_ms + 10)
+            offset_ms = self.board.clock_offset_ms
+            for verdict in (Verdict.WRONG_INSTANCE, Verdict.NOT_LISTENING):
+                agentengine.on_call_result(
+                    self.board, stop, CallResult(verdict, 70_000)
+                )
+                agentengine.on_poll_result(
+                    self.board, poll, PollResult(verdict, 70_000)
+                )
+            agentengine.on_poll_result(
+                self.board, poll, PollResult(Verdict.OK, 70_000)
+            )
+            self.assertEqual(1, len(self.board.runs))
+            self.assertEqual(offset_ms, self.board.clock_offset_ms)
+            self.board.runs.clear()
+            self.board.runs_by_task.clear()
+
+    def test_a_late_answer_to_a_start_does_not_change_the_clock(self):
+        call = self.start(attempt=1)
+        self.register("i-2", 2, clock_ms=5)
+        offset_ms = self.board.clock_offset_ms
+        agentengine.on_call_result(
+            self.board, call, CallResult(Verdict.OK, 70_000)
+        )
+        self.assertEqual(offset_ms, self.board.clock_offset_ms)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -11,7 +11,7 @@
 from egretthread.listeners import Listeners
 from egretthread.platform import __main__ as program
 from egretthread.platform import listener
-from tests.aio import run_async
+from tests.aio import free_port, run_async
 
 SETTINGS = """
 name = "side-1"
@@ -31,12 +31,7 @@
 
 
 def free_address():
-    opened = Listeners()
-    opened.open("127.0.0.1:0")
-    listening = opened.take("127.0.0.1:0")
-    port = listening.getsockname()[1]
-    listening.close()
-    return f"127.0.0.1:{port}"
+    return f"127.0.0.1:{free_port()}"
 
 
 class TestListeners(testtools.TestCase):
