Read the first configuration soon after the store is back

The entries knew their agents at 37.09 s, but the configuration only at 37.87 to 38.11 s: a request without an answer lasts 0.8 s and is followed by a wait of up to a second. Some hundred callers waited for it, and 61 were refused when they were let in at once.

Change: until a first configuration has been read, a failed request is repeated after 0.1 s, with timeouts of 0.25, 0.25 and 0.8 s in turn.

A failed try, reverted: taking a fair share of the capacity as the dispatch rate in the first half second, with 0, 5, 10, 15 or 30 % of it as surplus for late jobs.

--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -32,6 +32,12 @@
 # Backoff after a failed request; doubles with each failure up to the maximum.
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0
+# Before the first configuration has been read, callers are waiting for it, and
+# a failed request is repeated after this time.
+START_RETRY_S = 0.1
+# Timeouts of these requests, in turn. The short ones notice soon that a silent
+# store answers again, the long one gets the answer of a slow store.
+START_TIMEOUTS_S = (0.25, 0.25, 0.8)
 
 
 def decode(values: dict[str, bytes], offset: int) -> OperatorState:
@@ -110,6 +116,7 @@
         values: Newest value of each key that was read.
         offset: Offset of the next record to read; None until the newest
             records have been read, and after a gap in the history.
+        attempts: Number of requests for the newest records.
     """
 
     def __init__(self, store: Store, on_state):
@@ -117,6 +124,7 @@
         self.on_state = on_state
         self.values: dict[str, bytes] = {}
         self.offset: int | None = None
+        self.attempts = 0
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -145,6 +153,9 @@
                 if not lost:
                     logs.warning("store_lost", error=error.message)
                 lost = True
+                if not self.values:
+                    await asyncio.sleep(START_RETRY_S)
+                    continue
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(MAX_RETRY_S, 2 * backoff_s)
                 continue
@@ -156,7 +167,9 @@
     async def _read_once(self) -> None:
         """Reads one batch and passes on the state if it brought records."""
         if self.offset is None:
-            batch = await self.store.newest(TOPIC)
+            timeout_s = START_TIMEOUTS_S[self.attempts % len(START_TIMEOUTS_S)]
+            self.attempts += 1
+            batch = await self.store.newest(TOPIC, timeout_s=timeout_s)
             self.values = {
                 e.key: e.value for e in batch.records if e.value is not None
             }
--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -78,9 +78,16 @@
         """Closes the connections."""
         self.pool.close()
 
-    async def newest(self, topic: str, partition: int = 0) -> Batch:
+    async def newest(
+        self, topic: str, partition: int = 0, timeout_s: float = TIMEOUT_S
+    ) -> Batch:
         """Returns the newest record of each key of a partition.
 
+        Args:
+            topic: The topic.
+            partition: The partition.
+            timeout_s: Timeout of each of the requests that this takes.
+
         A record that is written during the call may be missing. Reading from
         the end offset of the batch returns it.
 
@@ -92,7 +99,9 @@
         end = None
         after = None
         while True:
-            page, page_end, has_more = await self._page(topic, partition, after)
+            page, page_end, has_more = await self._page(
+                topic, partition, after, timeout_s
+            )
             records += page
             end = page_end if end is None else end
             if not has_more:
@@ -113,7 +122,11 @@
         return values[0] if values else None
 
     async def _page(
-        self, topic: str, partition: int, after: str | None
+        self,
+        topic: str,
+        partition: int,
+        after: str | None,
+        timeout_s: float = TIMEOUT_S,
     ) -> tuple[list[Record], int, bool]:
         """Returns one page of the newest records.
 
@@ -121,6 +134,7 @@
             topic: The topic.
             partition: The partition.
             after: Key after which the page starts; None for the first page.
+            timeout_s: Timeout of the request.
 
         Returns:
             The records, the partition's end offset, and whether there are
@@ -129,7 +143,9 @@
         query = {"topic": KEYED_PREFIX + topic, "part": partition}
         if after is not None:
             query["after"] = after
-        response = await self.call("GET", "/log-newest", query)
+        response = await self.call(
+            "GET", "/log-newest", query, timeout_s=timeout_s
+        )
         with _decoding("/log-newest"):
             table = orjson.loads(response.body)
             page = [
@@ -259,6 +275,7 @@
         query: dict | None = None,
         body: bytes = b"",
         wait_s: float = 0.0,
+        timeout_s: float = TIMEOUT_S,
     ) -> Response:
         """Sends a request and returns the response if it succeeded.
 
@@ -273,7 +290,7 @@
         result = "lost"
         try:
             response = await self.pool.request(
-                target, body, TIMEOUT_S + wait_s, method, headers
+                target, body, timeout_s + wait_s, method, headers
             )
             result = str(response.code)
         except OSError as error:
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -74,6 +74,43 @@
         await self.fake.close()
 
 
+class TestStart(testtools.TestCase):
+    def delay_after_outage(self, mode):
+        """Returns how long a new feed takes once the store is back."""
+
+        async def scenario():
+            fake = fakes.FakeStore()
+            fake.put(operators.TOPIC, "config", fakes.CONFIG)
+            fake.mode = mode
+            store = Store(fake.address, collections.deque())
+            states = []
+            feed = operators.OperatorFeed(
+                store, lambda state, text: states.append(state)
+            )
+            feed.start()
+            # Long enough for the backoff of later failures to be reached.
+            await asyncio.sleep(2.9)
+            fake.mode = ""
+            loop = asyncio.get_running_loop()
+            back_s = loop.time()
+            await until(lambda: states)
+            delay_s = loop.time() - back_s
+            await feed.close()
+            store.close()
+            await fake.close()
+            return delay_s
+
+        return asyncio.run(scenario())
+
+    def test_the_configuration_is_read_soon_after_a_refusing_store_is_back(
+        self,
+    ):
+        self.assertLess(self.delay_after_outage("busy"), 0.3)
+
+    def test_the_configuration_is_read_soon_after_a_silent_store_is_back(self):
+        self.assertLess(self.delay_after_outage("silent"), 1.0)
+
+
 class TestFeed(testtools.TestCase):
     def run_scenario(self, scenario):
         async def run():
--- a/tests/scheduling/loads.py
+++ b/tests/scheduling/loads.py
@@ -29,11 +29,13 @@
 
     Attributes:
         world: The simulated region.
+        offered: Number of submissions scheduled so far.
         submitted_s: When each job was submitted, by its id.
     """
 
     def __init__(self, world):
         self.world = world
+        self.offered = 0
         self.submitted_s = {}
 
     def offer(self, rate, seconds, spec, max_wait_s=1.5, entries=None):
@@ -48,7 +50,8 @@
         """
         entries = entries or sorted(self.world.entries)
         for number in range(int(rate * seconds)):
-            name = f"job-{len(self.submitted_s)}-{number}"
+            self.offered += 1
+            name = f"job-{self.offered}"
             after_s = number / rate
             entry = entries[number % len(entries)]
             self.world.at(after_s, self._submit, name, spec, entry, max_wait_s)
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -168,6 +168,7 @@
         process = self.entries[name] = Process(name, "entry", board)
         board.kept.partition_count = self.log.count
         entryengine.on_operators(board, self.operators)
+        board.entries = tuple(self.entry_names)
         self.at(TICK_S, self.tick, process)
         self.at(TICK_S, self.join, process)
         for agent in self.agents.values():
--- a/tests/scheduling/test_start_load.py
+++ b/tests/scheduling/test_start_load.py
@@ -72,3 +72,33 @@
         self.assertTrue(dispatch.is_starting(board))
         world.run(0.2)
         self.assertFalse(dispatch.is_starting(board))
+
+
+class TestReleasedTogether(testtools.TestCase):
+    """Load pattern: callers that waited for the configuration come at once.
+
+    The entries have dispatched nothing before, so that they know no rate. In
+    addition the usual load goes on.
+    """
+
+    def results(self, steady):
+        world = region.Region(entries=2, agents=8)
+        load = loads.Load(world)
+        world.run(1.0)
+        rate = loads.capacity_rate(world)
+        load.offer(20 * 0.5 * rate, 0.05, loads.lookup)
+        load.offer(steady * rate, 3.0, loads.lookup)
+        world.finish(6.0)
+        self.assertEqual([], world.violations())
+        return load.results()
+
+    def test_an_overload_is_refused_at_once(self):
+        results = self.results(steady=1.5)
+        waits_s = sorted(
+            result.took_s
+            for result in results
+            if result.outcome is Outcome.REFUSED
+        )
+        self.assertGreater(len(waits_s), 100)
+        self.assertLessEqual(waits_s[len(waits_s) // 2], 0.05)
+        self.assertLessEqual(waits_s[int(0.95 * len(waits_s))], 0.3)
