Link agents with their own entries from the start

Cause: a started agent knew three seeds only, linked with all of them and left most of them again once an entry had told it of the others.

Change: an agent first asks the store for the registered entries, for 0.25 s at most, and selects among them; the seeds serve where the store does not answer.

Ruled out: one seed chosen by hash, which still costs every agent a link that it leaves again.

Figures: tests/scheduling/test_agentserver.py records the links opened: seeds that an agent does not select are among them before, none after.

--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -36,6 +36,10 @@
 # Upper bound of the wait between two attempts to open a link. A restarted entry
 # refuses work until it has found its agents.
 RECONNECT_S = 0.4
+# How long the first links wait for the list of entries in the store. From the
+# seeds alone, all agents of a restarted deployment would link with the same few
+# entries and leave most of them again.
+FIRST_LOOKUP_S = 0.25
 # Interval between attempts of discovery, which are made only while no link is
 # open.
 DISCOVERY_S = 2.0
@@ -97,7 +101,7 @@
 
     async def start(self) -> None:
         """Opens the links and starts the background loops."""
-        self._update_links()
+        self._spawn(self._open_first_links())
         for loop in (
             self._tick_loop,
             self._poll_loop,
@@ -206,6 +210,15 @@
         for peer in tuple(self.entry_links.peers.get(node, ())):
             peer.abort(link.REASON_SILENT)
 
+    async def _open_first_links(self) -> None:
+        """Opens the first links, knowing the registered entries if possible."""
+        try:
+            async with asyncio.timeout(FIRST_LOOKUP_S):
+                self.discovered = tuple(await self.find_entries())
+        except TimeoutError:
+            logs.info("entry_lookup_skipped", waited_s=FIRST_LOOKUP_S)
+        self._update_links()
+
     async def _discovery_loop(self) -> None:
         """Discovers entries while no link is open."""
         await asyncio.sleep(DISCOVERY_DELAY_S)
--- a/tests/scheduling/test_agentserver.py
+++ b/tests/scheduling/test_agentserver.py
@@ -1,9 +1,11 @@
 """Tests of an agent's links with entries over loopback connections."""
 
 import asyncio
+import itertools
 
 import testtools
 
+from egretthread import link
 from egretthread.listeners import Listeners
 from egretthread.scheduling import agentserver, entryserver, linkchoice
 from egretthread.scheduling.nodesettings import NodeSettings
@@ -24,6 +26,10 @@
         pass
 
 
+async def nothing_registered():
+    return ()
+
+
 class TestLinks(testtools.TestCase):
     def settings(self, number, port):
         return NodeSettings(
@@ -49,7 +55,7 @@
             entries[settings.peer_address] = entry
             await entry.start()
         agent = agentserver.AgentServer(
-            self.settings(ENTRIES, port), SilentServer(), None
+            self.settings(ENTRIES, port), SilentServer(), nothing_registered
         )
         await agent.start()
         wanted = set(
@@ -75,3 +81,57 @@
 
     def test_an_agent_links_with_a_few_entries_and_replaces_lost_ones(self):
         asyncio.run(self.run_scenario())
+
+    async def run_start(self, find_entries):
+        """Returns the entries selected, and all that a link was opened to."""
+        port = free_port()
+        entries = {}
+        for number in range(ENTRIES):
+            settings = self.settings(number, port)
+            entry = entryserver.EntryServer(settings, None, Listeners())
+            entries[settings.peer_address] = entry
+            await entry.start()
+        opened = set()
+        start = link.LinkClient.start
+
+        def record(client):
+            if client.role == "agent":
+                opened.add(client.address)
+            start(client)
+
+        self.patch(link.LinkClient, "start", record)
+        # An agent that does not select all of the seeds.
+        for number in itertools.count(ENTRIES):
+            settings = self.settings(number, port)
+            wanted = set(linkchoice.choose(settings.name, entries, frozenset()))
+            if not set(settings.seed_peers) <= wanted:
+                break
+        agent = agentserver.AgentServer(
+            settings, SilentServer(), lambda: find_entries(entries)
+        )
+        await agent.start()
+        await until(lambda: self.linked(agent) == wanted)
+        await agent.close()
+        for entry in entries.values():
+            await entry.close()
+        return wanted, opened
+
+    def test_an_agent_links_only_with_its_own_entries_from_the_start(self):
+        """Load pattern: all agents start again at once.
+
+        From the seeds alone, every one of them would begin at the same three
+        entries.
+        """
+
+        async def find(entries):
+            return tuple(entries)
+
+        wanted, opened = asyncio.run(self.run_start(find))
+        self.assertEqual(wanted, opened)
+
+    def test_an_agent_starts_from_the_seeds_while_the_store_is_silent(self):
+        async def find(entries):
+            await asyncio.sleep(30)
+
+        wanted, opened = asyncio.run(self.run_start(find))
+        self.assertLessEqual(wanted, opened)
