Ignore heartbeats of a backend server that has left

Change: the agent remembers the incarnation that left and ignores heartbeats of it and of older ones.

Figures: test_a_server_that_left_is_not_used_because_of_a_late_heartbeat fails without the change.

--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -208,6 +208,7 @@
         now_s: Time of the event being handled, on the monotonic clock.
         token: Fencing token of the calls to the backend server.
         server: Its backend server; None before the first heartbeat.
+        left_server: The last backend server that announced its leave.
         state: State of the backend server.
         is_shutting_down: Whether the agent is shutting down.
         clock_offset_ms: Backend server's clock minus the agent's clock.
@@ -247,6 +248,7 @@
     token: int
     now_s: float
     server: ServerRecord | None = None
+    left_server: ServerRecord | None = None
     state: ServerState = ServerState.ABSENT
     is_shutting_down: bool = False
     clock_offset_ms: int = 0
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -159,6 +159,9 @@
     if known is not None and _is_outdated(record, known):
         logs.info("heartbeat_outdated", server=record.server)
         return
+    if _has_left(board, record):
+        logs.info("heartbeat_after_leave", server=record.server)
+        return
     if known is None or _is_new_incarnation(record, known):
         _replace_server(board, record, clock_ms)
     elif record.capacity != known.capacity or record.labels != known.labels:
@@ -175,6 +178,7 @@
     if board.server is not None and board.server.server == server:
         logs.info("server_left", server=server, runs=len(board.runs))
         runs.drop_all(board, RunEnd.STOPPED)
+        board.left_server = board.server
         board.server = None
         _reset_sent_facts(board)
         _set_state(board, ServerState.ABSENT, "left")
@@ -324,6 +328,19 @@
     return same and record.sequence < known.sequence
 
 
+def _has_left(board: AgentBoard, record: ServerRecord) -> bool:
+    """Whether a heartbeat is of the incarnation that left, or of an older one.
+
+    An incarnation ends when it has left, so such a heartbeat was delayed.
+    """
+    left = board.left_server
+    if left is None or not record.started_unix_ms or not left.started_unix_ms:
+        return False
+    if record.started_unix_ms == left.started_unix_ms:
+        return record.server == left.server
+    return record.started_unix_ms < left.started_unix_ms
+
+
 def _is_new_incarnation(record: ServerRecord, known: ServerRecord) -> bool:
     return (record.server, record.started_unix_ms) != (
         known.server,
