Name a restart as the cause of a refusal

Cause: the refusals in one pass at the end of an entry's start were explained as "other jobs got the capacity first"; the entry's start was not in the story.

Ruled out: naming the restart for refusals as overload as well, which have the load that decided them in their own line.

Figures: tests/test_explanation.py and tests/scheduling/test_start_load.py.

--- a/egretthread/explanation.py
+++ b/egretthread/explanation.py
@@ -16,6 +16,7 @@
     (
         "agent_lost",
         "agent_state",
+        "agents_found",
         "group_lost",
         "lines_dropped",
         "operators_state",
@@ -24,6 +25,7 @@
         "server_silent",
         "server_state",
         "shutdown_began",
+        "started",
         "store_lost",
         "zone_withdrawn",
     )
@@ -96,6 +98,14 @@
         " {ahead_cpu_s} core-seconds were ahead of it, processed at {rate_cpu}"
         " cores of {usable_cpu} usable ones",
     ),
+    Cause(
+        ("refused",),
+        "agents_found",
+        _always,
+        "the entry had just started: when it knew its {agents} agents with"
+        " {usable_cpu} cores, {after_s} s after its start, {waiting_tasks}"
+        " tasks were waiting, and this one could not end in time",
+    ),
     Cause(
         ("refused",),
         "job_answered",
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -209,6 +209,7 @@
         started_s: When the process started.
         discovered_s: When a backend server was last found ready by this
             process for the first time; infinite before the first one.
+        is_started: Whether the start-up period is over.
         operator_state: Published operator state in force.
         is_shutting_down: Whether the entry is shutting down.
         shutdown_end_s: When it must have answered every job.
@@ -242,6 +243,7 @@
     unix_s: float = 0.0
     started_s: float = 0.0
     discovered_s: float = math.inf
+    is_started: bool = False
     operator_state: OperatorState = OperatorState()
     is_shutting_down: bool = False
     shutdown_end_s: float = 0.0
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -255,6 +255,8 @@
 def on_tick(board: EntryBoard) -> None:
     """Performs periodic work; called on every tick."""
     board.last_tick_s = board.now_s
+    if not board.is_started and not dispatch.is_starting(board):
+        _end_start(board)
     _expire_agents(board)
     keptjobs.on_tick(board)
     jobs.expire(board)
@@ -262,6 +264,24 @@
     dispatch.dispatch_waiting(board)
 
 
+def _end_start(board: EntryBoard) -> None:
+    """Records what the entry knows at the end of its start-up period."""
+    board.is_started = True
+    usable = [
+        view
+        for view in board.agents.values()
+        if agentviews.is_usable(board, view)
+    ]
+    logs.info(
+        "agents_found",
+        agents=len(usable),
+        usable_cpu=sum(view.facts.capacity.cpu for view in usable) / 1000,
+        after_s=board.now_s - board.started_s,
+        waiting_tasks=len(board.waiting),
+        entries=len(board.entries),
+    )
+
+
 def _expire_agents(board: EntryBoard) -> None:
     """Ends the runs of agents whose fence has passed; removes lost agents.
 
--- a/tests/scheduling/test_start_load.py
+++ b/tests/scheduling/test_start_load.py
@@ -4,8 +4,12 @@
 waiting whom it could have refused as soon as it knew its agents.
 """
 
+import io
+import logging
+
 import testtools
 
+from egretthread import logs
 from egretthread.scheduling import dispatch
 from egretthread.scheduling.entryboard import Outcome
 from tests.scheduling import loads, region
@@ -65,6 +69,21 @@
         world.run(0.2 + dispatch.DISCOVERY_GAP_S)
         self.assertFalse(dispatch.is_starting(board))
 
+    def test_the_end_of_the_start_is_logged_once(self):
+        output = io.StringIO()
+        logs.setup("info", "test", output)
+        self.addCleanup(logging.getLogger().handlers.clear)
+        world = region.Region(entries=1, agents=8)
+        world.run(3.0)
+        lines = [
+            line
+            for line in output.getvalue().splitlines()
+            if "event=agents_found" in line
+        ]
+        self.assertEqual(1, len(lines))
+        self.assertIn("agents=8", lines[0])
+        self.assertIn("usable_cpu=64", lines[0])
+
     def test_without_agents_the_start_ends_after_its_limit(self):
         world = region.Region(entries=1, agents=0)
         board = world.entries["e0"].board
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -41,6 +41,27 @@
         )
         self.check([refused], "refused", "3 s", "32 usable")
 
+    def test_a_refusal_after_a_restart_of_the_entry(self):
+        found_agents = line(
+            "agents_found",
+            9.9,
+            job="",
+            agents=11,
+            usable_cpu=352,
+            after_s=0.5,
+            waiting_tasks=70,
+        )
+        refused = answered("refused", reason="no room in time", runs=0)
+        self.check(
+            [found_agents, refused], "refused", "just started", "70 tasks"
+        )
+        self.check([refused], "refused", "other jobs got the capacity first")
+
+    def test_an_overload_after_a_restart_is_an_overload(self):
+        found_agents = line("agents_found", 9.0, job="", agents=11)
+        refused = line("job_refused", 10.0, reason="overload", wait_s=3)
+        self.check([found_agents, refused], "refused", "wait for capacity")
+
     def test_a_task_that_failed_too_often(self):
         lines = [
             line("run_failed", 9.5, failures=1, allowed=2, agent="a#1"),
