Read all connections into one buffer

Cause: each link had a read buffer of 64 KiB of its own; an entry of the large site has some 90 links, one at 4,000 workers would have 360 with agents alone, or 23 MB of the 32 MB that control may take.

Change: links and calls read into one buffer of the process. What is read is copied or parsed in the same turn of the event loop, also under TLS.

--- a/egretthread/httpconnection.py
+++ b/egretthread/httpconnection.py
@@ -6,7 +6,8 @@
 
 import httptools
 
-BUFFER_BYTES = 16_384
+from egretthread.readbuffer import READ_BUFFER
+
 # Informational responses, with lower status codes, precede the final one.
 MIN_FINAL_CODE = 200
 
@@ -51,7 +52,6 @@
         self.on_closed = on_closed
         self.transport: asyncio.Transport | None = None
         self.response: asyncio.Future[Response] | None = None
-        self.buffer = memoryview(bytearray(BUFFER_BYTES))
         self.parser = httptools.HttpResponseParser(self)
         self._reset()
 
@@ -102,7 +102,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer that received bytes are read into."""
-        return self.buffer
+        return READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parses received bytes."""
@@ -111,7 +111,7 @@
             self.abort()
             return
         try:
-            self.parser.feed_data(self.buffer[:nbytes])
+            self.parser.feed_data(READ_BUFFER[:nbytes])
         except httptools.HttpParserError as error:
             self._fail(f"malformed response: {error}")
 
--- a/egretthread/linkstream.py
+++ b/egretthread/linkstream.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-BUFFER_BYTES = 65_536
+from egretthread.readbuffer import READ_BUFFER
 
 
 class StreamLostError(ConnectionError):
@@ -37,7 +37,6 @@
         self.on_drained: Callable[[], None] | None = None
         self.is_stalled = False
         self.bytes_written = 0
-        self.buffer = memoryview(bytearray(BUFFER_BYTES))
 
     @property
     def bytes_sent(self) -> int:
@@ -107,14 +106,14 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer that received bytes are read into."""
-        return self.buffer
+        return READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes on received bytes."""
         if self.on_bytes is not None:
-            self.on_bytes(self.buffer[:nbytes])
+            self.on_bytes(READ_BUFFER[:nbytes])
             return
-        self.pending += self.buffer[:nbytes]
+        self.pending += READ_BUFFER[:nbytes]
         self.arrived.set()
 
     def eof_received(self) -> bool:
