Do not read on an unrequested response

Cause, found while reading the change: a server that sends the begin of a second response in the same packet as the first left its connection reusable, and the rest of that response was read as the answer to the next request.

Change: the connection is closed as soon as a message begins that was not requested.

--- a/egretthread/httpconnection.py
+++ b/egretthread/httpconnection.py
@@ -126,6 +126,11 @@
         self._fail(f"connection closed: {error}")
         self.on_closed()
 
+    def on_message_begin(self) -> None:
+        """Closes the connection if the response was not requested."""
+        if self.response is None or self.response.done():
+            self.abort()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records whether the headers delimit the body."""
         if name.lower() in (b"content-length", b"transfer-encoding"):
