--- a/egretthread_bench/programs.py
+++ b/egretthread_bench/programs.py
@@ -11,6 +11,7 @@
 
 from egretthread import console
 from egretthread_bench import cost as costs
+from egretthread_bench import plays as day_plays
 from egretthread_bench import processes as runs
 from egretthread_bench import processreport, scenario
 from egretthread_bench import scale as scales
@@ -129,3 +130,56 @@
     print(site_scores.table(rows))
     if any(row.is_worse for row in rows) or not all(s.gate for s in scores):
         raise typer.Exit(1)
+
+
+@app.command()
+@console.reports_errors
+def plays(
+    site: Annotated[pathlib.Path, typer.Argument(help="Site file.")],
+    days: Annotated[
+        list[str], typer.Argument(help="Names of days, or TOML files.")
+    ],
+    bench: Annotated[
+        pathlib.Path, typer.Option(help="Program of the operators' bench.")
+    ],
+    why: Annotated[str, typer.Option(help="Line for the journal.")],
+    out: Annotated[pathlib.Path, typer.Option(help="Directory of reports.")],
+    checkout: Annotated[
+        pathlib.Path, typer.Option(help="Repository that is played.")
+    ] = pathlib.Path("."),
+    seeds: Annotated[
+        str, typer.Option(help="Seeds, separated by commas.")
+    ] = "1,2,3",
+    jobs: Annotated[int, typer.Option(help="Days played at once.")] = 3,
+    log: Annotated[
+        str, typer.Option(help="Machines whose logs are kept.")
+    ] = "",
+    charge_cpu: Annotated[
+        bool, typer.Option(help="Charge processor time.")
+    ] = False,
+) -> None:
+    """Plays days of a deployment, each with several seeds."""
+    options = ("--why", why)
+    if log:
+        options += ("--log", log)
+    if not charge_cpu:
+        options += ("--no-cpu",)
+    wanted = [
+        day_plays.Play(site.resolve(), day, int(seed))
+        for seed in seeds.split(",")
+        for day in days
+    ]
+    missing = day_plays.play_all(
+        bench.resolve(), checkout, wanted, out.resolve(), options, jobs
+    )
+    for play in missing:
+        console.progress(f"{play.name} left no report")
+    if missing:
+        raise typer.Exit(1)
+
+
+@app.command()
+@console.reports_errors
+def pairs(old: pathlib.Path, new: pathlib.Path) -> None:
+    """Compares the plays of two versions, day by day and seed by seed."""
+    print(day_plays.table(day_plays.pair_up(old, new)))
