Count the requests that were not served in time by cause and by time

Change: `egretthread explain losses FILES` gives each request that was late or not served the cause that `explain request` finds, and counts them by outcome, cause and route, and by the time of their receipt. Causes have short names.

--- a/egretthread/commands/explain.py
+++ b/egretthread/commands/explain.py
@@ -5,6 +5,7 @@
 import typer
 
 from egretthread import console, explanation, logline, util
+from egretthread import losses as lost_requests
 from egretthread.commands import options
 
 app = typer.Typer(
@@ -72,6 +73,76 @@
             typer.echo(logline.format_line(line, begin_s))
 
 
+@app.command()
+@console.reports_errors
+def losses(
+    files: Files,
+    interval_s: Annotated[
+        float, typer.Option(help="Length of an interval, in seconds.", min=0.1)
+    ] = 2.0,
+    as_json: options.AsJson = False,
+) -> None:
+    """Counts the requests not served in time, by cause and by time."""
+    lines = list(logline.read_files(files))
+    found = lost_requests.find(lines)
+    if not found.answered:
+        raise NoLineError(
+            "the files hold no answered request", "give the logs of entries"
+        )
+    begin_s = min(line.at_s for line in lines)
+    console.emit(
+        as_json,
+        _losses_to_json(found, begin_s, interval_s),
+        _losses_to_text(found, begin_s, interval_s),
+    )
+
+
+def _losses_to_text(
+    found: lost_requests.Losses, begin_s: float, interval_s: float
+) -> str:
+    output = [
+        f"{len(found.losses)} of {found.answered} answered requests were late"
+        " or not served",
+        "",
+    ]
+    for (outcome, cause), routes in found.by_cause().items():
+        of_route = ", ".join(
+            f"{route or 'unknown route'} {count}"
+            for route, count in routes.most_common()
+        )
+        output.append(f"{routes.total():6d}  {outcome}: {cause} ({of_route})")
+    output += ["", "by the time at which they were received, s:"]
+    for at_s, causes in found.by_time(begin_s, interval_s).items():
+        of_cause = ", ".join(
+            f"{outcome}: {cause} {count}"
+            for (outcome, cause), count in causes.most_common()
+        )
+        output.append(f"{at_s:8.1f} {causes.total():5d}  {of_cause}")
+    return "\n".join(output)
+
+
+def _losses_to_json(
+    found: lost_requests.Losses, begin_s: float, interval_s: float
+) -> dict:
+    return {
+        "answered": found.answered,
+        "causes": [
+            {"outcome": outcome, "cause": cause, "routes": dict(routes)}
+            for (outcome, cause), routes in found.by_cause().items()
+        ],
+        "times": [
+            {
+                "at_s": at_s,
+                "outcome": outcome,
+                "cause": cause,
+                "count": count,
+            }
+            for at_s, causes in found.by_time(begin_s, interval_s).items()
+            for (outcome, cause), count in causes.items()
+        ],
+    }
+
+
 def _to_text(found: explanation.Explanation) -> str:
     begin_s = found.lines[0].at_s
     output = [f"outcome: {found.outcome}", f"cause: {found.cause}", ""]
--- a/egretthread/explanation.py
+++ b/egretthread/explanation.py
@@ -51,6 +51,7 @@
         state_lines: Lines on the state of the processes at that time.
         outcome: How the request was answered; `unknown` if no line tells.
         cause: The cause of the outcome, as a sentence.
+        cause_name: A short name of the cause; empty if none is known.
         deciding_line: The line that shows the cause, if any.
     """
 
@@ -58,6 +59,7 @@
     state_lines: tuple[LogLine, ...]
     outcome: str
     cause: str
+    cause_name: str
     deciding_line: LogLine | None
 
 
@@ -66,12 +68,14 @@
     """One kind of cause.
 
     Attributes:
+        name: A short name, for counts.
         outcomes: Outcomes that it explains.
         event: Event of the line that shows it.
         matches: Returns whether a line of that event shows it.
         text: The sentence; its placeholders are fields of the line.
     """
 
+    name: str
     outcomes: tuple[str, ...]
     event: str
     matches: Callable[[LogLine], bool]
@@ -95,24 +99,28 @@
 # completed after its objective.
 CAUSES = (
     Cause(
+        "not accepted elsewhere",
         ("refused",),
         "forwarded_job_ended",
         lambda line: line.fields.get("was_accepted") == "false",
         "{reason}; it was forwarded to {entry}, which did not accept it",
     ),
     Cause(
+        "lost at the other entry",
         ("given_up",),
         "forwarded_job_ended",
         lambda line: line.fields.get("reason") in LOST_REASONS,
         "it was forwarded to {entry}, and then: {reason}",
     ),
     Cause(
+        "no backend server",
         ("refused",),
         "job_refused",
         _reason("no backend server"),
         "no backend server of the service was usable at this entry",
     ),
     Cause(
+        "route confined",
         ("refused",),
         "job_refused",
         _reason("route confined"),
@@ -120,6 +128,7 @@
         " route may still use are down",
     ),
     Cause(
+        "overload, share used up",
         ("refused",),
         "job_refused",
         _lost_to_a_share("overload"),
@@ -128,6 +137,7 @@
         " guaranteed ones, and share {lost_to} {lost_to_cpu} cores",
     ),
     Cause(
+        "overload",
         ("refused",),
         "job_refused",
         _reason("overload"),
@@ -136,6 +146,7 @@
         " cores of {usable_cpu} usable ones",
     ),
     Cause(
+        "just started",
         ("refused",),
         "agents_found",
         _always,
@@ -144,6 +155,7 @@
         " tasks were waiting, and this one could not end in time",
     ),
     Cause(
+        "no room in time, share used up",
         ("refused",),
         "job_answered",
         _lost_to_a_share("no room in time"),
@@ -152,6 +164,7 @@
         " {lost_to_cpu} cores",
     ),
     Cause(
+        "no room in time",
         ("refused",),
         "job_answered",
         _reason("no room in time"),
@@ -159,6 +172,7 @@
         " time",
     ),
     Cause(
+        "crashes backend servers",
         ("failed",),
         "job_answered",
         _reason("a task crashes backend servers"),
@@ -166,6 +180,7 @@
         " while no other job was there",
     ),
     Cause(
+        "task failed",
         ("failed",),
         "run_failed",
         _always,
@@ -173,6 +188,7 @@
         " {agent}",
     ),
     Cause(
+        "agent lost",
         ("given_up", "late"),
         "agent_lost",
         _always,
@@ -180,6 +196,7 @@
         " wait until their earlier runs had certainly ended",
     ),
     Cause(
+        "server crashed",
         ("given_up", "late"),
         "run_lost",
         _always,
@@ -187,6 +204,7 @@
         " the task was started again",
     ),
     Cause(
+        "slow run, no capacity elsewhere",
         ("given_up", "late"),
         "slow_run",
         lambda line: line.fields.get("room_elsewhere") == "false",
@@ -194,12 +212,14 @@
         " capacity elsewhere",
     ),
     Cause(
+        "stalled run",
         ("given_up", "late"),
         "run_slow",
         lambda line: line.fields.get("stalled") == "true",
         "a task stalled at {percent} % on its backend server after {age_s} s",
     ),
     Cause(
+        "slow run",
         ("given_up", "late"),
         "run_slow",
         _always,
@@ -207,18 +227,21 @@
         " expected",
     ),
     Cause(
+        "run failed",
         ("given_up", "late"),
         "run_failed",
         _always,
         "a task failed on {agent} and was restarted",
     ),
     Cause(
+        "start unanswered",
         ("given_up", "late"),
         "start_unanswered",
         _always,
         "a backend server did not answer the request to start a task",
     ),
     Cause(
+        "run lapsed",
         ("given_up", "late", "unknown"),
         "run_lapsed",
         _always,
@@ -226,48 +249,56 @@
         " task: the entry had ended, had stalled or was disconnected",
     ),
     Cause(
+        "waited for capacity",
         ("given_up", "late"),
         "job_answered",
         lambda line: line.number("handed_s") > line.number("expected_s"),
         "the last task waited {handed_s} s for capacity",
     ),
     Cause(
+        "run again",
         ("given_up", "late"),
         "job_answered",
         lambda line: line.number("runs") > line.number("tasks"),
         "tasks were restarted: {runs} runs of {tasks} tasks",
     ),
     Cause(
+        "ran longer than expected",
         ("given_up", "late"),
         "job_answered",
         lambda line: line.number("took_s") > 1.3 * line.number("expected_s"),
         "its tasks ran longer than the {expected_s} s that were expected",
     ),
     Cause(
+        "left by its caller",
         ("cancelled",),
         "job_answered",
         _always,
         "{reason}, {took_s} s after the request was received",
     ),
     Cause(
+        "deadline passed",
         ("given_up",),
         "job_answered",
         _always,
         "{reason}, {took_s} s after the request was received",
     ),
     Cause(
+        "answered by another entry",
         ("refused", "given_up", "failed", "cancelled"),
         "forwarded_job_ended",
         _always,
         "it was forwarded to {entry}, which answered: {reason}",
     ),
     Cause(
+        "late at another entry",
         ("late",),
         "forwarded_job_ended",
         _always,
         "it was forwarded to {entry}, which took {there_s} s",
     ),
     Cause(
+        "unsupported",
         ("unsupported",),
         "job_unsupported",
         _always,
@@ -304,9 +335,9 @@
         and (line.source in sources or _is_about_agent(line, names))
     ]
     outcome = _outcome(own)
-    cause, deciding_line = _cause(outcome, [*own, *state_lines])
+    name, cause, deciding_line = _cause(outcome, [*own, *state_lines])
     return Explanation(
-        tuple(own), tuple(state_lines), outcome, cause, deciding_line
+        tuple(own), tuple(state_lines), outcome, cause, name, deciding_line
     )
 
 
@@ -373,18 +404,20 @@
 
 def _cause(
     outcome: str, lines: Sequence[LogLine]
-) -> tuple[str, LogLine | None]:
+) -> tuple[str, str, LogLine | None]:
+    """Returns the cause of an outcome: its name, a sentence and its line."""
     if outcome == "completed":
-        return "it was completed in time", None
+        return "", "it was completed in time", None
     for cause in CAUSES:
         if outcome not in cause.outcomes:
             continue
         for line in reversed(lines):
             if line.event == cause.event and cause.matches(line):
-                return cause.text.format_map(_Fields(line.fields)), line
+                text = cause.text.format_map(_Fields(line.fields))
+                return cause.name, text, line
     if outcome == "unknown":
-        return "no line shows its answer: the entry ended before it", None
-    return "no line shows the cause", None
+        return "", "no line shows its answer: the entry ended before it", None
+    return "", "no line shows the cause", None
 
 
 class _Fields(dict):
