Expect a share of the known capacity instead of the last measured rate

Cause: an entry judged waits by the rate at which it had dispatched work.

Change: (1) the rate is at least the entry's share of the capacity, until it has been measured in the backlog; arrivals are the lower of two averages, without work that still waits; a job that a review gives up no longer counts for those behind it. (2) Agents lost less than 2.5 s ago still count, and jobs wait for them or are forwarded. (3) Links try short time-outs of connecting in turn, and agents retry every 0.2 s instead of 0.4: agents that started before the entries waited 0.5 s for an attempt that could not succeed. Admission by free capacity, the second estimate behind a setting, is removed.

--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -24,10 +24,11 @@
 WRITE_BUFFER_BYTES = 2 * wire.MAX_FRAME_BYTES
 BACKOFF_BASE_S = 0.05
 BACKOFF_MAX_S = 2.0
-# Timeout of opening a TCP connection. An instance without power does not
-# answer, and an attempt that was begun before it is back would wait for the
-# retransmission of its first packet, which takes a second or more.
-CONNECT_TIMEOUT_S = 0.5
+# Timeouts of opening a TCP connection, used in turn. An instance without power
+# does not answer, and an attempt that was begun before it is back would wait
+# for the retransmission of its first packet, which takes a second or more. The
+# longest leaves time for instances that are far away or slow.
+CONNECT_TIMEOUTS_S = (0.1, 0.2, 0.5)
 CLOSE_TIMEOUT_S = 1.0
 # Reasons why a link was closed.
 REASON_LOCAL = "local"
@@ -425,6 +426,7 @@
         self.peer: Peer | None = None
         self.last_error: Exception | None = None
         self.failures = 0
+        self.attempts = 0
         self.closing = False
         self.tls = tls.client_tls(options)
         self.task: asyncio.Task | None = None
@@ -483,7 +485,9 @@
             The stream, and the other end's hello.
         """
         host, port = settings.split_address(self.address)
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        timeout_s = CONNECT_TIMEOUTS_S[self.attempts % len(CONNECT_TIMEOUTS_S)]
+        self.attempts += 1
+        async with asyncio.timeout(timeout_s):
             connection = await _open_socket(host, port)
         loop = asyncio.get_running_loop()
         _, stream = await loop.create_connection(
--- a/egretthread/scheduling/admission.py
+++ b/egretthread/scheduling/admission.py
@@ -10,20 +10,17 @@
 
 import dataclasses
 
-from egretthread.scheduling import roomwait
-
 # Lower bound of the assumed dispatch rate, as a share of the capacity, so that
 # the low rate measured just after an outage does not get every job refused.
 MIN_RATE_SHARE = 0.1
 # Lower bound of the assumed surplus rate, which late jobs get, as a share of
 # the capacity.
 MIN_SURPLUS_SHARE = 0.02
-# The same where a surplus is forecast, which needs no allowance for a rate that
-# has not been measured: about what one task at a time gets.
-MIN_FORECAST_SHARE = 0.002
 # Share of a job's slack that the expected wait may use. The rest allows for
 # other delays, such as a full or a slow backend server.
 SLACK_SHARE = 0.4
+# Least wait while all backend servers are lost that should be back soon.
+RETURN_WAIT_S = 0.1
 # Bounds of the delay before a retry that is recommended to a refused caller.
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 10.0
@@ -34,7 +31,8 @@
     """Load that a job meets; work is in thousandths of a core x seconds.
 
     Attributes:
-        usable_cpu: CPU of the usable backend servers, in thousandths of a core.
+        usable_cpu: CPU of the backend servers that are usable or should be back
+            soon, in thousandths of a core.
         ahead_cpu_s: Waiting work that is dispatched before the job.
         dispatch_rate: Work of the job's priority and less urgent ones that is
             dispatched per second.
@@ -42,8 +40,8 @@
         surplus_rate: Work dispatched per second less the work that arrives.
         is_starting: Whether agents may not have been discovered yet, so that
             little is known about the capacity.
-        forecast: What the waiting work may expect of the known capacity; None
-            unless jobs are admitted by free capacity.
+        is_out: Whether all backend servers have just been lost, some of which
+            should be back soon.
     """
 
     usable_cpu: float
@@ -52,7 +50,7 @@
     waiting_cpu_s: float
     surplus_rate: float
     is_starting: bool = False
-    forecast: roomwait.Forecast | None = None
+    is_out: bool = False
 
 
 def expected_wait_s(load: Load, slack_s: float) -> float:
@@ -66,38 +64,19 @@
         return 0.0
     if load.usable_cpu <= 0:
         return float("inf")
+    if load.is_out:
+        return RETURN_WAIT_S
     if load.ahead_cpu_s <= 0 and slack_s >= 0:
         return 0.0
-    if load.forecast is not None:
-        return _forecast_wait_s(load, load.forecast, slack_s)
     rate = max(load.dispatch_rate, MIN_RATE_SHARE * load.usable_cpu)
     in_time_s = load.ahead_cpu_s / rate
     if in_time_s <= SLACK_SHARE * slack_s:
         return in_time_s
     surplus_rate = max(load.surplus_rate, MIN_SURPLUS_SHARE * load.usable_cpu)
-    return load.waiting_cpu_s / surplus_rate
-
-
-def _forecast_wait_s(
-    load: Load, forecast: roomwait.Forecast, slack_s: float
-) -> float:
-    """Returns the expected wait for the capacity that is known.
-
-    Waiting work goes to the free capacity first. A job that is late already has
-    its place behind others that are late; one that would become late goes
-    behind all work that waits.
-    """
-    queued_cpu_s = max(0.0, load.ahead_cpu_s - forecast.free_cpu_s)
-    rate = max(forecast.dispatch_rate, MIN_RATE_SHARE * load.usable_cpu)
-    in_time_s = queued_cpu_s / rate
-    if in_time_s <= SLACK_SHARE * max(0.0, slack_s):
-        return in_time_s
-    if slack_s >= 0:
-        queued_cpu_s = load.waiting_cpu_s - forecast.free_cpu_s
-    surplus_rate = max(
-        forecast.surplus_rate, MIN_FORECAST_SHARE * load.usable_cpu
-    )
-    return max(0.0, queued_cpu_s) / surplus_rate
+    # A late job has its place behind others that are late; one that would
+    # become late goes behind all work that waits.
+    queued_cpu_s = load.ahead_cpu_s if slack_s < 0 else load.waiting_cpu_s
+    return queued_cpu_s / surplus_rate
 
 
 def must_refuse(
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -35,7 +35,7 @@
 REPLACE_AFTER_S = 1.0
 # Upper bound of the wait between two attempts to open a link. A restarted entry
 # refuses work until it has found its agents.
-RECONNECT_S = 0.4
+RECONNECT_S = 0.2
 # How long the first links wait for the list of entries in the store. From the
 # seeds alone, all agents of a restarted deployment would link with the same few
 # entries and leave most of them again.
--- a/egretthread/scheduling/agentviews.py
+++ b/egretthread/scheduling/agentviews.py
@@ -16,6 +16,9 @@
 # Time without a heartbeat after which an agent without runs of this entry gets
 # none. It then sends a heartbeat every second.
 SUSPECT_IDLE_S = 1.4
+# Time for which an agent that was lost is expected back. A restarted process
+# learns of its backend server by the next heartbeat, 1.5 s later at most.
+RETURN_S = 2.5
 
 
 def is_usable(board: EntryBoard, view: AgentView) -> bool:
@@ -29,6 +32,17 @@
     return not is_silent(board, view)
 
 
+def may_return(board: EntryBoard, view: AgentView, service: str) -> bool:
+    """Whether an agent of a service was lost just now, and may be back soon."""
+    return (
+        view.facts is not None
+        and view.facts.service == service
+        and view.state is ServerState.READY
+        and view.facts.zone not in board.operator_state.withdrawn
+        and board.now_s - view.last_received_s <= RETURN_S
+    )
+
+
 def is_silent(board: EntryBoard, view: AgentView) -> bool:
     """Whether a heartbeat of the agent is overdue."""
     if board.now_s - view.last_received_s > SUSPECT_IDLE_S:
--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -5,9 +5,9 @@
 
 from egretthread.scheduling import (
     agentviews,
+    expectedrates,
     isolation,
     placing,
-    roomforecast,
     shares,
     waitingload,
     waitorder,
@@ -75,7 +75,7 @@
 def dispatch_waiting(board: EntryBoard) -> None:
     """Dispatches the waiting tasks that fit, the most urgent first."""
     if not board.waiting or board.now_s < board.resume_at_s:
-        roomforecast.note_pass(board)
+        expectedrates.note_pass(board)
         return
     board.last_pass_s = board.now_s
     board.waiting.sort(key=lambda task: waitorder.sort_key(task, board.now_s))
@@ -99,7 +99,7 @@
     for key, tasks in dispatch_pass.assignments.items():
         node, _, _, queue_wait_s, priority = key
         _send_orders(board, board.agents[node], tasks, queue_wait_s, priority)
-    roomforecast.note_pass(board)
+    expectedrates.note_pass(board)
 
 
 def dispatch_if_due(board: EntryBoard) -> None:
@@ -285,12 +285,6 @@
         or dispatch_pass.top_priority is None
         else waitingload.RESERVED_SHARE
     )
-    if (
-        board.load.room_admission
-        and not treatment.is_confined
-        and waitorder.is_late(task, board.now_s)
-    ):
-        reserved_share += roomforecast.LATE_RESERVED_SHARE
     expected_s = task.job.expected_s[task.step]
     agent = None
     if treatment.is_suspect:
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -14,7 +14,6 @@
     loadsettings,
     longruns,
     retrybook,
-    roomwait,
     shareboard,
     workmeter,
 )
@@ -256,11 +255,10 @@
         spreads: Spread and tail of run times by route.
         dispatched_work: Work dispatched recently.
         arrived_work: Work that arrived recently, including refused work.
-        arrived_lately: The same over a shorter time, if work is admitted by
-            free capacity.
+        usual_work: The same over a longer time.
+        backlog_since_s: Since when tasks have waited after every pass;
+            infinite while none does.
         demand: The same by route.
-        backlogs: How long work has waited, by service, if it is admitted by
-            free capacity.
         utilisation: Moving average of the used share of the CPU of all backend
             servers, while no route is confined.
         utilisation_at_s: When it was last sampled.
@@ -319,19 +317,17 @@
     arrived_work: workmeter.WorkMeter = dataclasses.field(
         default_factory=workmeter.WorkMeter
     )
-    arrived_lately: workmeter.WorkMeter = dataclasses.field(
+    usual_work: workmeter.WorkMeter = dataclasses.field(
         default_factory=lambda: workmeter.WorkMeter(
-            time_constant_s=roomwait.BURST_TIME_CONSTANT_S
+            time_constant_s=DEMAND_TIME_CONSTANT_S
         )
     )
+    backlog_since_s: float = math.inf
     demand: workmeter.WorkMeter = dataclasses.field(
         default_factory=lambda: workmeter.WorkMeter(
             time_constant_s=DEMAND_TIME_CONSTANT_S
         )
     )
-    backlogs: dict[str, roomwait.Backlog] = dataclasses.field(
-        default_factory=dict
-    )
     utilisation: float = 0.0
     utilisation_at_s: float = 0.0
     utilisation_samples: int = 0
--- a/egretthread/scheduling/entrygauges.py
+++ b/egretthread/scheduling/entrygauges.py
@@ -19,11 +19,7 @@
     "forwarded_jobs": lambda board: len(board.forwarding.sent),
     "received_jobs": lambda board: len(board.forwarding.received),
     "backlog_seconds": lambda board: max(
-        (
-            backlog.measured_s(board.now_s)
-            for backlog in board.backlogs.values()
-        ),
-        default=0.0,
+        0.0, board.now_s - board.backlog_since_s
     ),
 }
 
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -9,6 +9,7 @@
 from egretthread.scheduling import (
     admission,
     dispatch,
+    expectedrates,
     forwarding,
     longruns,
     retryplan,
@@ -210,9 +211,7 @@
     """Returns the load that a job meets, and its answer if it is refused."""
     slack_s = _slack_s(route, critical_s)
     work_cpu_s = _work_cpu_s(spec, critical_s)
-    board.arrived_work.add(board.now_s, route.priority, work_cpu_s)
-    if board.load.room_admission:
-        board.arrived_lately.add(board.now_s, route.priority, work_cpu_s)
+    expectedrates.note_arrival(board, route.priority, work_cpu_s)
     board.demand.add(board.now_s, route.name, work_cpu_s)
     load = waitingload.load(
         board, route, board.now_s + slack_s, work_cpu_s, lead_s
@@ -463,9 +462,11 @@
 def _review(board: EntryBoard) -> None:
     """Gives up waiting jobs that can no longer be answered in time.
 
-    The work that goes before them is expected to take too long.
+    The work that goes before them is expected to take too long. While all
+    backend servers are lost, jobs go to other entries that have capacity.
     """
     refused_jobs = []
+    forwarded_jobs = []
     reviewed_ids = set()
     leaving = set()
     for task, load in waitingload.iter_loads(board, leaving):
@@ -476,11 +477,18 @@
         critical_s = critical_path_s(job.spec, job.expected_s)
         left_s = answer_deadline_s(board, job) - board.now_s
         slack_s = waitorder.latest_s(task) - board.now_s
+        if load.is_out:
+            wait_s = admission.expected_wait_s(load, slack_s)
+            if forwarding.forward_job(board, job, critical_s, wait_s, None):
+                forwarded_jobs.append(job)
+                leaving.add(job.id)
+                continue
         if admission.must_refuse(load, slack_s, critical_s, left_s):
             refused_jobs.append(job)
-            if load.forecast is not None:
-                leaving.add(job.id)
-                _log_no_room(board, job, load, slack_s, left_s)
+            leaving.add(job.id)
+            _log_no_room(board, job, load, slack_s, left_s)
+    for job in forwarded_jobs:
+        drop(board, job)
     for job in refused_jobs:
         give_up(board, job, NO_ROOM_REASON)
 
@@ -502,23 +510,9 @@
         wait_s=admission.expected_wait_s(load, slack_s),
         ahead_cpu_s=load.ahead_cpu_s / 1000,
         usable_cpu=load.usable_cpu / 1000,
-        **_forecast_fields(load),
     )
 
 
-def _forecast_fields(load: admission.Load) -> dict[str, float]:
-    """Returns the log fields of a forecast; none without one."""
-    forecast = load.forecast
-    if forecast is None:
-        return {}
-    return {
-        "free_cpu": forecast.free_cpu / 1000,
-        "share": forecast.share,
-        "expected_cpu": forecast.dispatch_rate / 1000,
-        "expected_left_over_cpu": forecast.surplus_rate / 1000,
-    }
-
-
 def give_up(board: EntryBoard, job: Job, reason: str) -> None:
     """Answers a job that is not completed and recommends a retry delay."""
     outcome = Outcome.REFUSED
@@ -614,7 +608,6 @@
         left_over_cpu=load.surplus_rate / 1000,
         usable_cpu=load.usable_cpu / 1000,
         config_version=board.operator_state.version,
-        **_forecast_fields(load),
         **shares.on_refused(board, route, load.usable_cpu),
     )
 
--- a/egretthread/scheduling/loadsettings.py
+++ b/egretthread/scheduling/loadsettings.py
@@ -48,8 +48,6 @@
             time to an entry that can.
         server_speeds: Whether the speed of backend servers is estimated with
             its uncertainty, and tasks are placed by it.
-        room_admission: Whether an entry expects waiting tasks to start at once
-            where free capacity is known, also before it has measured a rate.
         spread_retries: Whether refused callers are told to retry one after
             the other, at the rate at which capacity is expected for them.
     """
@@ -57,7 +55,6 @@
     shares: tuple[ShareRule, ...] = ()
     forward_jobs: bool = False
     server_speeds: bool = False
-    room_admission: bool = False
     spread_retries: bool = False
 
 
--- a/egretthread/scheduling/shares.py
+++ b/egretthread/scheduling/shares.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterator
 
 from egretthread import logs
-from egretthread.scheduling import admission, linkchoice, roomwait, waitorder
+from egretthread.scheduling import admission, linkchoice, waitorder
 from egretthread.scheduling.entryboard import EntryBoard, Job, Task
 from egretthread.scheduling.jobspec import Route
 from egretthread.scheduling.loadsettings import (
@@ -290,9 +290,7 @@
         own_cpu_s: Work of the job itself.
     """
     floor = max(1.0, admission.MIN_RATE_SHARE * load.usable_cpu)
-    expected = load.forecast or load
-    free_cpu_s = load.forecast.free_cpu_s if load.forecast else 0.0
-    rate = expected.dispatch_rate + terms_.released_rate
+    rate = load.dispatch_rate + terms_.released_rate
     rate = max(0.0, rate - terms_.protected_rate)
     ahead_cpu_s = load.ahead_cpu_s - held_ahead_cpu_s
     if ahead_cpu_s <= own_cpu_s * (1 + ROUNDING):
@@ -307,32 +305,12 @@
         options.append((own_ahead_cpu_s, terms_.guaranteed_rate))
     ahead_cpu_s, rate = min(
         options,
-        key=lambda option: (
-            max(0.0, option[0] - free_cpu_s) / max(floor, option[1])
-        ),
+        key=lambda option: option[0] / max(floor, option[1]),
     )
     return dataclasses.replace(
         load,
         ahead_cpu_s=ahead_cpu_s,
         dispatch_rate=rate,
-        forecast=_adjust_forecast(load.forecast, terms_, rate),
-    )
-
-
-def _adjust_forecast(
-    forecast: roomwait.Forecast | None, terms_: Terms, rate: float
-) -> roomwait.Forecast | None:
-    """Returns the forecast for a share whose work is dispatched at a rate."""
-    if forecast is None:
-        return None
-    if terms_.limit_rate == math.inf:
-        return dataclasses.replace(forecast, dispatch_rate=rate)
-    # Free capacity goes to the shares that wait below their limits.
-    return dataclasses.replace(
-        forecast,
-        free_cpu_s=0.0,
-        dispatch_rate=rate,
-        surplus_rate=min(forecast.surplus_rate, terms_.limit_rate),
     )
 
 
--- a/egretthread/scheduling/waitingload.py
+++ b/egretthread/scheduling/waitingload.py
@@ -6,10 +6,9 @@
 from egretthread.scheduling import (
     admission,
     agentviews,
+    expectedrates,
     isolation,
     linkchoice,
-    roomforecast,
-    roomwait,
     shares,
     waitorder,
 )
@@ -51,11 +50,11 @@
     share_ahead_cpu_s: dict[str, float] = collections.defaultdict(float)
     is_confined = board.crashes.is_confined(route.name, board.now_s)
     ahead_cpu_s = 0.0
-    waiting = roomwait.Waiting(route.service, is_confined)
+    waiting_cpu_s = 0.0
     for task in board.waiting:
         if _capacity_key(board, task) == (route.service, is_confined):
             task_cpu_s = work_cpu_s(task)
-            waiting.add(task.spec.room, task_cpu_s)
+            waiting_cpu_s += task_cpu_s
             if waitorder.sort_key(task, board.now_s) <= key:
                 ahead_cpu_s += task_cpu_s
                 if has_shares:
@@ -63,15 +62,15 @@
     if ahead_cpu_s:
         ahead_cpu_s += own_cpu_s
     views = usable_views(board, route.service, is_confined)
-    usable_cpu = total_cpu(views)
+    usable_cpu = _known_cpu(board, route.service, is_confined, views)
     met = admission.Load(
         usable_cpu,
         ahead_cpu_s,
         _dispatch_rate(board, route.priority, is_confined, usable_cpu),
-        waiting.cpu_s + own_cpu_s,
-        _surplus_rate(board),
+        waiting_cpu_s + own_cpu_s,
+        expectedrates.surplus_rate(board, usable_cpu),
         is_starting(board),
-        _forecast(board, waiting, views, route.priority),
+        not views,
     )
     if not has_shares or is_confined:
         return met
@@ -96,21 +95,23 @@
         leaving: Ids of jobs that no longer count as waiting. The caller may add
             a job once its first task was yielded.
     """
-    waiting: dict[tuple[str, bool], roomwait.Waiting] = {}
+    waiting_cpu_s: dict[tuple[str, bool], float] = collections.defaultdict(
+        float
+    )
     for task in board.waiting:
-        key = _capacity_key(board, task)
-        waiting.setdefault(key, roomwait.Waiting(*key)).add(
-            task.spec.room, work_cpu_s(task)
-        )
+        waiting_cpu_s[_capacity_key(board, task)] += work_cpu_s(task)
     ahead_cpu_s: dict[tuple[str, bool], float] = collections.defaultdict(float)
-    views = {key: usable_views(board, *key) for key in waiting}
-    usable_cpu = {key: total_cpu(found) for key, found in views.items()}
-    surplus_rate = _surplus_rate(board)
+    views = {key: usable_views(board, *key) for key in waiting_cpu_s}
+    usable_cpu = {
+        key: _known_cpu(board, *key, found) for key, found in views.items()
+    }
+    surplus_rates = {
+        key: expectedrates.surplus_rate(board, usable)
+        for key, usable in usable_cpu.items()
+    }
     has_just_started = is_starting(board)
     rates: dict[tuple[tuple[str, bool], int], float] = {}
-    forecasts: dict[tuple[tuple[str, bool], int], roomwait.Forecast | None] = {}
     adjust_by_share, count_by_share = shares.adjuster(board)
-    waiting_cpu_s = {key: found.cpu_s for key, found in waiting.items()}
     for task in sorted(
         board.waiting, key=lambda task: waitorder.sort_key(task, board.now_s)
     ):
@@ -120,17 +121,14 @@
             rates[key, priority] = _dispatch_rate(
                 board, priority, key[1], usable_cpu[key]
             )
-            forecasts[key, priority] = _forecast(
-                board, waiting[key], views[key], priority
-            )
         met = admission.Load(
             usable_cpu[key],
             ahead_cpu_s[key],
             rates[key, priority],
             waiting_cpu_s[key],
-            surplus_rate,
+            surplus_rates[key],
             has_just_started,
-            forecasts[key, priority],
+            not views[key],
         )
         has_share = bool(board.load.shares) and not key[1]
         if has_share:
@@ -158,7 +156,7 @@
 
 
 def _dispatch_rate(
-    board: EntryBoard, priority: int, is_confined: bool, usable_cpu: int
+    board: EntryBoard, priority: int, is_confined: bool, known_cpu: int
 ) -> float:
     """Returns the dispatch rate of a priority and less urgent ones.
 
@@ -168,30 +166,8 @@
     """
     if is_confined:
         sharing = min(max(1, len(board.entries)), linkchoice.LINKS_PER_AGENT)
-        return ISOLATED_UTILISATION * usable_cpu / sharing
-    return board.dispatched_work.rate(board.now_s, priority)
-
-
-def _forecast(
-    board: EntryBoard,
-    waiting: roomwait.Waiting,
-    views: list[AgentView],
-    priority: int,
-) -> roomwait.Forecast | None:
-    """Returns what waiting work may expect; None with the setting off."""
-    if not board.load.room_admission:
-        return None
-    priorities = {route.priority for route in board.operator_state.routes}
-    reserved_share = RESERVED_SHARE if len(priorities) > 1 else 0.0
-    return roomforecast.forecast(
-        board, waiting, views, priority, reserved_share
-    )
-
-
-def _surplus_rate(board: EntryBoard) -> float:
-    """Returns the rate of dispatched work minus that of arriving work."""
-    dispatch_rate = board.dispatched_work.rate(board.now_s, 0)
-    return dispatch_rate - board.arrived_work.rate(board.now_s, 0)
+        return ISOLATED_UTILISATION * known_cpu / sharing
+    return expectedrates.dispatch_rate(board, priority, known_cpu)
 
 
 def usable_views(
@@ -215,6 +191,15 @@
     ]
 
 
+def _known_cpu(
+    board: EntryBoard, service: str, is_confined: bool, usable: list[AgentView]
+) -> int:
+    """Returns the CPU that the tasks of a service may expect to use."""
+    if is_confined:
+        return total_cpu(usable)
+    return expectedrates.known_cpu(board, service, usable)
+
+
 def total_cpu(views: list[AgentView]) -> int:
     """Returns the total CPU of the backend servers of agents."""
     return sum(view.facts.capacity.cpu for view in views)
--- a/egretthread/scheduling/workmeter.py
+++ b/egretthread/scheduling/workmeter.py
@@ -51,14 +51,18 @@
 
         A sum that has just begun is corrected for the time that it lacks.
         """
-        age_s = max(MIN_AGE_S, now_s - self.began_s)
-        weight = 1 - math.exp(-age_s / self.time_constant_s)
+        weight = self.measured_share(max(now_s, self.began_s + MIN_AGE_S))
         return {
             key: self._decayed(now_s, key) / self.time_constant_s / weight
             for key in self.sums
             if now_s - self.at_s[key] < IDLE_S
         }
 
+    def measured_share(self, now_s: float) -> float:
+        """Returns the share of the moving average that has been measured."""
+        age_s = max(0.0, now_s - self.began_s)
+        return 1 - math.exp(-age_s / self.time_constant_s)
+
     def _decayed(self, now_s: float, key: int | str) -> float:
         """Returns the sum of a key, decayed up to now."""
         age_s = now_s - self.at_s.get(key, now_s)
--- a/tests/scheduling/test_forwarding.py
+++ b/tests/scheduling/test_forwarding.py
@@ -65,7 +65,7 @@
 
     def fill(self, world):
         """Gives e0 urgent work for a long time, and lets it ask others."""
-        spec = region.job("fill", count=40, estimated_s=0.05)
+        spec = region.job("fill", count=400, estimated_s=0.05)
         world.submit(spec, "e0", 90.0)
         world.run_event(
             world.entries["e0"], peerload.on_short, self.board(world)
@@ -125,11 +125,11 @@
         world = self.make_world()
         world.kill(world.agents["a0"], 60.0)
         world.submit(region.job("first"), "e0", 1.5)
-        self.assertEqual([Outcome.REFUSED], self.outcomes(world, "first"))
         world.run(ASK_S)
         world.submit(region.job("j"), "e0", 1.5)
-        world.run(0.2)
+        world.run(0.3)
         self.assertEqual([Outcome.COMPLETED], self.outcomes(world))
+        self.assertEqual([Outcome.COMPLETED], self.outcomes(world, "first"))
 
     def test_a_job_that_would_only_be_late_here_is_passed_on_early(self):
         """Its caller would wait long enough for this entry."""
--- a/tests/scheduling/test_forwarding_loads.py
+++ b/tests/scheduling/test_forwarding_loads.py
@@ -28,7 +28,7 @@
 class TestLoads(testtools.TestCase):
     """Jobs of two short tasks at nine entries, each linked with some agents."""
 
-    def play(self, settings, share, prepare, seeds=(1, 2, 3), seconds=1.5):
+    def play(self, settings, share, prepare, seeds=range(1, 9), seconds=1.5):
         """Offers a share of the capacity; returns what the callers got.
 
         Args:
@@ -130,14 +130,14 @@
                 world.kill(world.entries[name], 60.0)
             return names[4:], 1.0
 
-        self.check_better(0.95, prepare)
+        self.check_better(0.9, prepare)
 
     def test_one_entry_of_those_asked_is_frozen(self):
         def prepare(world):
             world.freeze(world.entries["e8"], 4.0)
             return [name for name in world.entries if name != "e8"], 1.0
 
-        self.check_better(0.9, prepare)
+        self.check_better(0.95, prepare)
 
     def test_all_entries_are_short(self):
         """Almost nothing is forwarded, and as many jobs are served."""
--- a/tests/scheduling/test_retryplan.py
+++ b/tests/scheduling/test_retryplan.py
@@ -87,11 +87,11 @@
 
 
 class TestCrowd(testtools.TestCase):
-    # Load: 200 callers in one second beside a load of half the capacity; all
+    # Load: 250 callers in one second beside a load of half the capacity; all
     # that are refused obey.
     def test_refused_callers_are_served_at_their_first_return(self):
-        off = ObedientCrowd(OFF, 200, 0.5)
-        on = ObedientCrowd(ON, 200, 0.5)
+        off = ObedientCrowd(OFF, 250, 0.5)
+        on = ObedientCrowd(ON, 250, 0.5)
         self.assertLess(off.served_at_first_return(), 0.9)
         self.assertGreater(on.served_at_first_return(), 0.97)
         self.assertEqual([], on.competition.world.violations())
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -11,7 +11,6 @@
     entryengine,
     entrygauges,
     jobs,
-    roomwait,
     shares,
     waitingload,
 )
@@ -483,15 +482,14 @@
         self.assertGreater(counted, 0.5 * refused)
 
 
-class TestForecast(testtools.TestCase):
-    """Shares beside admission by free capacity."""
+class TestExpectedRate(testtools.TestCase):
+    """What a share expects of the capacity that its entry expects."""
 
     def rate(self, **changes):
         terms = shares.Terms(0.0, False, 0.0, 0.0, float("inf"))
-        forecast = roomwait.Forecast(0.0, 0.2, 0.0, 10_000.0, 0.0)
-        load = admission.Load(50_000, 1.0, 0.0, 1.0, 0.0, forecast=forecast)
+        load = admission.Load(50_000, 1.0, 10_000.0, 1.0, 0.0)
         terms = dataclasses.replace(terms, **changes)
-        return shares.adjust(load, terms, 0.0, 0.0).forecast.dispatch_rate
+        return shares.adjust(load, terms, 0.0, 0.0).dispatch_rate
 
     # Urgent jobs counted on capacity that another share was guaranteed.
     def test_it_leaves_out_what_other_shares_are_guaranteed(self):
