--- a/egretthread_bench/plays.py
+++ b/egretthread_bench/plays.py
@@ -223,5 +223,25 @@
     return "\n".join(lines)
 
 
+def summary(name: str, pairs: list[Pair]) -> str:
+    """Returns the mean gain of pairs as a row of a table in Markdown."""
+    mean, error = mean_gain(pairs)
+    counts = [
+        ", ".join(
+            str(sum(getattr(figures, field) for figures in side))
+            for field in ("late", "refused", "failed")
+        )
+        for side in (
+            [pair.old for pair in pairs],
+            [pair.new for pair in pairs],
+        )
+    ]
+    problems = sorted({pair.new.problem for pair in pairs} - {""})
+    return (
+        f"| {name} | {mean:+.4f} ± {error:.4f} | {counts[0]} | {counts[1]}"
+        f" | {', '.join(problems)} |"
+    )
+
+
 def _counts(figures: Figures) -> str:
     return f"{figures.late}, {figures.refused}, {figures.failed}"
--- a/egretthread_bench/programs.py
+++ b/egretthread_bench/programs.py
@@ -10,10 +10,10 @@
 import typer
 
 from egretthread import console
+from egretthread_bench import ablation, processreport, scenario
 from egretthread_bench import cost as costs
 from egretthread_bench import plays as day_plays
 from egretthread_bench import processes as runs
-from egretthread_bench import processreport, scenario
 from egretthread_bench import scale as scales
 from egretthread_bench import sites as site_scores
 
@@ -183,3 +183,57 @@
 def pairs(old: pathlib.Path, new: pathlib.Path) -> None:
     """Compares the plays of two versions, day by day and seed by seed."""
     print(day_plays.table(day_plays.pair_up(old, new)))
+
+
+@app.command()
+@console.reports_errors
+def ablate(
+    site: Annotated[pathlib.Path, typer.Argument(help="Site file.")],
+    days: Annotated[list[str], typer.Argument(help="Names of days.")],
+    bench: Annotated[
+        pathlib.Path, typer.Option(help="Program of the operators' bench.")
+    ],
+    complete: Annotated[
+        pathlib.Path, typer.Option(help="Reports of the complete code.")
+    ],
+    out: Annotated[
+        pathlib.Path, typer.Option(help="Directory of copies and reports.")
+    ],
+    mechanisms: Annotated[
+        pathlib.Path, typer.Option(help="TOML file of the mechanisms.")
+    ] = pathlib.Path("experiments/ablation.toml"),
+    only: Annotated[
+        str, typer.Option(help="Names of mechanisms, separated by commas.")
+    ] = "",
+    checkout: Annotated[
+        pathlib.Path, typer.Option(help="Repository that is played.")
+    ] = pathlib.Path("."),
+    seeds: Annotated[
+        str, typer.Option(help="Seeds, separated by commas.")
+    ] = "1",
+    jobs: Annotated[int, typer.Option(help="Days played at once.")] = 3,
+) -> None:
+    """Plays days with one mechanism off at a time, and prints what it costs."""
+    wanted = [
+        day_plays.Play(site.resolve(), day, int(seed))
+        for seed in seeds.split(",")
+        for day in days
+    ]
+    print(
+        "| switched off | gain of worth | late, refused, failed: on | off | |"
+    )
+    print("|---|---|---|---|---|")
+    for mechanism in ablation.load(mechanisms):
+        if only and mechanism.name not in only.split(","):
+            continue
+        copy = out.resolve() / f"{mechanism.name}.copy"
+        ablation.clone(checkout.resolve(), copy)
+        ablation.switch_off(copy, mechanism)
+        reports = out.resolve() / mechanism.name
+        why = f"trial: ablation, without {mechanism.name}"
+        options = ("--no-cpu", "--why", why)
+        day_plays.play_all(
+            bench.resolve(), copy, wanted, reports, options, jobs
+        )
+        pairs = day_plays.pair_up(complete, reports)
+        print(day_plays.summary(mechanism.name, pairs), flush=True)
