Do not take lost polls for a backend server that stood still

Cause: a run whose progress changed after more than 0.35 s counted as stalled and resumed, which drops a low speed.

Change: a run counts as stalled up to the time at which it was last listed without progress. Its report is as before: there the unchanged progress is seen.

The test failed before (speed 1.0 instead of at most 0.4).

--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -69,6 +69,7 @@
         percent: Share of its work done, as last reported.
         last_change_s: When that share last changed; while the run is being
             stopped, when the last stop call was sent.
+        listed_s: When the backend server last listed it as running.
         slow_reported_s: When it was last reported as slow.
         has_stalled: Whether it made no progress for a while.
         end: The end to report once it has been stopped.
@@ -95,6 +96,7 @@
     started_s: float = 0.0
     percent: int = 0
     last_change_s: float = 0.0
+    listed_s: float = 0.0
     slow_reported_s: float = 0.0
     has_stalled: bool = False
     end: RunEnd = RunEnd.STOPPED
--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -217,6 +217,7 @@
         _note_resumed(board, run)
         run.percent = percent
         run.last_change_s = board.now_s
+    run.listed_s = board.now_s
     age_s = board.now_s - run.started_s
     since_report_s = board.now_s - run.slow_reported_s
     if since_report_s > SLOW_REPORT_S and _is_slow(board, run, age_s):
@@ -226,21 +227,22 @@
 def _is_slow(board: AgentBoard, run: Run, age_s: float) -> bool:
     if age_s < SLOW_MIN_AGE_S:
         return False
-    if _is_stalled(board, run):
+    if _is_stalled(run, board.now_s):
         return True
     projected_s = age_s * 100 / max(1, run.percent)
     return projected_s > SLOW_FACTOR * max(run.expected_s, SLOW_MIN_AGE_S)
 
 
-def _is_stalled(board: AgentBoard, run: Run) -> bool:
+def _is_stalled(run: Run, listed_s: float) -> bool:
+    """Whether a run had stalled when it was listed."""
     limit_s = max(STALL_S, STALL_SHARE * run.expected_s)
-    return board.now_s - run.last_change_s > limit_s
+    return listed_s - run.last_change_s > limit_s
 
 
 def _report_slow(board: AgentBoard, run: Run, age_s: float) -> None:
     is_first_report = not run.slow_reported_s
     run.slow_reported_s = board.now_s
-    stalled = _is_stalled(board, run)
+    stalled = _is_stalled(run, board.now_s)
     if stalled and is_first_report:
         board.health.record_result(board.now_s, good=False)
     if stalled and board.load.server_speeds:
@@ -266,9 +268,10 @@
 def _note_resumed(board: AgentBoard, run: Run) -> None:
     """Drops a low speed when a run that has stalled makes progress again.
 
-    The backend server stood still, and may be as fast as before.
+    The backend server stood still, and may be as fast as before. A time without
+    answers to polls says nothing of it.
     """
-    if not board.load.server_speeds or not _is_stalled(board, run):
+    if not board.load.server_speeds or not _is_stalled(run, run.listed_s):
         return
     run.has_stalled = True
     _drop_low_speed(board)
--- a/tests/scheduling/test_serverpoll.py
+++ b/tests/scheduling/test_serverpoll.py
@@ -3,7 +3,13 @@
 import testtools
 
 from egretthread.scheduling import agentengine, serverpoll
-from egretthread.scheduling.agentboard import ServerRecord, StopCall, TaskName
+from egretthread.scheduling.agentboard import (
+    Run,
+    RunPhase,
+    ServerRecord,
+    StopCall,
+    TaskName,
+)
 from egretthread.scheduling.loadsettings import LoadSettings
 from egretthread.scheduling.room import Room
 from egretthread.scheduling.servercall import PollResult, RunningRun, Verdict
@@ -70,6 +76,34 @@
         after = self.board.speed.uncertainty(self.board.now_s)
         self.assertGreater(after, 2 * before)
 
+    def play_slow_run(self, *polls):
+        """Learns a low speed, and polls while one run makes progress.
+
+        Args:
+            polls: Time after the last poll, and percent listed.
+        """
+        self.learn_speed(0.3)
+        name = TaskName("slow", 0, 0)
+        run = Run(
+            "e#1", name, 1, "", Room(1000, 64, 0), 1.0, 0, self.board.now_s, 0.0
+        )
+        run.number, run.phase = 1, RunPhase.STARTING
+        self.board.runs[run.entry, run.attempt] = run
+        self.board.runs_by_task[name] = run
+        for after_s, percent in polls:
+            self.board.now_s += after_s
+            self.poll(RunningRun(name, 1, percent))
+        return serverpoll.server_speed(self.board)
+
+    # A slow server got tasks as if it were fast, since polls were lost.
+    def test_lost_polls_do_not_make_a_slow_server_one_that_stood_still(self):
+        speed = self.play_slow_run((0.1, 5), (0.1, 8), (0.6, 25))
+        self.assertLess(speed, 0.4)
+
+    def test_a_server_that_stood_still_is_taken_to_be_as_fast_as_before(self):
+        speed = self.play_slow_run((0.1, 5), (0.3, 5), (0.3, 5), (0.1, 25))
+        self.assertEqual(1.0, speed)
+
     def test_speeds_are_not_estimated_with_the_setting_off(self):
         self.learn_speed(0.3)
         self.board.load = LoadSettings()
