--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -417,7 +417,7 @@
             ("queue_seconds", board.now_s - task.waiting_since_s)
         )
         board.dispatched_work.add(
-            board.now_s, job.route.priority, waitingload.work_cpu_s(task)
+            board.now_s, job.route.priority, task.work_cpu_s
         )
     job.may_have_started = True
     job.last_dispatch_s = board.now_s
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -91,6 +91,11 @@
         """The step that it belongs to."""
         return self.job.spec.steps[self.step]
 
+    @property
+    def work_cpu_s(self) -> float:
+        """Its expected work, in thousandths of a core x seconds."""
+        return self.spec.room.cpu * self.job.expected_s[self.step]
+
 
 class Outcome(enum.StrEnum):
     """Outcome of a job, as sent to its caller."""
--- a/egretthread/scheduling/expectedrates.py
+++ b/egretthread/scheduling/expectedrates.py
@@ -2,8 +2,8 @@
 
 The rate at which work was dispatched tells what an entry gets only while work
 waits for the present capacity. After a calm time, a restart or a loss of agents
-it does not. An entry therefore expects its share of the capacity of its agents,
-or the measured rate if that is higher.
+it does not. An entry therefore expects its share of the capacity of its agents
+until it has measured what it gets, or the measured rate if that is higher.
 """
 
 import math
@@ -64,10 +64,7 @@
     that has ended does not take the capacity that it waits for. Most bursts are
     short, so the usual rate counts if it is lower.
     """
-    waiting_cpu_s = sum(
-        task.spec.room.cpu * task.job.expected_s[task.step]
-        for task in board.waiting
-    )
+    waiting_cpu_s = sum(task.work_cpu_s for task in board.waiting)
     assumed_rate = USUAL_UTILISATION * _share(board) * known_cpu
     return min(
         max(
--- a/egretthread/scheduling/waitingload.py
+++ b/egretthread/scheduling/waitingload.py
@@ -53,7 +53,7 @@
     waiting_cpu_s = 0.0
     for task in board.waiting:
         if _capacity_key(board, task) == (route.service, is_confined):
-            task_cpu_s = work_cpu_s(task)
+            task_cpu_s = task.work_cpu_s
             waiting_cpu_s += task_cpu_s
             if waitorder.sort_key(task, board.now_s) <= key:
                 ahead_cpu_s += task_cpu_s
@@ -99,7 +99,7 @@
         float
     )
     for task in board.waiting:
-        waiting_cpu_s[_capacity_key(board, task)] += work_cpu_s(task)
+        waiting_cpu_s[_capacity_key(board, task)] += task.work_cpu_s
     ahead_cpu_s: dict[tuple[str, bool], float] = collections.defaultdict(float)
     views = {key: usable_views(board, *key) for key in waiting_cpu_s}
     usable_cpu = {
@@ -135,9 +135,9 @@
             met = adjust_by_share(task, met)
         yield task, met
         if task.job.id in leaving:
-            waiting_cpu_s[key] -= work_cpu_s(task)
+            waiting_cpu_s[key] -= task.work_cpu_s
             continue
-        ahead_cpu_s[key] += work_cpu_s(task)
+        ahead_cpu_s[key] += task.work_cpu_s
         if has_share:
             count_by_share(task)
 
@@ -203,8 +203,3 @@
 def total_cpu(views: list[AgentView]) -> int:
     """Returns the total CPU of the backend servers of agents."""
     return sum(view.facts.capacity.cpu for view in views)
-
-
-def work_cpu_s(task: Task) -> float:
-    """Returns the expected work of a task, in thousandths of a core x s."""
-    return task.spec.room.cpu * task.job.expected_s[task.step]
