Review case 4: jobs for one rack never start once a sixth entry is added

Takes the place of the case of the failed run on the only large worker. Each agent links with five entries at most, so one entry has no link with the only worker of a rack, and the jobs that it coordinates for that rack never start (LOST).

--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -88,6 +88,8 @@
         events: What was seen, in order.
         store: The store.
         entries: Addresses for callers by the entry's name.
+        spare_names: Entries that may be added later.
+        racks: Rack of each worker, in turn.
         workers: The workers by name of their agent.
         processes: The running programs by name.
     """
@@ -99,6 +101,8 @@
         agents: int,
         worker_cpu=(8000,),
         task_cpu=1000,
+        spares: int = 0,
+        racks=("r1-1",),
     ):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.begin_s = time.monotonic()
@@ -111,7 +115,9 @@
         self.task_cpu = task_cpu
         self.names = [f"entry-{n + 1}" for n in range(entries)]
         self.agent_names = [f"agent-{n + 1}" for n in range(agents)]
-        everyone = self.names + self.agent_names
+        self.spare_names = [f"entry-{entries + n + 1}" for n in range(spares)]
+        self.racks = racks
+        everyone = self.names + self.agent_names + self.spare_names
         self.hosts = {n: f"127.0.1.{i + 11}" for i, n in enumerate(everyone)}
         hosts = list(self.hosts.values())
         taken: set[int] = set()
@@ -162,6 +168,7 @@
                 self.log,
                 self.task_cpu,
             )
+            worker.labels = ["a", self.racks[number % len(self.racks)]]
             host = self.hosts[name]
             self.workers[name] = worker
             await worker.start((host, self.app_port), (host, self.control_port))
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -48,7 +48,7 @@
             the time of the end.
         lapsed_ends: Numbers of ends after which the lease has lapsed.
         is_draining: Whether it says so.
-        fails_all: Whether every run that it starts fails.
+        labels: Its kind and its rack.
     """
 
     def __init__(self, worker, service, zone, cpu, work_s, log, task_cpu=1000):
@@ -71,7 +71,7 @@
         self.sequence = 0
         self.is_draining = False
         self.is_down = False
-        self.fails_all = False
+        self.labels = ["a", "r1-1"]
         self.changed = asyncio.Event()
         self.server = web.Server(self._handle)
         self.control: tuple[str, int] | None = None
@@ -114,7 +114,7 @@
             "state": "draining" if self.is_draining else "ready",
             "cold_remaining_ms": 0,
             "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0},
-            "labels": ["a", "r1-1"],
+            "labels": self.labels,
             "clock_ms": self.clock_ms,
             "sequence": self.sequence,
             "born": self.born,
@@ -154,7 +154,7 @@
                 elif run.stop_s and now_s >= run.stop_s:
                     self._end(run, "stopped")
                 elif now_s - run.started_s >= run.work_s:
-                    self._end(run, "failed" if self.fails_all else "done")
+                    self._end(run, "done")
 
     async def _handle(self, request: web.Request):
         expected = request.headers.get("x-egretthread-expected-instance")
