--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -39,6 +39,8 @@
 # keep an idle connection open, so that no request arrives on a connection that
 # is being closed.
 IDLE_TIMEOUT_S = 120.0
+# Requests that were held for longer until there is a configuration are logged.
+HELD_LOG_S = 0.1
 # Part of the caller's wait limit that is reserved for sending the response.
 RESPONSE_MARGIN_S = 0.1
 # Features of a step that are not implemented yet. A job that requests one of
@@ -155,6 +157,8 @@
         log: The log of kept jobs.
         job: Id of the job in the path; empty if there is none.
         waiter: Future of the answer to the submitted job.
+        received_s: Monotonic time at which the request had been read.
+        has_left: Whether the caller has disconnected.
     """
 
     def initialize(self, server: EntryServer, log: JobLog) -> None:
@@ -163,16 +167,29 @@
         self.log = log
         self.job = ""
         self.waiter: asyncio.Future | None = None
+        self.received_s = clock.monotonic_s()
+        self.has_left = False
 
     def on_connection_close(self) -> None:
         """Cancels the job of a caller that has disconnected."""
+        self.has_left = True
         if self.waiter is not None and not self.waiter.done():
             self.server.remove_waiter(self.job, self.waiter)
             self.waiter.cancel()
 
     async def prepare(self) -> None:
         """Refuses requests before startup is complete and oversize headers."""
-        if not await self.server.wait_until_configured():
+        is_configured = await self.server.wait_until_configured()
+        held_s = clock.monotonic_s() - self.received_s
+        if held_s > HELD_LOG_S:
+            logs.info(
+                "request_held",
+                path=self.request.path,
+                held_s=held_s,
+                caller_left=self.has_left,
+                configured=is_configured,
+            )
+        if not is_configured:
             self.refuse(503, "no configuration yet", 1.0)
             return
         headers = self.request.headers.get_all()
--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from egretthread import backendpool, clock
+from egretthread import backendpool, clock, logs
 from egretthread.httpconnection import Response
 from egretthread.scheduling.storecall import (
     AppendOrderError,
@@ -302,6 +302,15 @@
             took_s = clock.monotonic_s() - started_s
             call = path.removeprefix("/log-")
             self.samples.append(("store_seconds", took_s, call, result))
+            if result == "lost":
+                logs.info(
+                    "store_request_lost",
+                    call=call,
+                    topic=query.get("topic", ""),
+                    part=query.get("part", ""),
+                    took_s=took_s,
+                    idle_connections=len(self.pool.idle),
+                )
         if response.code == 410:
             raise HistoryGoneError(
                 f"{path}: records from offset {query.get('from')} were deleted",
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -368,6 +368,17 @@
         before=board.server.server if board.server else "",
     )
     if board.server is not None:
+        logs.warning(
+            "server_replaced",
+            server=record.server,
+            born=record.started_unix_ms,
+            service=record.service,
+            sequence=record.sequence,
+            before=board.server.server,
+            born_before=board.server.started_unix_ms,
+            service_before=board.server.service,
+            runs=len(board.runs),
+        )
         servercrash.record(board, is_certain=True)
         runs.drop_all(board, RunEnd.STOPPED)
     board.blocked_runs.clear()
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -114,6 +114,12 @@
     """Adopts a published operator state unless it is outdated."""
     previous = board.operator_state
     if state.offset < previous.offset:
+        logs.info(
+            "operators_outdated",
+            offset=state.offset,
+            version=state.version,
+            offset_in_force=previous.offset,
+        )
         return
     board.operator_state = state
     if (
