--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -116,8 +116,16 @@
 
 
 def start_queued(board: AgentBoard) -> None:
-    """Starts the queued runs that fit, in order of priority."""
-    queued = [r for r in board.runs.values() if r.phase is RunPhase.QUEUED]
+    """Starts the queued runs that fit, in order of priority.
+
+    After a pause of the process this may come before the tick that refuses the
+    runs whose entry has given them up meanwhile.
+    """
+    queued = [
+        run
+        for run in board.runs.values()
+        if run.phase is RunPhase.QUEUED and has_lease(board, run)
+    ]
     if not queued or board.server is None or board.is_renewal_blocked:
         return
     if not board.knows_runs:
@@ -165,6 +173,14 @@
     send_start(board, run)
 
 
+def _retry_start(board: AgentBoard, run: Run) -> None:
+    """Retries the start of a run unless its entry may have given it up."""
+    if has_lease(board, run):
+        send_start(board, run)
+    else:
+        runs.begin_stop(board, run, RunEnd.STOPPED)
+
+
 def send_start(board: AgentBoard, run: Run) -> None:
     """Queues the call that starts a run, or retries it."""
     run.tries += 1
@@ -218,7 +234,7 @@
 
 def _on_no_answer(board: AgentBoard, run: Run) -> None:
     if run.tries < START_TRIES:
-        send_start(board, run)
+        _retry_start(board, run)
         return
     logs.warning("start_unanswered", job=run.name.job, number=run.number)
     board.health.record_result(board.now_s, good=False)
@@ -252,7 +268,7 @@
         _refuse_run(board, run)
         return
     run.number = 2 * run.number + 1
-    send_start(board, run)
+    _retry_start(board, run)
 
 
 def _on_fenced(board: AgentBoard, run: Run) -> None:
@@ -260,7 +276,7 @@
     if run.tries > START_TRIES:
         _refuse_run(board, run)
         return
-    send_start(board, run)
+    _retry_start(board, run)
 
 
 def raise_token(board: AgentBoard) -> None:
@@ -272,7 +288,7 @@
 def _on_lease_expired(board: AgentBoard, run: Run) -> None:
     """Retries a start with a lease computed from the clock in the result."""
     if run.tries < START_TRIES:
-        send_start(board, run)
+        _retry_start(board, run)
     else:
         _refuse_run(board, run)
 
@@ -371,14 +387,17 @@
         ]
 
 
+def has_lease(board: AgentBoard, run: Run) -> bool:
+    """Whether the lease of a run's entry is current."""
+    coordinator = board.coordinators.get(run.entry)
+    return coordinator is not None and board.now_s < coordinator.lease_end_s
+
+
 def stop_expired(board: AgentBoard) -> None:
     """Stops the runs of entries whose lease has expired."""
     for run in tuple(board.runs.values()):
-        coordinator = board.coordinators.get(run.entry)
-        is_expired = (
-            coordinator is None or board.now_s >= coordinator.lease_end_s
-        )
-        if is_expired and run.phase is not RunPhase.STOPPING:
+        if not has_lease(board, run) and run.phase is not RunPhase.STOPPING:
+            coordinator = board.coordinators.get(run.entry)
             logs.info(
                 "run_lapsed",
                 job=run.name.job,
--- a/tests/scheduling/test_runorders.py
+++ b/tests/scheduling/test_runorders.py
@@ -26,7 +26,9 @@
 )
 from egretthread.scheduling.servercall import (
     CallResult,
+    EndedRun,
     PollResult,
+    ServerEnd,
     Verdict,
 )
 
@@ -39,7 +41,7 @@
     agentengine.on_poll_result(board, call, PollResult(Verdict.OK))
 
 
-class TestOrders(testtools.TestCase):
+class AgentCase(testtools.TestCase):
     """An agent with a backend server and one connected entry."""
 
     def setUp(self):
@@ -52,10 +54,10 @@
         poll_first(self.board)
         agentengine.on_link_open(self.board, ENTRY)
 
-    def order(self, age_ms=0, attempt=1, cpu=1000):
+    def order(self, age_ms=0, attempt=1, cpu=1000, job="j"):
         echo_ms = self.board.clock_ms - age_ms
         order = StartRuns(
-            "j", "x", cpu, 1, 0, 100, 0, echo_ms, 10, (RunOrder(0, 0, attempt),)
+            job, "x", cpu, 1, 0, 100, 0, echo_ms, 10, (RunOrder(0, 0, attempt),)
         )
         agentengine.on_message(self.board, ENTRY, order)
         agentengine.after_event(self.board)
@@ -71,6 +73,8 @@
             if hasattr(report, "end")
         ]
 
+
+class TestOrders(AgentCase):
     def test_a_delayed_order_is_refused(self):
         """Its entry may have dispatched the tasks to other agents since."""
         self.order(age_ms=leaserule.MAX_ORDER_AGE_MS + 1)
@@ -112,6 +116,47 @@
         self.assertEqual([RunEnd.REFUSED], self.ends())
 
 
+# Guards against a second run of a task that its entry has dispatched to another
+# agent while this one was paused.
+class TestPausedAgent(AgentCase):
+    """An agent that is paused for longer than the lease of its entry."""
+
+    PAUSE_S = 3.0
+
+    def assert_not_retried(self, verdict):
+        self.order()
+        (start,) = self.starts()
+        self.board.now_s += self.PAUSE_S
+        agentengine.on_call_result(self.board, start, CallResult(verdict))
+        self.assertEqual([start], self.starts())
+        self.assertIsInstance(self.board.calls[-1], StopCall)
+
+    def test_an_unanswered_start_is_not_retried(self):
+        self.assert_not_retried(Verdict.NO_ANSWER)
+
+    def test_a_start_with_an_expired_lease_is_not_retried(self):
+        self.assert_not_retried(Verdict.LEASE_EXPIRED)
+
+    def test_a_start_with_an_outdated_number_is_not_retried(self):
+        self.assert_not_retried(Verdict.STALE_NUMBER)
+
+    def test_a_fenced_start_is_not_retried(self):
+        self.assert_not_retried(Verdict.FENCED)
+
+    def test_a_queued_run_does_not_start(self):
+        self.order(cpu=8000)
+        (start,) = self.starts()
+        agentengine.on_call_result(self.board, start, CallResult(Verdict.OK))
+        self.order(job="k", attempt=2)
+        poll = serverpoll.next_poll(self.board)
+        self.board.now_s += self.PAUSE_S
+        ended = EndedRun(1, start.run.name, start.number, ServerEnd.DONE)
+        agentengine.on_poll_result(
+            self.board, poll, PollResult(Verdict.OK, 1, 1, (), (ended,))
+        )
+        self.assertEqual([start], self.starts())
+
+
 class TestBlockedRuns(testtools.TestCase):
     def test_a_run_stays_blocked_until_the_server_confirms_it(self):
         """The agent starts nothing until then, so the stop is retried.
