--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -11,6 +11,7 @@
 
 from egretthread import clock, logs
 from egretthread.platform import bodies, listener
+from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryboard import Answer, Job, Outcome, TaskState
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.joblog import JobLog
@@ -158,7 +159,6 @@
         job: Id of the job in the path; empty if there is none.
         waiter: Future of the answer to the submitted job.
         received_s: Monotonic time at which the request had been read.
-        has_left: Whether the caller has disconnected.
     """
 
     def initialize(self, server: EntryServer, log: JobLog) -> None:
@@ -168,25 +168,25 @@
         self.job = ""
         self.waiter: asyncio.Future | None = None
         self.received_s = clock.monotonic_s()
-        self.has_left = False
 
     def on_connection_close(self) -> None:
         """Cancels the job of a caller that has disconnected."""
-        self.has_left = True
         if self.waiter is not None and not self.waiter.done():
             self.server.remove_waiter(self.job, self.waiter)
             self.waiter.cancel()
 
     async def prepare(self) -> None:
         """Refuses requests before startup is complete and oversize headers."""
-        is_configured = await self.server.wait_until_configured()
+        is_configured = await self.server.wait_until_configured(
+            self.caller(math.inf)
+        )
         held_s = clock.monotonic_s() - self.received_s
         if held_s > HELD_LOG_S:
             logs.info(
                 "request_held",
                 path=self.request.path,
                 held_s=held_s,
-                caller_left=self.has_left,
+                caller_left=self.has_left(),
                 configured=is_configured,
             )
         if not is_configured:
@@ -197,6 +197,14 @@
         if length > self.server.board.operator_state.limits.max_header_bytes:
             self.refuse(431, "the header is too long")
 
+    def has_left(self) -> bool:
+        """Whether the caller has disconnected, also if that is unread."""
+        return listener.is_closed_by_peer(self.request.connection.stream)
+
+    def caller(self, wait_limit_s: float) -> Caller:
+        """Returns the caller of this request."""
+        return Caller(wait_limit_s, self.has_left)
+
     def route(self) -> tuple[Route, str] | None:
         """Returns the route and the rest of the path.
 
@@ -259,7 +267,7 @@
             ):
                 self.reply(200, {"state": "queued"})
             return
-        self.waiter = self.server.submit(spec, route, wait_limit_s)
+        self.waiter = self.server.submit(spec, route, self.caller(wait_limit_s))
         try:
             answer = await self.waiter
         except asyncio.CancelledError:
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -14,6 +14,7 @@
     keptjobs,
     waitingload,
 )
+from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
 from egretthread.scheduling.jobrecord import Progress, Submission
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
@@ -168,21 +169,24 @@
         closing = [client.close() for client in self.entry_clients.values()]
         await asyncio.gather(*closing, self.link_server.close())
 
-    async def wait_until_configured(self) -> bool:
+    async def wait_until_configured(self, caller: Caller) -> bool:
         """Waits during the start-up period until there is a configuration.
 
+        Args:
+            caller: The caller, for which it waits while it is there.
+
         Returns:
             Whether there is a configuration.
         """
         end_s = self.board.started_s + waitingload.STARTUP_S
         while not self.board.operator_state.is_configured:
-            if clock.monotonic_s() >= end_s:
+            if clock.monotonic_s() >= end_s or caller.has_left():
                 return False
             await asyncio.sleep(TICK_S)
         return True
 
     def submit(
-        self, spec: JobSpec, route: Route, wait_limit_s: float
+        self, spec: JobSpec, route: Route, caller: Caller
     ) -> asyncio.Future:
         """Submits a job; returns the future of its answer."""
         waiter = asyncio.get_running_loop().create_future()
@@ -194,8 +198,16 @@
                 )
             )
             return waiter
+        if caller.has_left():
+            # It may have submitted the job to another entry since.
+            self.board.counters["callers_left_before_submission"] += 1
+            logs.info("caller_left", job=spec.job, route=route.name)
+            waiter.set_result(Answer(spec.job, Outcome.REFUSED, "caller left"))
+            return waiter
         self.waiters.setdefault(spec.job, []).append(waiter)
-        refusal = entryengine.submit(self.board, spec, route, wait_limit_s)
+        refusal = entryengine.submit(
+            self.board, spec, route, caller.wait_limit_s
+        )
         if refusal is not None:
             self.board.answers.append(refusal)
         self._process_output()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 
 import testtools
 import tornado.httpclient
 
+from egretthread import clock
 from egretthread.platform import agentprogram, entryprogram, servers
+from egretthread.scheduling.jobspec import OperatorState
 from egretthread.scheduling.nodesettings import NodeSettings
 from tests.aio import free_port
 from tests.platform import fakes
@@ -257,6 +261,78 @@
         self.run_scenario(scenario)
 
 
+def request(number, table=JOB, deadline_ms=9000):
+    """Returns the bytes of a submission."""
+    body = json.dumps(table).encode()
+    head = (
+        f"POST /p/{number:016x} HTTP/1.1\r\nHost: lookups.example\r\n"
+        f"X-Egretthread-Deadline-Ms: {deadline_ms}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class TestLeftCallers(testtools.TestCase):
+    run_scenario = TestPath.run_scenario
+
+    def connect(self, cluster):
+        """Returns a connection to the entry; its calls block the event loop."""
+        host, _, port = cluster.callers.rpartition(":")
+        return socket.create_connection((host, int(port)))
+
+    async def assert_nothing_runs(self, cluster):
+        # A job that is accepted later is behind those that were accepted.
+        self.assertEqual(200, (await cluster.submit(0xFF))[0])
+        jobs = {row[0].job for row in cluster.backend.server.history}
+        self.assertEqual({f"{0xFF:016x}"}, jobs)
+
+    # Guards against TWICE: a caller left while all entries waited for a
+    # configuration and submitted its job elsewhere, and both ran it.
+    def test_a_caller_that_leaves_before_the_configuration_gets_no_job(self):
+        async def scenario(cluster):
+            board = cluster.entry.server.board
+            state, board.operator_state = board.operator_state, OperatorState()
+            board.started_s = clock.monotonic_s()
+            connection = self.connect(cluster)
+            connection.sendall(request(1))
+            await asyncio.sleep(0.1)
+            connection.close()
+            await asyncio.sleep(0.1)
+            board.operator_state = state
+            await asyncio.sleep(0.1)
+            await self.assert_nothing_runs(cluster)
+
+        self.run_scenario(scenario)
+
+    # Guards against TWICE: a frozen entry woke, read a request whose caller
+    # had long submitted the job elsewhere, and ran it.
+    def test_a_request_that_is_read_with_the_end_of_its_caller_gets_no_job(
+        self,
+    ):
+        async def scenario(cluster):
+            for number, how in (
+                (1, socket.SHUT_RDWR),
+                (2, socket.SHUT_WR),
+                (3, None),
+            ):
+                connection = self.connect(cluster)
+                connection.sendall(request(number))
+                if how is None:
+                    # The connection is reset.
+                    linger = struct.pack("ii", 1, 0)
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
+                    connection.close()
+                else:
+                    connection.shutdown(how)
+                    self.addCleanup(connection.close)
+                await asyncio.sleep(0.05)
+            await self.assert_nothing_runs(cluster)
+
+        self.run_scenario(scenario)
+
+
 class TestReasons(testtools.TestCase):
     def test_every_reason_of_a_refusal_has_a_verdict(self):
         self.assertEqual(
