--- /dev/null
+++ b/egretthread_standins/platformsite/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the operators' platform, its backend servers and callers."""
