--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,17 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
-# A fuzz run without a seed draws one and prints it.
+# A fuzz or soak run without a seed draws one and prints it.
 SEED ?=
 HISTORIES ?= 2000
+# Soak runs, one seed each, the seconds of disturbances in each, and the names
+# of disturbances that are left out, separated by commas.
+RUNS ?= 1
+SECONDS ?= 30
+WITHOUT ?=
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench fuzz faults histories mutations
+.PHONY: install test lint format demo bench fuzz faults histories mutations \
+  soak
 
 install: $(STAMP)
 
@@ -37,6 +43,10 @@
 histories: install
 	$(PY) -m tests.scheduling.play $(or $(SEED),1000) $(HISTORIES)
 
+soak: install
+	$(PY) -m egretthread_standins.soak $(if $(SEED),--seed $(SEED)) \
+	  --runs $(RUNS) --seconds $(SECONDS) --without "$(WITHOUT)"
+
 mutations: install
 	$(PY) -m tests.mutations
 
--- /dev/null
+++ b/tests/platformsite/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins of the platform."""
