--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -1,10 +1,11 @@
 """HTTP API for callers, and the readiness check of the load balancer."""
 
 import asyncio
+import functools
 import math
 import re
 import socket
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 import orjson
 import tornado.web
@@ -42,8 +43,6 @@
 IDLE_TIMEOUT_S = 120.0
 # Requests that were held for longer until there is a configuration are logged.
 HELD_LOG_S = 0.1
-# Part of the caller's wait limit that is reserved for sending the response.
-RESPONSE_MARGIN_S = 0.1
 # Features of a step that are not implemented yet. A job that requests one of
 # them is refused.
 UNSUPPORTED_FEATURES = (
@@ -142,12 +141,18 @@
         route: The route, whose timeout applies if the header is missing or
             not a positive, finite number.
     """
+    wait_limit_s = _decode_header_s(text)
+    return route.timeout_s if math.isinf(wait_limit_s) else wait_limit_s
+
+
+def _decode_header_s(text: str | None) -> float:
+    """Returns the value of DEADLINE_HEADER in s; infinite if there is none."""
     try:
         wait_limit_s = float(text or "") / 1000
     except ValueError:
-        wait_limit_s = route.timeout_s
+        return math.inf
     is_valid = math.isfinite(wait_limit_s) and wait_limit_s > 0
-    return wait_limit_s if is_valid else route.timeout_s
+    return wait_limit_s if is_valid else math.inf
 
 
 class CallerHandler(tornado.web.RequestHandler):
@@ -158,7 +163,7 @@
         log: The log of kept jobs.
         job: Id of the job in the path; empty if there is none.
         waiter: Future of the answer to the submitted job.
-        received_s: Monotonic time at which the request had been read.
+        received_s: Monotonic time at which the request arrived.
     """
 
     def initialize(self, server: EntryServer, log: JobLog) -> None:
@@ -167,7 +172,8 @@
         self.log = log
         self.job = ""
         self.waiter: asyncio.Future | None = None
-        self.received_s = clock.monotonic_s()
+        unread_s = listener.unread_s(self.request.connection.stream)
+        self.received_s = clock.monotonic_s() - unread_s
 
     def on_connection_close(self) -> None:
         """Cancels the job of a caller that has disconnected."""
@@ -177,9 +183,7 @@
 
     async def prepare(self) -> None:
         """Refuses requests before startup is complete and oversize headers."""
-        is_configured = await self.server.wait_until_configured(
-            self.caller(math.inf)
-        )
+        is_configured = await self.server.wait_until_configured(self.caller())
         held_s = clock.monotonic_s() - self.received_s
         if held_s > HELD_LOG_S:
             logs.info(
@@ -201,9 +205,18 @@
         """Whether the caller has disconnected, also if that is unread."""
         return listener.is_closed_by_peer(self.request.connection.stream)
 
-    def caller(self, wait_limit_s: float) -> Caller:
-        """Returns the caller of this request."""
-        return Caller(wait_limit_s, self.has_left)
+    def caller(self, route: Route | None = None) -> Caller:
+        """Returns the caller of this request.
+
+        Args:
+            route: The route, once it is known.
+        """
+        text = self.request.headers.get(DEADLINE_HEADER)
+        if route is None:
+            wait_limit_s = _decode_header_s(text)
+        else:
+            wait_limit_s = decode_wait_limit_s(text, route)
+        return Caller(self.received_s, wait_limit_s, self.has_left)
 
     def route(self) -> tuple[Route, str] | None:
         """Returns the route and the rest of the path.
@@ -257,17 +270,15 @@
             logs.warning("job_unsupported", job=self.job, feature=feature)
             self.refuse(503, f"{feature} is not supported", 10.0)
             return
-        wait_limit_s = decode_wait_limit_s(
-            self.request.headers.get(DEADLINE_HEADER), route
-        )
+        caller = self.caller(route)
         if spec.kept:
             submission = Submission(spec, route, clock.unix_s())
             if await self.wait_until_stored(
-                self.log.submit(submission), wait_limit_s
+                functools.partial(self.log.submit, submission, caller)
             ):
                 self.reply(200, {"state": "queued"})
             return
-        self.waiter = self.server.submit(spec, route, self.caller(wait_limit_s))
+        self.waiter = self.server.submit(spec, route, caller)
         try:
             answer = await self.waiter
         except asyncio.CancelledError:
@@ -276,24 +287,20 @@
         self.answer(answer)
 
     async def wait_until_stored(
-        self, write: Awaitable[None], wait_limit_s: float
+        self, write: Callable[[], Awaitable[None]]
     ) -> bool:
         """Waits until a record is stored.
 
         If it is not, it sends an error response and returns False.
 
         Args:
-            write: Completes once the record is stored.
-            wait_limit_s: How long the caller waits.
+            write: Stores the record, and returns once it is stored.
         """
         if self.server.is_drained:
             self.refuse(503, "shutting down", 1.0)
             return False
         try:
-            async with asyncio.timeout(
-                max(0.0, wait_limit_s - RESPONSE_MARGIN_S)
-            ):
-                await write
+            await write()
         except StoreRefusedError as error:
             self.refuse(503, error.message, 1.0)
             return False
@@ -316,7 +323,7 @@
             self.reply(200, {"pending_jobs": count})
             return
         self.job = rest
-        state = await self.job_state()
+        state = await self.job_state(self.caller(route))
         if state:
             self.reply(200, {"state": state})
 
@@ -330,32 +337,34 @@
             self.server.cancel(self.job, "cancelled by its caller")
             self.reply(200, {"state": "cancelled"})
             return
-        if not await self.job_state():
+        caller = self.caller(route)
+        if not await self.job_state(caller):
             return
-        wait_limit_s = decode_wait_limit_s(
-            self.request.headers.get(DEADLINE_HEADER), route
-        )
         if await self.wait_until_stored(
-            self.log.cancel(self.job), wait_limit_s
+            functools.partial(self.log.cancel, self.job, caller)
         ):
             self.reply(200, {"state": "cancelled"})
 
-    async def job_state(self) -> str:
+    async def job_state(self, caller: Caller) -> str:
         """Returns the state of a job.
 
-        If it cannot be determined, it sends an error response and returns an
-        empty text.
+        If it cannot be determined while the caller waits, it sends an error
+        response and returns an empty text.
         """
         job = self.server.board.jobs.get(self.job)
         if job is not None and not job.spec.kept:
             return "running" if _has_started(job) else "queued"
-        is_known, state = await self.server.job_state(self.job)
         try:
-            if not is_known:
-                state = await self.log.state(self.job)
+            async with asyncio.timeout(caller.left_s(clock.monotonic_s())):
+                is_known, state = await self.server.job_state(self.job)
+                if not is_known:
+                    state = await self.log.state(self.job)
         except StoreUnavailableError as error:
             self.refuse(503, error.message, 1.0)
             return ""
+        except TimeoutError:
+            self.refuse(503, "the state is not known in time", 1.0)
+            return ""
         if not state:
             self.refuse(410, "no such job")
         return state
--- a/egretthread/platform/listener.py
+++ b/egretthread/platform/listener.py
@@ -2,11 +2,16 @@
 
 import select
 import socket
+import struct
 
 import tornado.httpserver
 import tornado.iostream
 import tornado.web
 
+# The part of `struct tcp_info` (linux/tcp.h) that ends with
+# `tcpi_last_data_recv`, the time in ms since data last arrived.
+TCP_INFO = struct.Struct("=52xI")
+
 
 def serve(
     listening: socket.socket, handlers: list[tuple], **options: float
@@ -27,6 +32,25 @@
     return http
 
 
+def unread_s(stream: tornado.iostream.IOStream) -> float:
+    """Returns how long ago data last arrived on a connection, in seconds.
+
+    It is 0 where the kernel does not tell.
+    """
+    if stream.closed():
+        return 0.0
+    try:
+        info = stream.socket.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size
+        )
+    except OSError:
+        return 0.0
+    if len(info) < TCP_INFO.size:
+        return 0.0
+    (age_ms,) = TCP_INFO.unpack(info)
+    return age_ms / 1000
+
+
 def is_closed_by_peer(stream: tornado.iostream.IOStream) -> bool:
     """Whether the other end has closed a connection, wholly or for sending.
 
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -180,7 +180,10 @@
         """
         end_s = self.board.started_s + waitingload.STARTUP_S
         while not self.board.operator_state.is_configured:
-            if clock.monotonic_s() >= end_s or caller.has_left():
+            now_s = clock.monotonic_s()
+            if now_s >= end_s or caller.left_s(now_s) <= 0:
+                return False
+            if caller.has_left():
                 return False
             await asyncio.sleep(TICK_S)
         return True
@@ -205,9 +208,8 @@
             waiter.set_result(Answer(spec.job, Outcome.REFUSED, "caller left"))
             return waiter
         self.waiters.setdefault(spec.job, []).append(waiter)
-        refusal = entryengine.submit(
-            self.board, spec, route, caller.wait_limit_s
-        )
+        left_s = caller.left_s(self.board.now_s)
+        refusal = entryengine.submit(self.board, spec, route, left_s)
         if refusal is not None:
             self.board.answers.append(refusal)
         self._process_output()
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -5,6 +5,7 @@
 
 from egretthread import clock, logs
 from egretthread.scheduling import jobrecord
+from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.jobrecord import JobState, Progress, Submission
 from egretthread.scheduling.keptboard import Partition, ProgressBatch
@@ -44,6 +45,8 @@
 WRITE_SHARE = 0.7
 # Maximum number of records of a partition that wait to be appended.
 MAX_PENDING = 2000
+# Part of the time that a caller waits, reserved for sending the response.
+RESPONSE_MARGIN_S = 0.1
 # Maximum number of records in one append.
 MAX_APPEND_RECORDS = 200
 
@@ -132,22 +135,33 @@
         if not task.cancelled() and task.exception():
             logs.error("job_log_failed", error=repr(task.exception()))
 
-    async def submit(self, submission: Submission) -> None:
+    async def submit(self, submission: Submission, caller: Caller) -> None:
         """Stores a submission and returns once it is stored.
 
+        Args:
+            submission: The submission.
+            caller: The caller that waits for it.
+
         Raises:
             StoreRefusedError: The submission is not stored and will not be.
+            TimeoutError: It may be stored, or may be later.
         """
         value = jobrecord.encode_submission(submission)
-        await self._append(Record(submission.spec.job, value))
+        await self._append(Record(submission.spec.job, value), caller)
 
-    async def cancel(self, job: str) -> None:
+    async def cancel(self, job: str, caller: Caller) -> None:
         """Stores a cancellation of a job and returns once it is stored.
 
+        Args:
+            job: The job.
+            caller: The caller that waits for it.
+
         Raises:
             StoreRefusedError: The cancellation is not stored and will not be.
+            TimeoutError: It may be stored, or may be later.
         """
-        await self._append(Record(job + jobrecord.CANCEL_SUFFIX, b"1"))
+        record = Record(job + jobrecord.CANCEL_SUFFIX, b"1")
+        await self._append(record, caller)
 
     async def state(self, job: str) -> str:
         """Returns the stored state of a job; empty when there is no such job.
@@ -163,8 +177,14 @@
             return JobState.QUEUED.value
         return ""
 
-    async def _append(self, record: Record) -> None:
+    async def _append(self, record: Record, caller: Caller) -> None:
         """Queues a record to be appended and returns once it is stored."""
+        left_s = caller.left_s(clock.monotonic_s()) - RESPONSE_MARGIN_S
+        if left_s <= 0 or caller.has_left():
+            raise StoreRefusedError(
+                "the caller no longer waits",
+                "repeat the request, with a longer wait limit",
+            )
         job = record.key.removesuffix(jobrecord.CANCEL_SUFFIX)
         partition = jobrecord.partition_of(job, self.partition_count)
         queue = self.pending.setdefault(partition, [])
@@ -178,7 +198,8 @@
         if partition not in self.appending:
             self.appending.add(partition)
             self._spawn(self._append_loop(partition))
-        await stored
+        async with asyncio.timeout(left_s):
+            await stored
 
     async def _append_loop(self, partition: int) -> None:
         """Appends the pending records of a partition in batches."""
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -56,6 +56,8 @@
 NO_SERVER_RETRY_S = 2.0
 # Reason of the answer to a waiting job that can no longer be answered in time.
 NO_ROOM_REASON = "no room in time"
+# Reason of the answer to a job whose caller has already stopped waiting.
+NO_TIME_REASON = "no time left"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +84,10 @@
     if known is not None:
         known.deadline_s = max(known.deadline_s, board.now_s + wait_limit_s)
         return None
+    if wait_limit_s <= 0:
+        board.counters["jobs_refused"] += 1
+        logs.info("job_too_late", job=spec.job, late_s=-wait_limit_s)
+        return Answer(spec.job, Outcome.REFUSED, NO_TIME_REASON)
     critical_s = critical_path_s(spec, _expected_s(board, spec, route))
     slack_s = _slack_s(route, critical_s)
     is_returning = board.load.spread_retries and retryplan.claim(
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -333,6 +333,79 @@
         self.run_scenario(scenario)
 
 
+class TestWaitLimits(testtools.TestCase):
+    run_scenario = TestPath.run_scenario
+    connect = TestLeftCallers.connect
+
+    def send(self, cluster, payload):
+        """Sends a request; returns when it was sent, and the connection."""
+        connection = self.connect(cluster)
+        self.addCleanup(connection.close)
+        connection.sendall(payload)
+        connection.setblocking(False)
+        return clock.monotonic_s(), connection
+
+    async def status_line(self, connection):
+        data = await asyncio.get_running_loop().sock_recv(connection, 100)
+        return data.partition(b"\r\n")[0]
+
+    # Guards against TWICE: the wait limit of a request was counted anew once
+    # it was no longer held, when its caller had submitted the job elsewhere.
+    def test_a_wait_limit_includes_the_time_that_the_request_was_held(self):
+        async def scenario(cluster):
+            board = cluster.entry.server.board
+            state, board.operator_state = board.operator_state, OperatorState()
+            board.started_s = clock.monotonic_s()
+            sent_s, _ = self.send(cluster, request(1, deadline_ms=900))
+            _, late = self.send(cluster, request(2, deadline_ms=200))
+            line = await self.status_line(late)
+            self.assertIn(b"503", line)
+            self.assertLess(clock.monotonic_s(), sent_s + 0.9)
+            await asyncio.sleep(max(0.0, sent_s + 0.4 - clock.monotonic_s()))
+            board.operator_state = state
+            await until(lambda: board.jobs)
+            (job,) = board.jobs.values()
+            self.assertLess(job.deadline_s, sent_s + 1.0)
+
+        self.run_scenario(scenario)
+
+    # Guards against TWICE: a frozen entry counted the wait limit of a request
+    # from when it woke.
+    def test_a_wait_limit_includes_the_time_until_the_request_was_read(self):
+        async def scenario(cluster):
+            board = cluster.entry.server.board
+            sent_s, _ = self.send(cluster, request(1, deadline_ms=1200))
+            _, late = self.send(cluster, request(2, deadline_ms=300))
+            time.sleep(0.6)
+            self.assertIn(b"503", await self.status_line(late))
+            await until(lambda: board.jobs)
+            (job,) = board.jobs.values()
+            self.assertLess(job.deadline_s, sent_s + 1.3)
+
+        self.run_scenario(scenario)
+
+    # Guards against running jobs that nobody asks for any longer.
+    def test_a_kept_job_of_a_caller_that_no_longer_waits_is_not_stored(self):
+        async def scenario(cluster):
+            kept = {**JOB, "best_effort": False}
+            connection = self.connect(cluster)
+            connection.sendall(request(1, kept))
+            connection.close()
+            _, late = self.send(cluster, request(2, kept, deadline_ms=300))
+            time.sleep(0.6)
+            self.assertIn(b"503", await self.status_line(late))
+            self.assertEqual(200, (await cluster.submit(3, kept))[0])
+            ids = {
+                record.key
+                for (topic, _), records in cluster.store.records.items()
+                for record in records
+                if topic == "jobs"
+            }
+            self.assertEqual({f"{3:016x}"}, ids)
+
+        self.run_scenario(scenario)
+
+
 class TestReasons(testtools.TestCase):
     def test_every_reason_of_a_refusal_has_a_verdict(self):
         self.assertEqual(
