--- a/egretthread/backendpool.py
+++ b/egretthread/backendpool.py
@@ -111,10 +111,19 @@
             OSError: The server is unreachable, the connection was lost, or no
                 complete response arrived in time.
         """
-        async with asyncio.timeout(timeout_s), self.semaphore:
-            connection = await self.connect()
-            self.write(connection, path, body, method, headers)
-            return await self.read(connection)
+        is_written = False
+        try:
+            async with asyncio.timeout(timeout_s), self.semaphore:
+                connection = await self.connect()
+                self.write(connection, path, body, method, headers)
+                is_written = True
+                return await self.read(connection)
+        except TimeoutError:
+            if is_written:
+                # Connections may have gone silent together, and each idle one
+                # would cost another timeout.
+                self.close()
+            raise
 
     def write(
         self,
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -72,6 +72,7 @@
         epochs: Epoch and sequence number of the last fenced append.
         members: Time at which each member of the group last joined.
         generation: Number of changes of the group's membership.
+        streams: Connections on which a request has arrived.
     """
 
     def __init__(self):
@@ -84,6 +85,7 @@
         self.generation = 0
         self.changed = asyncio.Event()
         self.calls = collections.Counter()
+        self.streams = set()
         self.http, self.address = listen(
             [
                 (r"/log-(append|read|newest)", StoreHandler, {"store": self}),
@@ -105,6 +107,12 @@
         """Deletes all records except the newest one of each key."""
         self.first[topic, partition] = len(self.records[topic, partition])
 
+    def mute(self):
+        """Makes the open connections silent for good; new ones work."""
+        for stream in self.streams:
+            stream.write = lambda data: asyncio.Future()
+        self.streams.clear()
+
     def newest(self, topic, partition=0):
         found = {}
         for offset, record in enumerate(self.records[topic, partition]):
@@ -149,6 +157,7 @@
 
     async def prepare(self):
         self.store.calls[self.request.path] += 1
+        self.store.streams.add(self.request.connection.stream)
         if self.store.mode == "garbage":
             self.store.garbage_count += 1
             self.finish((b"[]", b"{", b"{}")[self.store.garbage_count % 3])
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -110,6 +110,23 @@
 
         self.run_scenario(scenario)
 
+    # Guards against a coordinator that loses its partitions and stops its runs
+    # since one silent connection after the other delays its calls to the group.
+    def test_silent_connections_do_not_stop_runs(self):
+        async def scenario(cluster):
+            cluster.backend.server.work_s = lambda name: 20.0
+            await cluster.submit(1, KEPT)
+            await until(lambda: len(cluster.backend.server.runs) == 4)
+            await asyncio.gather(
+                *(cluster.entry.store.newest("other") for _ in range(30))
+            )
+            cluster.store.mute()
+            await asyncio.sleep(joblog.TTL_S + 1.0)
+            self.assertEqual(4, len(cluster.backend.server.runs))
+            self.assertEqual([], cluster.backend.server.history)
+
+        self.run_scenario(scenario)
+
     def test_a_cancelled_job_is_stopped(self):
         async def scenario(cluster):
             cluster.backend.server.work_s = lambda name: 8.0
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -168,6 +168,34 @@
         self.assertNotEqual((200, b"x"), results[1])
         self.assertEqual(2, server.connections)
 
+    # Guards against idle connections that have gone silent together and cost
+    # a timeout each.
+    def test_silent_connections_cost_one_timeout(self):
+        async def scenario():
+            reply = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+            server = ScriptedServer(*([(reply,)] * 4), (), (reply,))
+            port = await server.start()
+            pool = backendpool.ConnectionPool(
+                f"http://127.0.0.1:{port}", 4, MAX_BODY_BYTES
+            )
+
+            def request(timeout_s=TEST_TIMEOUT_S):
+                return pool.request("/x", b"{}", timeout_s)
+
+            await asyncio.gather(*(request() for _ in range(4)))
+            self.assertEqual(4, len(pool.idle))
+            with self.assertRaises(TimeoutError):
+                await request(0.1)
+            self.assertEqual([], pool.idle)
+            await request()
+            pool.close()
+            server.server.close()
+            # Lets the ends of the connections arrive.
+            await asyncio.sleep(0.1)
+            return server.connections
+
+        self.assertEqual(5, asyncio.run(scenario()))
+
     def test_an_unreachable_server_refuses(self):
         async def scenario():
             server = ScriptedServer()
