--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -14,9 +14,11 @@
     Route,
 )
 from egretthread.scheduling.storecall import (
+    POLL_WAIT_S,
     HistoryGoneError,
     Record,
     StoreUnavailableError,
+    retry_delay_s,
 )
 
 TOPIC = "op"
@@ -24,14 +26,6 @@
 # A zone is withdrawn while a record exists whose key is this prefix and the
 # zone's name.
 WITHDRAWN_PREFIX = "evacuate/"
-# Wait of a long poll; the store answers at once when there is a record. It and
-# the client's timeout bound how long a dead connection goes undetected, which
-# must stay below the 5 s in which a configuration has to come into force
-# after a machine was disconnected.
-WAIT_S = 3.0
-# Backoff after a failed request; doubles with each failure up to the maximum.
-RETRY_S = 0.2
-MAX_RETRY_S = 1.0
 # Before the first configuration has been read, callers are waiting for it, and
 # a failed request is repeated after this time.
 START_RETRY_S = 0.1
@@ -140,32 +134,36 @@
             await asyncio.wait((self.task,))
 
     async def _follow(self) -> None:
-        backoff_s = RETRY_S
-        lost = False
+        failures = 0
         while True:
             try:
-                await self._read_once()
+                # A store that does not answer would not answer a long poll
+                # either, but take longer.
+                await self._read_once(0.0 if failures else POLL_WAIT_S)
             except HistoryGoneError:
                 logs.info("operator_records_deleted", offset=self.offset)
                 self.offset = None
                 continue
             except StoreUnavailableError as error:
-                if not lost:
+                if not failures:
                     logs.warning("store_lost", error=error.message)
-                lost = True
-                if not self.values:
-                    await asyncio.sleep(START_RETRY_S)
-                    continue
-                await asyncio.sleep(backoff_s)
-                backoff_s = min(MAX_RETRY_S, 2 * backoff_s)
+                failures += 1
+                await asyncio.sleep(
+                    retry_delay_s(failures, error)
+                    if self.values
+                    else START_RETRY_S
+                )
                 continue
-            if lost:
+            if failures:
                 logs.info("store_reachable_again", offset=self.offset)
-            lost = False
-            backoff_s = RETRY_S
+            failures = 0
 
-    async def _read_once(self) -> None:
-        """Reads one batch and passes on the state if it brought records."""
+    async def _read_once(self, wait_s: float) -> None:
+        """Reads one batch and passes on the state if it brought records.
+
+        Args:
+            wait_s: How long to wait for a record if there is none yet.
+        """
         if self.offset is None:
             timeout_s = START_TIMEOUTS_S[self.attempts % len(START_TIMEOUTS_S)]
             self.attempts += 1
@@ -174,7 +172,7 @@
                 e.key: e.value for e in batch.records if e.value is not None
             }
         else:
-            batch = await self.store.read(TOPIC, self.offset, WAIT_S)
+            batch = await self.store.read(TOPIC, self.offset, wait_s)
             if not batch.records:
                 return
             for record in batch.records:
--- a/egretthread/scheduling/storecall.py
+++ b/egretthread/scheduling/storecall.py
@@ -6,6 +6,15 @@
 
 from egretthread import util
 
+# Wait of a long poll; the store answers at once when there is a record. With
+# the client's timeout it bounds for how long a silent connection is waited on.
+# A record that was written before the end of a disruption has to be applied
+# 3 s after that end, and one more read over a new connection has to fit in.
+POLL_WAIT_S = 1.5
+# Backoff after a failed request; doubles with each failure up to the maximum.
+RETRY_S = 0.2
+MAX_RETRY_S = 0.5
+
 
 class StoreError(util.EgretthreadError):
     """A call to the store failed."""
@@ -51,6 +60,19 @@
     kind = "history_gone"
 
 
+def retry_delay_s(failures: int, error: StoreUnavailableError) -> float:
+    """Returns the delay before a failed request is repeated, in seconds.
+
+    Args:
+        failures: Number of failures in succession, including the last.
+        error: The last failure.
+    """
+    if failures == 1 and not isinstance(error, StoreRefusedError):
+        # The connection may be the cause; the next request opens another one.
+        return 0.0
+    return min(MAX_RETRY_S, RETRY_S * 2 ** min(failures - 1, 8))
+
+
 @dataclasses.dataclass(frozen=True)
 class Record:
     """One record of a keyed topic.
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -11,6 +11,9 @@
 from tests.platform import fakes
 
 CONFIG = json.dumps(fakes.CONFIG).encode()
+# Time after a disruption of the store within which a configuration that was
+# published before its end has to be in force.
+CONTACT_S = 3.0
 
 
 class TestDecode(testtools.TestCase):
@@ -174,3 +177,68 @@
             self.assertEqual({before.version}, versions)
 
         self.run_scenario(scenario)
+
+
+class TestSilence(testtools.TestCase):
+    """A confirmed configuration that is not in force in time."""
+
+    def delay_after(self, disrupt):
+        """Returns how long a configuration takes after a disruption.
+
+        Args:
+            disrupt: Coroutine function that disrupts the store of a fixture
+                and returns at the end of the disruption.
+        """
+
+        async def scenario():
+            async with FeedFixture() as fixture:
+                await until(lambda: fixture.states)
+                # As many connections as the client keeps.
+                calls = [fixture.store.newest("other") for _ in range(30)]
+                await asyncio.gather(*calls)
+                loop = asyncio.get_running_loop()
+                await disrupt(fixture.fake)
+                end_s = loop.time()
+                fixture.fake.put(
+                    operators.TOPIC, "config", {**fakes.CONFIG, "version": 8}
+                )
+                await until(lambda: fixture.states[-1].version == 8, 20.0)
+                return loop.time() - end_s
+
+        return asyncio.run(scenario())
+
+    async def next_read(self, fake):
+        """Waits until the next read arrives at the store."""
+        count = fake.calls["/log-read"]
+        await until(lambda: fake.calls["/log-read"] > count)
+
+    # Guards against a read that is waited on for longer than the time in which
+    # a configuration has to be in force.
+    def test_a_configuration_is_in_force_after_all_connections_went_silent(
+        self,
+    ):
+        async def disrupt(fake):
+            await self.next_read(fake)
+            fake.mute()
+
+        self.assertLess(self.delay_after(disrupt), CONTACT_S)
+
+    # Guards against a long poll of a store that is out, and a long wait after
+    # it, which delay a configuration once the store is back.
+    def test_a_configuration_is_in_force_after_a_silent_store_is_back(self):
+        async def disrupt(fake):
+            fake.mode = "silent"
+            for _ in range(4):
+                await self.next_read(fake)
+            fake.mode = ""
+
+        self.assertLess(self.delay_after(disrupt), CONTACT_S)
+
+    # Guards against a second silence that is noticed later than the first.
+    def test_a_configuration_is_in_force_after_repeated_silence(self):
+        async def disrupt(fake):
+            for _ in range(2):
+                await self.next_read(fake)
+                fake.mute()
+
+        self.assertLess(self.delay_after(disrupt), CONTACT_S)
