--- a/egretthread_standins/platformsite/backendserver.py
+++ b/egretthread_standins/platformsite/backendserver.py
@@ -59,6 +59,7 @@
             out late.
         lost_share: Share of the requests that it carries out without an
             answer.
+        rng: Source of the draws for these two.
     """
 
     def __init__(self, server, service, zone, cpu, work_s, log, task_cpu=1000):
@@ -84,6 +85,7 @@
         self.labels = ["a", "r1-1"]
         self.late_share = 0.0
         self.lost_share = 0.0
+        self.rng = random.Random(server)
         self.changed = asyncio.Event()
         self.server = web.Server(self._handle)
         self.control: tuple[str, int] | None = None
@@ -153,6 +155,8 @@
             self.heartbeat(),
             timeout_s=1.0,
         )
+        if self.is_draining and status == 200:
+            self._log("draining")
         return status
 
     def _spawn(self, coroutine) -> None:
@@ -207,16 +211,16 @@
         expected = request.headers.get("x-egretthread-expected-instance")
         if expected and expected != self.id:
             return 421, {"clock_ms": self.clock_ms}
-        if request.path != "/hold" and random.random() < self.late_share:
+        if request.path != "/hold" and self.rng.random() < self.late_share:
             self._spawn(self._carry_out_late(request))
             raise web.Lost
         answer = await self._carry_out(request)
-        if random.random() < self.lost_share:
+        if self.rng.random() < self.lost_share:
             raise web.Lost
         return answer
 
     async def _carry_out_late(self, request: web.Request) -> None:
-        await asyncio.sleep(random.uniform(*LATE_ORDER_S))
+        await asyncio.sleep(self.rng.uniform(*LATE_ORDER_S))
         self._settle()
         status, answer = await self._carry_out(request, is_late=True)
         self._log(
--- a/egretthread_standins/platformsite/web.py
+++ b/egretthread_standins/platformsite/web.py
@@ -82,18 +82,14 @@
             return
         self.writers.add(writer)
         try:
-            while True:
-                request = await _read_request(reader)
-                if request is None:
-                    return
-                if writer in self.muted:
-                    await asyncio.Event().wait()
+            while request := await _read_request(reader):
                 try:
-                    status, body = await self.handle(request)
+                    status, body = await self._answer(writer, request)
                 except Lost:
-                    await asyncio.Event().wait()
-                if writer in self.muted:
-                    await asyncio.Event().wait()
+                    # Stays open and silent until the client closes it.
+                    while await reader.read(READ_LIMIT):
+                        pass
+                    return
                 writer.write(_response(status, body))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -103,6 +99,14 @@
             self.muted.discard(writer)
             writer.transport.abort()
 
+    async def _answer(self, writer, request: Request):
+        if writer in self.muted:
+            raise Lost
+        answer = await self.handle(request)
+        if writer in self.muted:
+            raise Lost
+        return answer
+
 
 def _response(status: int, body: dict | bytes) -> bytes:
     content_type = "application/octet-stream"
--- a/egretthread_standins/soak/__main__.py
+++ b/egretthread_standins/soak/__main__.py
@@ -4,10 +4,13 @@
 import asyncio
 import pathlib
 import random
+import signal
 import sys
 
 from egretthread_standins.soak import disturbances, runner
 
+EXIT_TERMINATED = 2
+
 
 def main() -> None:
     """Plays runs with one seed each; exits with 1 if a rule was broken."""
@@ -33,6 +36,8 @@
     first = arguments.seed
     if first is None:
         first = random.randrange(1_000_000)
+    # Ends the programs that were started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     failed = []
     for seed in range(first, first + arguments.runs):
         settings = runner.SoakSettings(
--- a/egretthread_standins/soak/callers.py
+++ b/egretthread_standins/soak/callers.py
@@ -13,9 +13,11 @@
 LEAVER_SHARE = 0.2
 TWO_STEPS_SHARE = 0.35
 CANCEL_SHARE = 0.1
+REPEAT_SHARE = 0.1
 ATTEMPTS = 3
 WATCH_S = 0.15
 WATCHED = 4
+SUBMIT_SHARE = 0.1
 UNKNOWN_SHARE = 0.03
 # Statuses after which a job may be submitted again.
 UNKNOWN = (0, 502, 504)
@@ -122,29 +124,8 @@
             if is_leaver and attempt == 0:
                 patience_s = rng.uniform(0.02, patience_s)
             entry = entries[attempt % len(entries)]
-            sent_s, status, body = await self.request(
-                entry,
-                "POST",
-                sites.PREFIX + job,
-                patience_s,
-                table,
-                deadline_ms,
-            )
-            self.site.log(
-                "caller",
-                "POST",
-                job=job,
-                entry=entry,
-                sent=sent_s,
-                status=status,
-                state=body.get("state", ""),
-                kept=kept,
-                attempt=attempt,
-                left=is_leaver and attempt == 0 and status == 0,
-                steps=[
-                    (step["count"], step.get("after", []))
-                    for step in table["steps"]
-                ],
+            status = await self._post(
+                job, table, entry, patience_s, deadline_ms, attempt
             )
             if status not in UNKNOWN:
                 break
@@ -154,9 +135,47 @@
             await asyncio.sleep(delay_s)
         if kept and status == 200:
             await self._follow(job, entries)
+            if rng.random() < REPEAT_SHARE:
+                await self._post(job, table, entries[0], 1.7, 1500, ATTEMPTS)
         if rng.random() < UNKNOWN_SHARE:
             await self.ask(f"{rng.getrandbits(64):016x}", rng.choice(entries))
 
+    async def _post(
+        self,
+        job: str,
+        table: dict,
+        entry: str,
+        patience_s: float,
+        deadline_ms: int,
+        attempt: int,
+    ) -> int:
+        """Submits a job once and returns the status of the answer."""
+        sent_s, status, body = await self.request(
+            entry,
+            "POST",
+            sites.PREFIX + job,
+            patience_s,
+            table,
+            deadline_ms,
+        )
+        self.site.log(
+            "caller",
+            "POST",
+            job=job,
+            entry=entry,
+            sent=sent_s,
+            status=status,
+            state=body.get("state", ""),
+            kept=not table.get("best_effort", False),
+            attempt=attempt,
+            patience=patience_s,
+            steps=[
+                (step["count"], step.get("after", []))
+                for step in table["steps"]
+            ],
+        )
+        return status
+
     async def _follow(self, job: str, entries: list[str]) -> None:
         """Asks for the state of a kept job and cancels some."""
         rng = self.rng
@@ -222,20 +241,36 @@
         return [*dict.fromkeys(changed[-WATCHED:]), sites.PREFIX, "/never/"]
 
     async def _ask(self, prefix: str) -> None:
+        job, table, method = "", None, "GET"
+        if prefix != sites.PREFIX and self.rng.random() < SUBMIT_SHARE:
+            job, method = f"{self.rng.getrandbits(64):016x}", "POST"
+            table = sites.job(1, 100, kept=False)
+            table["task_spec"] = f"match {job}"
         pid = self.site.processes[self.entry].pid
         sent_s, status, body = await self.request(
-            self.entry, "GET", prefix, 1.7, is_new=self.is_new
+            self.entry, method, prefix + job, 1.7, table, is_new=self.is_new
         )
+        fields = {
+            "prefix": prefix,
+            "entry": self.entry,
+            "sent": sent_s,
+            "status": status,
+            "connection": "new" if self.is_new else "kept-open",
+            "pid": pid,
+        }
         if pid != self.site.processes[self.entry].pid:
-            return
-        self.site.log(
-            "caller",
-            "GET queue",
-            prefix=prefix,
-            entry=self.entry,
-            pid=pid,
-            sent=sent_s,
-            status=status,
-            pending=body.get("pending_jobs", -1),
-            connection="new" if self.is_new else "kept-open",
-        )
+            # It may have been answered by either process.
+            fields["pid"] = 0
+        if job:
+            self.site.log(
+                "caller",
+                "POST",
+                job=job,
+                state=body.get("state", ""),
+                kept=False,
+                steps=[(1, [])],
+                **fields,
+            )
+        else:
+            pending = body.get("pending_jobs", -1)
+            self.site.log("caller", "GET queue", pending=pending, **fields)
--- a/egretthread_standins/soak/configrule.py
+++ b/egretthread_standins/soak/configrule.py
@@ -20,7 +20,7 @@
     broken = []
     # Newest version that an incarnation's answers prove, and since when.
     proven: dict[tuple[str, int], list[tuple[float, int]]] = {}
-    for event in _queue_answers(events):
+    for event in _route_answers(events):
         fields = event.fields
         known = bisect.bisect_right(acknowledged, event.at_s)
         allowing = [
@@ -44,6 +44,8 @@
                     f" acknowledged at {version.at_s:.3f}",
                 )
             )
+        if not fields["pid"]:
+            continue
         incarnation = (fields["entry"], fields["pid"])
         proofs = proven.setdefault(incarnation, [])
         before = [
@@ -67,22 +69,19 @@
     return broken
 
 
-def _queue_answers(events: list[Event]) -> list[Event]:
+def _route_answers(events: list[Event]) -> list[Event]:
+    """Returns the answers that tell whether a route is there."""
     return [
         event
         for event in events
-        if event.what == "GET queue"
-        and (
-            event.fields["status"] == 404
-            or (event.fields["status"] == 200 and event.fields["pending"] >= 0)
-        )
+        if event.fields.get("prefix") and event.fields["status"] in (200, 404)
     ]
 
 
 def _asked(event: Event) -> str:
     fields = event.fields
     return (
-        f"GET {fields['prefix']} at {fields['entry']}, sent at"
+        f"{event.what} {fields['prefix']} at {fields['entry']}, sent at"
         f" {fields['sent']:.3f} on a {fields['connection']} connection, was"
         f" answered {fields['status']}"
     )
--- a/egretthread_standins/soak/disturbances.py
+++ b/egretthread_standins/soak/disturbances.py
@@ -132,6 +132,37 @@
             await _start_server(play, name, ids[name] if step.seed % 2 else "")
 
 
+def server_share(attribute: str):
+    """Returns the disturbance that sets a share of servers' faults."""
+
+    async def disturb(play: Play, step: Step) -> None:
+        share = random.Random(step.seed).choice((0.05, 0.2, 1.0))
+        servers = [play.site.servers[name] for name in step.targets]
+        play.site.log("platform", step.kind, agents=step.targets, share=share)
+        for server in servers:
+            setattr(server, attribute, share)
+        await asyncio.sleep(step.duration_s)
+        for server in servers:
+            setattr(server, attribute, 0.0)
+        play.site.log("platform", f"{step.kind} over", agents=step.targets)
+
+    return disturb
+
+
+async def mute_server(play: Play, step: Step) -> None:
+    """Makes agents' open connections to their servers silent for good."""
+    play.site.log("platform", step.kind, agents=step.targets)
+    for name in step.targets:
+        play.site.servers[name].server.mute()
+
+
+async def reset_server(play: Play, step: Step) -> None:
+    """Resets agents' open connections to their servers."""
+    play.site.log("platform", step.kind, agents=step.targets)
+    for name in step.targets:
+        play.site.servers[name].server.reset()
+
+
 async def _start_server(play: Play, agent: str, server: str) -> None:
     play.servers += 1
     server = server or f"i-{play.servers:04x}f00d"
@@ -264,6 +295,32 @@
             play.site.store.servers[name].reset()
 
 
+async def forget(play: Play, step: Step) -> None:
+    """Deletes the history of the operators' records."""
+    with play.disturb(step.kind, (STORE,)):
+        play.site.store.forget("op")
+
+
+async def reassign(play: Play, step: Step) -> None:
+    """Reassigns the partitions of all groups at once."""
+    with play.disturb(step.kind, (STORE,)):
+        play.site.store.reassign()
+
+
+async def hang_up(play: Play, step: Step) -> None:
+    """Changes settings files and tells the processes with SIGHUP."""
+    with (
+        play.hold("process", step.targets) as names,
+        play.disturb(step.kind, names),
+    ):
+        for name in names:
+            play.site.write_settings(
+                name, log_level='"debug"' if step.seed % 2 else '"info"'
+            )
+            if step.seed % 3:
+                play.site.signal(name, signal.SIGHUP)
+
+
 async def configure(play: Play, step: Step) -> None:
     """Adds a route or drops the oldest that was added."""
     if play.site.store.is_down:
@@ -302,6 +359,13 @@
     "store-down": store_down,
     "store-mute": store_mute,
     "store-reset": store_reset,
+    "store-forgets": forget,
+    "store-reassigns": reassign,
+    "server-late": server_share("late_share"),
+    "server-answers-lost": server_share("lost_share"),
+    "server-mute": mute_server,
+    "server-reset": reset_server,
+    "settings": hang_up,
     CONFIGURE: configure,
 }
 KINDS = [
@@ -312,7 +376,7 @@
     Kind("terminate", "agent"),
     Kind("freeze", "entry", (0.1, 3.5), 2.0),
     Kind("freeze", "agent", (0.1, 3.5), 2.0),
-    Kind("server-crash", "agent", (0.1, 3.5)),
+    Kind("server-crash", "agent", (0.1, 6.0), 1.5),
     Kind("server-drain", "agent", (0.5, 2.0), 0.5),
     Kind("foreign-heartbeats", "agent", (0.0, 4.0), 2.0),
     Kind("store-silent", "machine", (0.2, 6.0), 1.5),
@@ -323,5 +387,12 @@
     Kind("store-down", "all", (0.5, 5.0), 0.7),
     Kind("store-mute", "machine", weight=1.5),
     Kind("store-reset", "machine"),
+    Kind("store-forgets", "all", weight=0.7),
+    Kind("store-reassigns", "all", weight=0.7),
+    Kind("server-late", "agent", (0.3, 3.0)),
+    Kind("server-answers-lost", "agent", (0.3, 3.0)),
+    Kind("server-mute", "agent"),
+    Kind("server-reset", "agent", weight=0.5),
+    Kind("settings", "machine", weight=0.5),
     Kind(CONFIGURE, "all", weight=2.0),
 ]
--- a/egretthread_standins/soak/jobrules.py
+++ b/egretthread_standins/soak/jobrules.py
@@ -2,12 +2,15 @@
 
 import collections
 
+from egretthread_standins.platformsite import site as sites
 from egretthread_standins.platformsite.site import Event
 from egretthread_standins.soak import contact
 from egretthread_standins.soak.breaks import Break, job_of
 from egretthread_standins.soak.runrules import kept_jobs, steps_of
 
 VISIBLE_S = 3.0
+# `pending_jobs` may be so old.
+PENDING_AGE_S = 2.0
 # A job is lost if it is open and nothing of it has run for so long, while the
 # backend servers have room.
 STUCK_S = 3.0
@@ -157,6 +160,44 @@
     return broken
 
 
+def hidden_jobs(events: list[Event]) -> list[Break]:
+    """MIXED: `pending_jobs` is under half of the jobs that have not begun."""
+    found = contact.spans(events)
+    prefix = sites.PREFIX
+    waiting: dict[str, float] = {}
+    gone = set()
+    broken = []
+    for event in events:
+        job = job_of(event)
+        if event.what in ("start", "cancels"):
+            gone.add(job)
+            waiting.pop(job, None)
+        elif event.what == "POST" and event.fields["kept"]:
+            if event.fields["status"] == 200 and job not in gone:
+                waiting.setdefault(job, event.at_s)
+        elif event.what == "GET queue" and event.fields["prefix"] == prefix:
+            fields = event.fields
+            # Those that began since the request was sent may count.
+            count = sum(
+                at_s < fields["sent"] - VISIBLE_S - PENDING_AGE_S
+                for at_s in waiting.values()
+            )
+            if (
+                fields["status"] == 200
+                and fields["pending"] < count / 2
+                and contact.is_in_touch(found, fields["entry"], fields["sent"])
+            ):
+                broken.append(
+                    Break(
+                        "MIXED",
+                        event.at_s,
+                        f"{fields['entry']} tells of {fields['pending']}"
+                        f" pending jobs, while {count} have not begun",
+                    )
+                )
+    return broken
+
+
 def ended_processes(events: list[Event]) -> list[Break]:
     """FAULT: a process ended by itself."""
     return [
--- a/egretthread_standins/soak/oracle.py
+++ b/egretthread_standins/soak/oracle.py
@@ -12,9 +12,11 @@
     runrules.early_starts,
     runrules.unasked_starts,
     runrules.rejected_starts,
+    runrules.starts_while_draining,
     jobrules.disowned_jobs,
     jobrules.unfinished_jobs,
     jobrules.untrue_states,
+    jobrules.hidden_jobs,
     jobrules.ended_processes,
     configrule.late_configurations,
 )
--- a/egretthread_standins/soak/runrules.py
+++ b/egretthread_standins/soak/runrules.py
@@ -1,4 +1,4 @@
-"""Rules on runs: TWICE, ORDER, UNASKED and REFUSED."""
+"""Rules on runs: TWICE, ORDER, UNASKED, REFUSED and DRAIN."""
 
 import collections
 
@@ -7,6 +7,7 @@
 from egretthread_standins.soak.breaks import Break, job_of, place
 
 CANCEL_S = 3.0
+DRAIN_S = 2.0
 SHOWN_S = 1.0
 # Answers that say that a job was not accepted and never runs.
 REJECTED = (400, 404, 413, 429, 431, 503)
@@ -195,6 +196,31 @@
     return broken
 
 
+def starts_while_draining(events: list[Event]) -> list[Break]:
+    """DRAIN: a start long after it was acknowledged that a server drains."""
+    found = contact.spans(events)
+    draining: dict[tuple, Event] = {}
+    broken = []
+    for event in events:
+        life = (event.who, event.fields.get("born"))
+        if event.what == "draining":
+            draining.setdefault(life, event)
+        elif event.what == "start" and life in draining:
+            told = draining[life]
+            if event.at_s - told.at_s > DRAIN_S and _is_timely(found, event):
+                broken.append(
+                    Break(
+                        "DRAIN",
+                        event.at_s,
+                        f"task {event.fields['task']} started on"
+                        f" {place(event)}, whose draining was acknowledged at"
+                        f" {told.at_s:.3f}",
+                        job_of(event),
+                    )
+                )
+    return broken
+
+
 def rejected_starts(events: list[Event]) -> list[Break]:
     """REFUSED: a start of a job of which all submissions were rejected."""
     statuses = collections.defaultdict(list)
--- a/egretthread_standins/soak/scenario.py
+++ b/egretthread_standins/soak/scenario.py
@@ -7,9 +7,9 @@
 # this long before their begin to this long after their end.
 CHANGE_SHARE = 0.6
 CHANGE_MARGIN_S = 1.0
-# Steps at intervals that are shorter than most disturbances, so that they
-# overlap; the longer intervals leave calm times in between.
-GAPS_S = (0.1, 0.4, 1.0, 4.0)
+# Mean intervals between steps, of which a scenario has one set: disturbances
+# overlap, come in series, or come alone with calm times in between.
+GAPS_S = ((0.1, 0.4, 1.0, 4.0), (0.1, 0.1, 6.0), (2.0, 6.0))
 CONFIGURE = "configure"
 
 
@@ -58,6 +58,7 @@
 ) -> list[Step]:
     """Draws the steps of a scenario in the order of their times."""
     rng = random.Random(seed)
+    gaps_s = rng.choice(GAPS_S)
     steps = []
     at_s = 0.5
     while at_s < seconds:
@@ -74,7 +75,7 @@
             steps.append(
                 Step(change_s, CONFIGURE, (), 0.0, rng.getrandbits(32))
             )
-        at_s += rng.expovariate(1 / rng.choice(GAPS_S))
+        at_s += rng.expovariate(1 / rng.choice(gaps_s))
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -29,6 +29,10 @@
     return _server(at_s, "run crashed", number, task=task, **fields)
 
 
+def draining(at_s, number=1, **fields):
+    return _server(at_s, "draining", number, **fields)
+
+
 def post(
     at_s, status=200, kept=True, state="queued", steps=((1, ()),), job=JOB
 ):
@@ -64,9 +68,9 @@
     return Event(at_s, "operator", "configuration", fields)
 
 
-def queue(sent, prefix, status, took_s=0.01, pid=1, entry="entry-1"):
+def queue(sent, prefix, status, took_s=0.01, pid=1, entry="entry-1", pending=0):
     fields = {"prefix": prefix, "pid": pid, "connection": "new"}
-    fields["pending"] = 0 if status == 200 else -1
+    fields["pending"] = pending if status == 200 else -1
     return request(sent + took_s, "GET queue", status, sent, entry, **fields)
 
 
--- a/tests/soak/test_configrule.py
+++ b/tests/soak/test_configrule.py
@@ -28,6 +28,11 @@
     def test_a_route_that_never_was_is_found(self):
         self.assertEqual(1, len(self.broken(h.queue(5.0, "/never/", 200))))
 
+    def test_a_job_run_with_a_dropped_route_is_found(self):
+        fields = {"prefix": "/b/", "pid": 1, "connection": "new"}
+        job = h.request(23.0, "POST", 200, 22.5, **fields)
+        self.assertEqual(1, len(self.broken(job)))
+
     def test_both_answers_are_allowed_around_a_change(self):
         for sent in (9.995, 10.5, 11.9):
             for status in (200, 404):
--- a/tests/soak/test_jobrules.py
+++ b/tests/soak/test_jobrules.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from egretthread_standins.platformsite import site
 from egretthread_standins.platformsite.site import Event
 from egretthread_standins.soak import jobrules
 from tests.soak import history as h
@@ -66,6 +67,32 @@
         self.assertEqual([], jobrules.untrue_states(events))
 
 
+class PendingTest(unittest.TestCase):
+    accepted = [h.post(1.0, job=f"{n:016x}") for n in range(4)]
+
+    def answer(self, sent, pending, *others):
+        asked = h.queue(sent, site.PREFIX, 200, pending=pending)
+        events = [*self.accepted, *others, asked]
+        return jobrules.hidden_jobs(sorted(events, key=lambda e: e.at_s))
+
+    def test_under_half_of_the_jobs_that_wait_is_found(self):
+        (broken,) = self.answer(6.1, 1)
+        self.assertEqual("MIXED", broken.rule)
+        self.assertIn("entry-1", broken.text)
+
+    def test_half_of_the_jobs_and_new_jobs_are_allowed(self):
+        self.assertEqual([], self.answer(6.1, 2))
+        self.assertEqual([], self.answer(5.9, 0))
+
+    def test_jobs_that_have_begun_do_not_wait(self):
+        begun = [h.start(2.0, task=f"{n:016x}.0.0.0") for n in range(2)]
+        self.assertEqual([], self.answer(6.1, 1, *begun))
+
+    def test_an_entry_out_of_touch_may_not_know(self):
+        disturbed = h.disturbance(4.0, 4.5, "entry-1")
+        self.assertEqual([], self.answer(6.1, 0, *disturbed))
+
+
 class FaultTest(unittest.TestCase):
     def test_a_process_that_ended_by_itself_is_found(self):
         event = Event(3.0, "operator", "ended by itself", {"name": "agent-1"})
--- a/tests/soak/test_runrules.py
+++ b/tests/soak/test_runrules.py
@@ -114,6 +114,19 @@
         self.assertEqual([], runrules.rejected_starts(events))
 
 
+class DrainTest(unittest.TestCase):
+    def test_a_start_long_after_draining_was_acknowledged_is_found(self):
+        (broken,) = runrules.starts_while_draining(
+            [h.draining(1.0), h.start(3.1)]
+        )
+        self.assertEqual(("DRAIN", 3.1, h.JOB), _key(broken))
+
+    def test_starts_in_time_and_of_another_life_are_allowed(self):
+        for start in (h.start(2.9), h.start(3.1, born=8), h.start(3.1, 2)):
+            events = [h.draining(1.0), start]
+            self.assertEqual([], runrules.starts_while_draining(events))
+
+
 class JudgeTest(unittest.TestCase):
     def test_a_sound_run_breaks_nothing(self):
         events = [h.post(0.5), h.start(1.0), h.end(1.1), h.noted(1.2)]
