--- a/egretthread/platform/bodies.py
+++ b/egretthread/platform/bodies.py
@@ -1,10 +1,15 @@
 """Validation of JSON bodies received from other systems."""
 
+import reprlib
+
 import orjson
 
 from egretthread import util
 from egretthread.scheduling.room import Room
 
+# Larger whole numbers are not represented exactly by every JSON implementation.
+MAX_COUNT = 2**53 - 1
+
 
 class BodyError(util.EgretthreadError):
     """A body is malformed."""
@@ -47,7 +52,7 @@
     is_kind = isinstance(value, kind)
     if not is_kind or (isinstance(value, bool) and kind is not bool):
         raise BodyError(
-            f"{name} is {value!r}",
+            f"{name} is {reprlib.repr(value)}",
             f"set {name} to a value of type {kind.__name__}",
         )
     return value
@@ -57,14 +62,40 @@
     """Returns a field that holds a non-negative whole number.
 
     Raises:
-        BodyError: The field is missing, has another type or is negative.
+        BodyError: The field is missing, has another type or is out of range.
     """
     value = field(table, name, int, default)
+    if not 0 <= value <= MAX_COUNT:
+        raise BodyError(
+            f"{name} is {value}", f"set {name} to a value of 0 to {MAX_COUNT}"
+        )
+    return value
+
+
+def amount(table: dict, name: str) -> float:
+    """Returns a required field that holds a number of 0 or more.
+
+    Raises:
+        BodyError: The field is missing, has another type or is negative.
+    """
+    value = field(table, name, float)
     if value < 0:
         raise BodyError(f"{name} is {value}", f"set {name} to 0 or more")
     return value
 
 
+def name(table: dict, key: str) -> str:
+    """Returns a required field that holds a text that is not empty.
+
+    Raises:
+        BodyError: The field is missing, has another type or is empty.
+    """
+    value = field(table, key, str)
+    if not value:
+        raise BodyError(f"{key} is empty", f"set {key} to its name")
+    return value
+
+
 def strings(table: dict, name: str) -> tuple[str, ...]:
     """Returns a field that holds a list of strings; empty if it is absent.
 
@@ -79,13 +110,18 @@
     return tuple(values)
 
 
-def objects(table: dict, name: str) -> list[dict]:
+def objects(table: dict, name: str, default=None) -> list[dict]:
     """Returns a field that holds a list of objects.
 
+    Args:
+        table: The object.
+        name: The field's name.
+        default: Value of an absent field; None if the field is required.
+
     Raises:
         BodyError: The field is not a list of objects.
     """
-    values = field(table, name, list)
+    values = field(table, name, list, default)
     if not all(isinstance(value, dict) for value in values):
         raise BodyError(
             f"{name} is not a list of objects", f"put only objects into {name}"
--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -52,14 +52,16 @@
     if CONFIG_KEY not in values:
         return OperatorState(offset=offset, withdrawn=withdrawn)
     table = bodies.parse(values[CONFIG_KEY])
+    routes = tuple(
+        _decode_route(route) for route in bodies.objects(table, "routes")
+    )
     return OperatorState(
         offset,
         bodies.count(table, "version"),
-        tuple(
-            _decode_route(route) for route in bodies.objects(table, "routes")
-        ),
+        routes,
         _decode_limits(bodies.field(table, "limits", dict, {})),
         withdrawn,
+        _decode_services(table, routes),
     )
 
 
@@ -78,6 +80,22 @@
     )
 
 
+def _decode_services(table: dict, routes: tuple[Route, ...]) -> tuple[str, ...]:
+    """Returns the services that the configuration or a route names.
+
+    None are returned if they can't be read; the routes are in force without.
+    """
+    try:
+        names = {
+            bodies.name(service, "name")
+            for service in bodies.objects(table, "services", [])
+        }
+    except bodies.BodyError as error:
+        logs.error("services_malformed", error=str(error))
+        return ()
+    return tuple(sorted(names | {route.service for route in routes}))
+
+
 def _decode_limits(table: dict) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
--- a/egretthread/platform/servers.py
+++ b/egretthread/platform/servers.py
@@ -1,14 +1,16 @@
 """HTTP between an agent and its backend server: heartbeats and calls."""
 
+import reprlib
 import socket
 
 import orjson
 import tornado.web
 
-from egretthread import backendpool, logs
+from egretthread import backendpool, logs, util
 from egretthread.httpconnection import Response
 from egretthread.platform import bodies, listener
 from egretthread.scheduling.agentboard import (
+    ServerLeave,
     ServerRecord,
     StartCall,
     StopCall,
@@ -23,6 +25,7 @@
     ServerEnd,
     Verdict,
 )
+from egretthread.scheduling.serveridentity import ForeignServerError
 
 # Id of the backend server's incarnation that a request is meant for. Another
 # incarnation at the same address rejects the request.
@@ -56,6 +59,9 @@
     503: Verdict.UNHEALTHY,
 }
 STATES = ("ready", "draining")
+# Fields that the heartbeats of a backend server have either always or never.
+OPTIONAL_FIELDS = {"born", "labels"}
+AMOUNTS = {"cpu", "mem_mb", "gpu"}
 
 
 def decode_heartbeat(server: str, body: bytes) -> tuple[ServerRecord, int]:
@@ -75,20 +81,53 @@
     state = bodies.field(table, "state", str)
     if state not in STATES:
         raise bodies.BodyError(
-            f"state is {state!r}", f"set state to one of {STATES}"
+            f"state is {reprlib.repr(state)}", f"set state to one of {STATES}"
         )
+    # Not used here, but a heartbeat without them is not of a backend server.
+    bodies.name(table, "address")
+    bodies.field(table, "version", str)
+    for name in ("slots", "cold_remaining_ms"):
+        bodies.amount(table, name)
+    capacity = bodies.field(table, "capacity", dict)
+    if not AMOUNTS & capacity.keys():
+        raise bodies.BodyError(
+            "capacity has no amount", f"set some of {sorted(AMOUNTS)}"
+        )
+    started_unix_ms = bodies.count(table, "born", 0)
+    if "born" in table and not started_unix_ms:
+        raise bodies.BodyError("born is 0", "set born to the time of the start")
     record = ServerRecord(
         server=server,
-        started_unix_ms=bodies.count(table, "born", 0),
-        service=bodies.field(table, "service", str),
-        zone=bodies.field(table, "zone", str),
+        started_unix_ms=started_unix_ms,
+        service=bodies.name(table, "service"),
+        zone=bodies.name(table, "zone"),
         labels=bodies.strings(table, "labels"),
-        capacity=bodies.room(bodies.field(table, "capacity", dict)),
+        capacity=bodies.room(capacity),
         is_draining=state == "draining",
         drain_s=bodies.count(table, "drain_remaining_ms", 0) / 1000,
-        sequence=bodies.count(table, "sequence", 0),
+        sequence=bodies.count(table, "sequence"),
+        reported=frozenset(OPTIONAL_FIELDS & table.keys())
+        | {f"capacity.{amount}" for amount in AMOUNTS & capacity.keys()},
+    )
+    return record, bodies.count(table, "clock_ms")
+
+
+def decode_leave(server: str, body: bytes) -> ServerLeave:
+    """Decodes the notice that a backend server leaves.
+
+    Args:
+        server: Id of the backend server, from the path of the request.
+        body: Body of the request, which may be empty.
+
+    Raises:
+        bodies.BodyError: The body is malformed.
+    """
+    table = bodies.parse(body) if body else {}
+    return ServerLeave(
+        server,
+        bodies.count(table, "born", 0),
+        bodies.field(table, "service", str, ""),
     )
-    return record, bodies.count(table, "clock_ms", 0)
 
 
 def encode_name(name: TaskName) -> str:
@@ -268,14 +307,15 @@
         """Decodes a heartbeat and passes it on."""
         try:
             record, clock_ms = decode_heartbeat(server, self.request.body)
+            self.on_heartbeat(record, clock_ms)
         except bodies.BodyError as error:
             logs.warning("heartbeat_malformed", error=str(error))
-            self.set_status(400)
+            _refuse(self, error)
+        except ForeignServerError as error:
+            logs.warning("heartbeat_foreign", error=str(error))
+            _refuse(self, error)
         else:
-            self.on_heartbeat(record, clock_ms)
-            self.set_header("Content-Type", "application/json")
-            self.write("{}")
-        self.finish()
+            _acknowledge(self)
 
 
 class LeaveHandler(tornado.web.RequestHandler):
@@ -286,10 +326,38 @@
         self.on_leave = on_leave
 
     def post(self, server: str) -> None:
-        """Passes the notice on."""
-        self.on_leave(server)
-        self.set_header("Content-Type", "application/json")
-        self.finish("{}")
+        """Decodes the notice and passes it on."""
+        try:
+            self.on_leave(decode_leave(server, self.request.body))
+        except bodies.BodyError as error:
+            logs.warning("leave_malformed", error=str(error))
+            _refuse(self, error)
+        except ForeignServerError as error:
+            logs.warning("leave_foreign", error=str(error))
+            _refuse(self, error)
+        else:
+            _acknowledge(self)
+
+
+def _acknowledge(handler: tornado.web.RequestHandler) -> None:
+    handler.set_header("Content-Type", "application/json")
+    handler.finish("{}")
+
+
+def _refuse(
+    handler: tornado.web.RequestHandler, error: util.EgretthreadError
+) -> None:
+    handler.set_status(400)
+    handler.set_header("Content-Type", "application/json")
+    handler.finish(
+        orjson.dumps(
+            {
+                "kind": error.kind,
+                "error": error.message,
+                "remedy": error.remedy,
+            }
+        )
+    )
 
 
 def serve(listening: socket.socket, on_heartbeat, on_leave):
--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -120,6 +120,7 @@
         is_draining: Whether it is about to leave.
         drain_s: Minimum time until it leaves.
         sequence: Sequence number of the heartbeat within the incarnation.
+        reported: Names of the optional fields that the heartbeat has.
     """
 
     server: str
@@ -131,6 +132,22 @@
     is_draining: bool
     drain_s: float
     sequence: int
+    reported: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerLeave:
+    """Notice that a backend server leaves.
+
+    Attributes:
+        server: Id of the incarnation.
+        started_unix_ms: When this incarnation started; 0 if not reported.
+        service: Service it runs; empty if not reported.
+    """
+
+    server: str
+    started_unix_ms: int = 0
+    service: str = ""
 
 
 @dataclasses.dataclass
@@ -237,6 +254,7 @@
     Attributes:
         node: Its node id.
         now_s: Time of the event being handled, on the monotonic clock.
+        zone: Availability zone of the agent; empty if it is not known.
         token: Fencing token of the calls to the backend server.
         server: Its backend server; None before the first heartbeat.
         left_server: The last backend server that announced its leave.
@@ -269,6 +287,9 @@
         coordinators: Entries by node id.
         operator_offset: Highest known offset of operator records.
         is_withdrawn: Whether the zone was withdrawn as of that offset.
+        services: Services that the configuration names, as last told by an
+            entry; empty before.
+        services_offset: Offset of operator records at which it names them.
         operator_record: Newest operator records received from an entry, for
             entries that start while the store is unavailable; None if there
             are none.
@@ -289,6 +310,7 @@
     node: str
     token: int
     now_s: float
+    zone: str = ""
     server: ServerRecord | None = None
     left_server: ServerRecord | None = None
     state: ServerState = ServerState.ABSENT
@@ -315,6 +337,8 @@
     )
     operator_offset: int = -1
     is_withdrawn: bool = False
+    services: frozenset[str] = frozenset()
+    services_offset: int = -1
     operator_record: OperatorRecord | None = None
     load: LoadSettings = LoadSettings()
     health: serverhealth.ServerHealth = dataclasses.field(
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -7,12 +7,14 @@
     runorders,
     runs,
     servercrash,
+    serveridentity,
     serverpoll,
 )
 from egretthread.scheduling.agentboard import (
     AgentBoard,
     Coordinator,
     RunPhase,
+    ServerLeave,
     ServerRecord,
     StartCall,
     StopCall,
@@ -85,6 +87,8 @@
         leaserule.coordinator_lease_end_s(heartbeat.echo_ms),
     )
     _send_operator_record(board, coordinator, heartbeat)
+    if heartbeat.services:
+        _on_services(board, heartbeat)
     if heartbeat.operator_offset >= board.operator_offset:
         if heartbeat.withdrawn != board.is_withdrawn:
             logs.info(
@@ -96,6 +100,28 @@
         board.is_withdrawn = heartbeat.withdrawn
 
 
+def _on_services(board: AgentBoard, heartbeat: EntryBeat) -> None:
+    """Adopts the services that a configuration names, unless it is outdated."""
+    if heartbeat.operator_offset < board.services_offset:
+        return
+    is_first = not board.services
+    board.services_offset = heartbeat.operator_offset
+    board.services = frozenset(heartbeat.services)
+    server = board.server
+    if (
+        is_first
+        and server is not None
+        and server.service not in board.services
+        and not board.runs
+    ):
+        # It was adopted before it could be checked, and keeps out the server
+        # that is here if that started earlier.
+        logs.warning(
+            "server_unnamed", server=server.server, service=server.service
+        )
+        _remove_server(board, "unnamed service")
+
+
 def _send_operator_record(
     board: AgentBoard, coordinator: Coordinator, heartbeat: EntryBeat
 ) -> None:
@@ -156,7 +182,12 @@
 def on_heartbeat(
     board: AgentBoard, record: ServerRecord, clock_ms: int
 ) -> None:
-    """Processes a heartbeat of the backend server."""
+    """Processes a heartbeat of the backend server.
+
+    Raises:
+        serveridentity.ForeignServerError: It is of another writer.
+    """
+    serveridentity.check_heartbeat(board, record)
     known = board.server
     if known is not None and _is_outdated(record, known):
         logs.info("heartbeat_outdated", server=record.server)
@@ -164,9 +195,9 @@
     if _has_left(board, record):
         logs.info("heartbeat_after_leave", server=record.server)
         return
-    if known is None or _is_new_incarnation(record, known):
+    if known is None or not serveridentity.is_same(record, known):
         _replace_server(board, record, clock_ms)
-    elif record.capacity != known.capacity or record.labels != known.labels:
+    elif _facts(record) != _facts(known):
         _on_facts_changed(board, record)
     board.room_limit = None
     board.server = record
@@ -176,15 +207,24 @@
         _set_state(board, ServerState.READY, "heartbeat")
 
 
-def on_leave(board: AgentBoard, server: str) -> None:
-    """Drops the backend server, which leaves, and its runs."""
-    if board.server is not None and board.server.server == server:
-        logs.info("server_left", server=server, runs=len(board.runs))
+def on_leave(board: AgentBoard, leave: ServerLeave) -> None:
+    """Drops the backend server, which leaves, and its runs.
+
+    Raises:
+        serveridentity.ForeignServerError: It is of another writer.
+    """
+    serveridentity.check_leave(board, leave)
+    if board.server is not None and board.server.server == leave.server:
+        logs.info("server_left", server=leave.server, runs=len(board.runs))
         runs.drop_all(board, RunEnd.STOPPED)
         board.left_server = board.server
-        board.server = None
-        _reset_sent_facts(board)
-        _set_state(board, ServerState.ABSENT, "left")
+        _remove_server(board, "left")
+
+
+def _remove_server(board: AgentBoard, reason: str) -> None:
+    board.server = None
+    _reset_sent_facts(board)
+    _set_state(board, ServerState.ABSENT, reason)
 
 
 def on_call_result(board, call: StartCall | StopCall, result) -> None:
@@ -335,7 +375,10 @@
         and record.started_unix_ms != known.started_unix_ms
     ):
         return record.started_unix_ms < known.started_unix_ms
-    same = record.server == known.server
+    same = (record.server, record.started_unix_ms) == (
+        known.server,
+        known.started_unix_ms,
+    )
     return same and record.sequence < known.sequence
 
 
@@ -352,11 +395,8 @@
     return record.started_unix_ms < left.started_unix_ms
 
 
-def _is_new_incarnation(record: ServerRecord, known: ServerRecord) -> bool:
-    return (record.server, record.started_unix_ms) != (
-        known.server,
-        known.started_unix_ms,
-    )
+def _facts(record: ServerRecord) -> tuple:
+    return record.service, record.zone, record.labels, record.capacity
 
 
 def _replace_server(board: AgentBoard, record: ServerRecord, clock_ms) -> None:
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -8,6 +8,7 @@
 from egretthread.scheduling import agentengine, linkchoice, serverpoll
 from egretthread.scheduling.agentboard import (
     AgentBoard,
+    ServerLeave,
     ServerRecord,
     StartCall,
     StopCall,
@@ -90,6 +91,7 @@
             clock.monotonic_s(),
         )
         self.board.load = settings.load
+        self.board.zone = settings.zone
         self.backend = backend
         self.find_entries = find_entries
         self.entry_clients: dict[str, link.LinkClient] = {}
@@ -136,15 +138,23 @@
         self.backend.close()
 
     def on_heartbeat(self, record: ServerRecord, clock_ms: int) -> None:
-        """Processes a heartbeat of the backend server."""
+        """Processes a heartbeat of the backend server.
+
+        Raises:
+            serveridentity.ForeignServerError: It is of another writer.
+        """
         self._update_time()
         agentengine.on_heartbeat(self.board, record, clock_ms)
         self._process_output()
 
-    def on_leave(self, server: str) -> None:
-        """Processes the notice that the backend server leaves."""
+    def on_leave(self, leave: ServerLeave) -> None:
+        """Processes the notice that the backend server leaves.
+
+        Raises:
+            serveridentity.ForeignServerError: It is of another writer.
+        """
         self._update_time()
-        agentengine.on_leave(self.board, server)
+        agentengine.on_leave(self.board, leave)
         self._process_output()
 
     def _spawn(self, coroutine) -> None:
--- a/egretthread/scheduling/agentviews.py
+++ b/egretthread/scheduling/agentviews.py
@@ -86,6 +86,9 @@
     entries = ()
     if view.sent_entries != board.entries:
         entries = view.sent_entries = board.entries
+    services = ()
+    if view.sent_services != board.operator_state.services:
+        services = view.sent_services = board.operator_state.services
     zone = view.facts.zone if view.facts else ""
     reply = EntryBeat(
         view.clock_ms,
@@ -94,6 +97,7 @@
         zone == board.zone,
         entries,
         board.kept.may_exist,
+        services,
     )
     view.last_reply_s = board.now_s
     board.outbox.append((view.node, reply))
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -193,6 +193,7 @@
         fence_s: When all its runs have certainly ended unless it sends another
             heartbeat.
         sent_entries: Addresses of entries that it was last sent.
+        sent_services: Services that it was last sent.
         sent_record_offset: Offset of the operator state that it was last sent.
     """
 
@@ -216,6 +217,7 @@
     unconfirmed: frozenset[int] = frozenset()
     fence_s: float = 0.0
     sent_entries: tuple[str, ...] = ()
+    sent_services: tuple[str, ...] = ()
     sent_record_offset: int = 0
 
     @property
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -133,7 +133,10 @@
             routes=len(state.routes),
             withdrawn=",".join(sorted(state.withdrawn)),
         )
-    if state.withdrawn != previous.withdrawn:
+    if (
+        state.withdrawn != previous.withdrawn
+        or state.services != previous.services
+    ):
         for view in board.agents.values():
             if view.is_connected:
                 agentviews.send_heartbeat_reply(board, view)
@@ -275,6 +278,7 @@
     view.in_flight.clear()
     view.unconfirmed = frozenset(view.tasks)
     view.sent_entries = ()
+    view.sent_services = ()
     view.sent_record_offset = 0
 
 
--- a/egretthread/scheduling/jobspec.py
+++ b/egretthread/scheduling/jobspec.py
@@ -103,6 +103,8 @@
         routes: The routes.
         limits: Limits on the requests of callers.
         withdrawn: Zones to whose backend servers no tasks are dispatched.
+        services: Services that the configuration names, sorted; empty if they
+            are not known.
     """
 
     offset: int = 0
@@ -110,6 +112,7 @@
     routes: tuple[Route, ...] = ()
     limits: CallerLimits = CallerLimits()
     withdrawn: frozenset[str] = frozenset()
+    services: tuple[str, ...] = ()
 
     @property
     def is_configured(self) -> bool:
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -96,6 +96,8 @@
         is_near: Whether the entry is in the agent's zone.
         entries: Addresses of the known entries; empty when unchanged.
         kept_jobs: Whether there may be kept jobs in the system.
+        services: Services that the configuration at that offset names; empty
+            when unchanged or not known.
     """
 
     echo_ms: int
@@ -104,6 +106,7 @@
     is_near: bool
     entries: tuple[str, ...] = ()
     kept_jobs: bool = True
+    services: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -293,6 +293,7 @@
   isNear @3 :Bool;
   entries @4 :List(Text);
   keptJobs @5 :Bool;
+  services @6 :List(Text);
 }
 
 struct RunOrder {
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -25,6 +25,18 @@
         self.assertEqual(1.5, route.timeout_s)
         self.assertEqual(10_000, state.limits.max_body_bytes)
 
+    def test_services_of_the_configuration_and_of_its_routes_are_named(self):
+        table = {**fakes.CONFIG, "services": [{"name": "spare"}]}
+        state = operators.decode({"config": json.dumps(table).encode()}, 5)
+        self.assertEqual(("match", "spare"), state.services)
+
+    def test_services_that_can_not_be_read_are_not_known(self):
+        for services in ({}, "match", [3], [{}], [{"name": ""}], [None]):
+            table = {**fakes.CONFIG, "services": services}
+            state = operators.decode({"config": json.dumps(table).encode()}, 5)
+            self.assertEqual((), state.services)
+            self.assertEqual(1, len(state.routes))
+
     def test_withdrawn_zones_need_no_configuration(self):
         state = operators.decode({"evacuate/a": b"{}"}, 1)
         self.assertFalse(state.is_configured)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -76,10 +76,24 @@
     async def send_heartbeat(self):
         """Sends a heartbeat on behalf of the backend server."""
         server = self.backend.server
+        return await self.fetch(
+            self.heartbeats,
+            f"/Instances.Heartbeat/{server.id}",
+            "POST",
+            self.heartbeat(),
+        )
+
+    def heartbeat(self, service="match"):
+        """Returns the next heartbeat of the backend server."""
+        server = self.backend.server
         record = server.heartbeat(time.monotonic())
-        table = {
-            "service": record.service,
+        return {
+            "service": service,
+            "address": self.backend.address,
             "zone": record.zone,
+            "version": "v1",
+            "slots": 8,
+            "cold_remaining_ms": 0,
             "state": "draining" if record.is_draining else "ready",
             "labels": list(record.labels),
             "capacity": {
@@ -90,12 +104,6 @@
             "sequence": record.sequence,
             "born": record.started_unix_ms,
         }
-        return await self.fetch(
-            self.heartbeats,
-            f"/Instances.Heartbeat/{server.id}",
-            "POST",
-            table,
-        )
 
     async def fetch(self, address, path, method="GET", table=None, host=""):
         body = None if table is None else json.dumps(table)
@@ -250,6 +258,28 @@
 
         self.run_scenario(scenario)
 
+    # A refused heartbeat or leave was acknowledged, or told no reason.
+    def test_a_refusal_names_its_reason_and_the_remedy(self):
+        async def scenario(cluster):
+            server = cluster.backend.server
+            await until(lambda: cluster.agent.server.board.services)
+            for path, table, kind in (
+                (f"Heartbeat/{server.id}", [1], "bad_body"),
+                (f"Leave/{server.id}", [1], "bad_body"),
+                ("Heartbeat/i-9", cluster.heartbeat("other"), "foreign_server"),
+                ("Leave/i-9", {}, "foreign_server"),
+            ):
+                code, body, _ = await cluster.fetch(
+                    cluster.heartbeats, f"/Instances.{path}", "POST", table
+                )
+                self.assertEqual(400, code)
+                refusal = json.loads(body)
+                self.assertEqual(kind, refusal["kind"])
+                self.assertTrue(refusal["error"] and refusal["remedy"])
+            self.assertEqual(200, (await cluster.submit(11))[0])
+
+        self.run_scenario(scenario)
+
     def test_a_malformed_heartbeat_is_refused_and_changes_nothing(self):
         async def scenario(cluster):
             code, _, _ = await cluster.fetch(
--- a/tests/scheduling/test_entryengine.py
+++ b/tests/scheduling/test_entryengine.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from egretthread.scheduling import entryengine, leaserule
+from egretthread.scheduling import agentviews, entryengine, leaserule
+from egretthread.scheduling.jobspec import OperatorState
 
 
 class TestRestartedAgent(testtools.TestCase):
@@ -23,3 +24,25 @@
             leaserule.fence_after_restart_s(20.2),
             board.agents["agent#1"].fence_s,
         )
+
+
+class TestServices(testtools.TestCase):
+    def test_agents_are_sent_the_named_services_when_they_changed(self):
+        board = entryengine.new_board("e#1", "a", 0.0)
+
+        def sent():
+            (reply,) = [message for _, message in board.outbox]
+            board.outbox.clear()
+            return reply.services
+
+        entryengine.on_link_open(board, "agent#1")
+        view = board.agents["agent#1"]
+        for offset, services in ((1, ("match",)), (2, ("lookup", "match"))):
+            state = OperatorState(offset, offset, services=services)
+            entryengine.on_operators(board, state)
+            self.assertEqual(services, sent())
+            agentviews.send_heartbeat_reply(board, view)
+            self.assertEqual((), sent())
+        entryengine.on_link_open(board, "agent#1")
+        agentviews.send_heartbeat_reply(board, view)
+        self.assertEqual(("lookup", "match"), sent())
--- a/tests/scheduling/test_runorders.py
+++ b/tests/scheduling/test_runorders.py
@@ -10,6 +10,7 @@
     serverpoll,
 )
 from egretthread.scheduling.agentboard import (
+    ServerLeave,
     ServerRecord,
     StartCall,
     StopCall,
@@ -311,13 +312,13 @@
             self.board.runs_by_task.clear()
 
     def test_a_server_that_left_is_not_used_because_of_a_late_heartbeat(self):
-        agentengine.on_leave(self.board, "i-1")
+        agentengine.on_leave(self.board, ServerLeave("i-1"))
         self.register("i-1", 1, clock_ms=1000)
         self.assertIs(ServerState.ABSENT, self.board.state)
         for server, started_unix_ms in (("i-1", 2), ("i-3", 3)):
             self.register(server, started_unix_ms, clock_ms=5)
             self.assertIs(ServerState.READY, self.board.state)
-            agentengine.on_leave(self.board, server)
+            agentengine.on_leave(self.board, ServerLeave(server))
 
     def test_a_late_answer_to_a_start_does_not_change_the_clock(self):
         call = self.start(attempt=1)
