--- a/egretthread/platform/bodies.py
+++ b/egretthread/platform/bodies.py
@@ -64,23 +64,23 @@
     Raises:
         BodyError: The field is missing, has another type or is out of range.
     """
-    value = field(table, name, int, default)
-    if not 0 <= value <= MAX_COUNT:
-        raise BodyError(
-            f"{name} is {value}", f"set {name} to a value of 0 to {MAX_COUNT}"
-        )
-    return value
+    return _check_range(name, field(table, name, int, default))
 
 
 def amount(table: dict, name: str) -> float:
-    """Returns a required field that holds a number of 0 or more.
+    """Returns a required field that holds a non-negative number.
 
     Raises:
-        BodyError: The field is missing, has another type or is negative.
+        BodyError: The field is missing, has another type or is out of range.
     """
-    value = field(table, name, float)
-    if value < 0:
-        raise BodyError(f"{name} is {value}", f"set {name} to 0 or more")
+    return _check_range(name, field(table, name, float))
+
+
+def _check_range(name: str, value: float) -> float:
+    if not 0 <= value <= MAX_COUNT:
+        raise BodyError(
+            f"{name} is {value}", f"set {name} to a value of 0 to {MAX_COUNT}"
+        )
     return value
 
 
--- a/egretthread/platform/servers.py
+++ b/egretthread/platform/servers.py
@@ -86,8 +86,8 @@
     # Not used here, but a heartbeat without them is not of a backend server.
     bodies.name(table, "address")
     bodies.field(table, "version", str)
-    for name in ("slots", "cold_remaining_ms"):
-        bodies.amount(table, name)
+    bodies.count(table, "slots")
+    bodies.amount(table, "cold_remaining_ms")
     capacity = bodies.field(table, "capacity", dict)
     if not AMOUNTS & capacity.keys():
         raise bodies.BodyError(
--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -150,6 +150,21 @@
     service: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """A heartbeat of another incarnation than the one that is known.
+
+    Attributes:
+        record: The heartbeat.
+        clock_offset_ms: Clock of its sender minus the agent's clock.
+        received_s: When it arrived.
+    """
+
+    record: ServerRecord
+    clock_offset_ms: int
+    received_s: float
+
+
 @dataclasses.dataclass
 class Crash:
     """A crash of the backend server.
@@ -257,6 +272,10 @@
         zone: Availability zone of the agent; empty if it is not known.
         token: Fencing token of the calls to the backend server.
         server: Its backend server; None before the first heartbeat.
+        is_confirmed: Whether the backend server has answered a poll as the
+            incarnation in its heartbeat, and was not found to have ended since.
+        candidate: Heartbeat of an incarnation that replaces a confirmed one if
+            that is found to have ended; None if there is none.
         left_server: The last backend server that announced its leave.
         state: State of the backend server.
         is_shutting_down: Whether the agent is shutting down.
@@ -312,6 +331,8 @@
     now_s: float
     zone: str = ""
     server: ServerRecord | None = None
+    is_confirmed: bool = False
+    candidate: Candidate | None = None
     left_server: ServerRecord | None = None
     state: ServerState = ServerState.ABSENT
     is_shutting_down: bool = False
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -12,6 +12,7 @@
 )
 from egretthread.scheduling.agentboard import (
     AgentBoard,
+    Candidate,
     Coordinator,
     RunPhase,
     ServerLeave,
@@ -189,16 +190,46 @@
     """
     serveridentity.check_heartbeat(board, record)
     known = board.server
-    if known is not None and _is_outdated(record, known):
+    if known is not None and _is_outdated(board, record, known):
         logs.info("heartbeat_outdated", server=record.server)
         return
     if _has_left(board, record):
         logs.info("heartbeat_after_leave", server=record.server)
         return
-    if known is None or not serveridentity.is_same(record, known):
-        _replace_server(board, record, clock_ms)
-    elif _facts(record) != _facts(known):
-        _on_facts_changed(board, record)
+    clock_offset_ms = clock_ms - board.clock_ms
+    if known is not None and serveridentity.is_same(record, known):
+        if _facts(record) != _facts(known):
+            _on_facts_changed(board, record)
+        _adopt(board, record)
+    elif _may_be_replaced(board):
+        _replace_server(board, record, clock_offset_ms)
+    else:
+        logs.warning(
+            "server_contested",
+            server=record.server,
+            born=record.started_unix_ms,
+            known=known.server,
+            known_born=known.started_unix_ms,
+            runs=len(board.runs),
+        )
+        board.candidate = Candidate(record, clock_offset_ms, board.now_s)
+
+
+def _may_be_replaced(board: AgentBoard) -> bool:
+    """Whether the known backend server has ended, or was never confirmed.
+
+    A heartbeat of another incarnation does not prove it: it may be of another
+    writer, or have been delayed.
+    """
+    return (
+        board.server is None
+        or not board.is_confirmed
+        or board.state is ServerState.ABSENT
+    )
+
+
+def _adopt(board: AgentBoard, record: ServerRecord) -> None:
+    """Adopts the state in a heartbeat of the present incarnation."""
     board.room_limit = None
     board.server = record
     if record.is_draining:
@@ -223,6 +254,7 @@
 
 def _remove_server(board: AgentBoard, reason: str) -> None:
     board.server = None
+    board.is_confirmed = False
     _reset_sent_facts(board)
     _set_state(board, ServerState.ABSENT, reason)
 
@@ -257,6 +289,9 @@
 
 def after_event(board: AgentBoard) -> None:
     """Starts queued runs that fit now, and sends the pending reports."""
+    candidate = board.candidate
+    if candidate is not None and _may_be_replaced(board):
+        _replace_server(board, candidate.record, candidate.clock_offset_ms)
     runorders.start_queued(board)
     for node, reports in board.reports.items():
         coordinator = board.coordinators.get(node)
@@ -368,9 +403,12 @@
     return free_cpu < LOW_CPU_SHARE * board.server.capacity.cpu
 
 
-def _is_outdated(record: ServerRecord, known: ServerRecord) -> bool:
+def _is_outdated(
+    board: AgentBoard, record: ServerRecord, known: ServerRecord
+) -> bool:
     if (
-        record.started_unix_ms
+        board.is_confirmed
+        and record.started_unix_ms
         and known.started_unix_ms
         and record.started_unix_ms != known.started_unix_ms
     ):
@@ -399,7 +437,9 @@
     return record.service, record.zone, record.labels, record.capacity
 
 
-def _replace_server(board: AgentBoard, record: ServerRecord, clock_ms) -> None:
+def _replace_server(
+    board: AgentBoard, record: ServerRecord, clock_offset_ms: int
+) -> None:
     logs.info(
         "server_found",
         server=record.server,
@@ -423,15 +463,18 @@
         runs.drop_all(board, RunEnd.STOPPED)
     board.blocked_runs.clear()
     heldends.clear(board)
-    board.clock_offset_ms = clock_ms - board.clock_ms
+    board.clock_offset_ms = clock_offset_ms
     board.server_lease_end_s = 0.0
     board.knows_runs = False
     board.health.clear()
     board.speed.clear()
     board.server = record
+    board.is_confirmed = False
+    board.candidate = None
     _reset_sent_facts(board)
     if not board.is_shutting_down:
         _set_state(board, ServerState.READY, "new server")
+    _adopt(board, record)
 
 
 def _on_facts_changed(board: AgentBoard, record: ServerRecord) -> None:
@@ -516,6 +559,8 @@
         return is_present
     if board.server is not None and is_present and not board.knows_runs:
         return True
+    if board.candidate is not None:
+        return is_present
     return board.is_renewal_blocked or any(
         run.phase is not RunPhase.QUEUED for run in board.runs.values()
     )
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -313,6 +313,7 @@
     servercrash.record(board, is_certain=True)
     runs.drop_all(board, RunEnd.STOPPED)
     board.blocked_runs.clear()
+    board.is_confirmed = False
     if board.state is not ServerState.DRAINING:
         board.state = ServerState.ABSENT
 
--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -60,7 +60,7 @@
         until_ms = runorders.renew_lease(board)
     if any(run.phase is RunPhase.STOPPING for run in board.runs.values()):
         wait_ms = STOP_POLL_WAIT_MS
-    if not board.knows_runs:
+    if not board.knows_runs or board.candidate is not None:
         wait_ms = FIRST_POLL_WAIT_MS
     return PollCall(
         board.server.server if board.server else "",
@@ -103,6 +103,13 @@
         runorders.mark_server_lost(board, "incarnation changed")
         return
     servercrash.withdraw(board)
+    board.is_confirmed = True
+    candidate = board.candidate
+    if candidate is not None and call.sent_s >= candidate.received_s:
+        logs.info(
+            "server_kept", server=call.server, refuted=candidate.record.server
+        )
+        board.candidate = None
     if board.state is ServerState.ABSENT and server is not None:
         board.state = ServerState.READY
         logs.info(
--- a/tests/scheduling/test_runorders.py
+++ b/tests/scheduling/test_runorders.py
@@ -275,6 +275,11 @@
             1,
         )
         agentengine.on_heartbeat(self.board, record, clock_ms)
+        if self.board.candidate:
+            # The server that it is to replace is found to have ended.
+            lost = PollResult(Verdict.WRONG_INSTANCE)
+            call = serverpoll.next_poll(self.board)
+            agentengine.on_poll_result(self.board, call, lost)
         poll_first(self.board)
 
     def start(self, attempt):
