--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -266,9 +266,9 @@
     for earlier in board.agents.values():
         if earlier.node != node and nodeid.node_name(earlier.node) == name:
             # An earlier process of the same agent. The backend server drops its
-            # runs when their lease expires.
-            closed_s = earlier.closed_at_s or board.now_s
-            fence_s = leaserule.fence_after_restart_s(closed_s)
+            # runs when their lease expires, which that process may have renewed
+            # until this one started, also without a link.
+            fence_s = leaserule.fence_after_restart_s(board.now_s)
             earlier.fence_s = min(earlier.fence_s, fence_s)
             earlier.is_connected = False
     view = board.agents.setdefault(node, AgentView(node))
--- a/egretthread/scheduling/leaserule.py
+++ b/egretthread/scheduling/leaserule.py
@@ -57,10 +57,10 @@
     return echo_received_s + lease_s + max_server_lease_s() + STOP_MARGIN_S
 
 
-def fence_after_restart_s(closed_s: float) -> float:
+def fence_after_restart_s(restarted_s: float) -> float:
     """Returns when all runs of a restarted agent's old process have ended.
 
     Args:
-        closed_s: When the link to the old process closed.
+        restarted_s: When the new process was first seen.
     """
-    return closed_s + max_server_lease_s() + STOP_MARGIN_S
+    return restarted_s + max_server_lease_s() + STOP_MARGIN_S
--- a/tests/scheduling/test_entryengine.py
+++ b/tests/scheduling/test_entryengine.py
@@ -25,6 +25,25 @@
             board.agents["agent#1"].fence_s,
         )
 
+    # TWICE: the runs of an agent that lost its link first go on until its end.
+    def test_a_loss_of_the_link_before_the_end_does_not_shorten_the_fence(self):
+        board = entryengine.new_board("e#1", "a", 0.0)
+        for now_s, event, node in (
+            (10.0, entryengine.on_link_open, "agent#1"),
+            (20.0, entryengine.on_link_closed, "agent#1"),
+            (20.5, entryengine.on_link_open, "agent#2"),
+        ):
+            entryengine.set_time(board, now_s, 0.0)
+            event(board, node)
+            board.agents["agent#1"].fence_s = 22.0
+        entryengine.set_time(board, 20.6, 0.0)
+        entryengine.on_link_open(board, "agent#2")
+        # The earlier process may have renewed the lease until 20.5 s.
+        self.assertGreaterEqual(
+            board.agents["agent#1"].fence_s,
+            20.5 + leaserule.max_server_lease_s(),
+        )
+
 
 class TestServices(testtools.TestCase):
     def test_agents_are_sent_the_named_services_when_they_changed(self):
