--- a/egretthread/routes.py
+++ b/egretthread/routes.py
@@ -31,6 +31,10 @@
         del self.peers[peer.node]
         return True
 
+    def is_newest(self, peer: link.Peer) -> bool:
+        """Whether messages to the node are sent over this link."""
+        return self.peers.get(peer.node, [None])[-1] is peer
+
     def send(self, node: str, outgoing: wire.Message) -> bool:
         """Sends a message; returns whether the node has a link."""
         peers = self.peers.get(node)
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -25,6 +25,7 @@
     EntryHello,
     JobQuestion,
     JobReply,
+    LiveRuns,
     OperatorRecord,
     ServerCrash,
 )
@@ -439,6 +440,11 @@
                 and peer.role == "entry"
             ):
                 forwardedjobs.on_message(self.board, peer.node, incoming)
+            elif isinstance(
+                incoming, LiveRuns
+            ) and not self.agent_links.is_newest(peer):
+                # It tells nothing of runs ordered since, over either link.
+                logs.info("live_runs_outdated", agent=peer.node)
             else:
                 entryengine.on_message(self.board, peer.node, incoming)
         self._process_output()
--- a/tests/scheduling/test_entryserver.py
+++ b/tests/scheduling/test_entryserver.py
@@ -13,6 +13,8 @@
     EntryHello,
     EntryLoad,
     ForwardCancel,
+    LiveRun,
+    LiveRuns,
 )
 
 
@@ -130,3 +132,20 @@
         self.assertEqual({"e1#1", "e2#1"}, entry.board.forwarding.peers)
         entry._on_entry_close(peers[1])
         self.assertEqual({"e2#1"}, entry.board.forwarding.peers)
+
+
+class TestReplacedLink(testtools.TestCase):
+    # TWICE: a late list over a former link ended runs that were ordered since.
+    def test_a_list_of_live_runs_over_a_former_link_ends_no_run(self):
+        entry = TestHellos.entry(self, others=0)
+        former, newest = (StubPeer("a1#1", "agent") for _ in range(2))
+        entry._on_open(former)
+        view = entry.board.agents["a1#1"]
+        view.tasks[5] = task = object()
+        entry._on_open(newest)
+        entry._on_messages(former, (LiveRuns(()),))
+        self.assertEqual({5: task}, view.tasks)
+        self.assertEqual({5}, view.unconfirmed)
+        entry._on_messages(newest, (LiveRuns((LiveRun("j", 5),)),))
+        self.assertEqual({5: task}, view.tasks)
+        self.assertEqual(frozenset(), view.unconfirmed)
