--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -258,6 +258,10 @@
             keptjobs.release(self.board, partition.number, reason)
         self._process_output()
 
+    def begin_epoch(self, partition: Partition) -> None:
+        """Begins a new epoch of a partition before it is loaded."""
+        keptjobs.begin_epoch(self.board, partition)
+
     def load_partition(
         self,
         partition: Partition,
@@ -269,7 +273,7 @@
         keptjobs.on_loaded(
             self.board,
             partition.number,
-            partition.generation,
+            partition.epoch,
             submissions,
             progress,
         )
@@ -281,7 +285,7 @@
         """Adds a job whose submission was read from the log."""
         self._update_time()
         keptjobs.on_submitted(
-            self.board, partition.number, partition.generation, submission
+            self.board, partition.number, partition.epoch, submission
         )
         dispatch.dispatch_waiting(self.board)
         self._process_output()
@@ -290,7 +294,7 @@
         """Cancels a job whose cancellation was read from the log."""
         self._update_time()
         keptjobs.on_cancelled(
-            self.board, partition.number, partition.generation, job
+            self.board, partition.number, partition.epoch, job
         )
         self._process_output()
 
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -78,8 +78,6 @@
         pending: Records to be appended, by partition.
         appending: Partitions with an append in progress.
         writing: Partitions whose progress is being written.
-        append_numbers: Sequence number of the last append of progress, by
-            partition.
         tasks: Background tasks, which are cancelled when the log is closed.
         join_task: The background task that keeps the membership in the group.
     """
@@ -95,7 +93,6 @@
         self.pending: dict[int, list[_PendingRecord]] = {}
         self.appending: set[int] = set()
         self.writing: set[int] = set()
-        self.append_numbers: dict[int, int] = {}
         self.tasks: set[asyncio.Task] = set()
         self.join_task: asyncio.Task | None = None
         server.board.kept.partition_count = self.partition_count
@@ -279,9 +276,16 @@
                 sent_s + TTL_S - TTL_MARGIN_S,
             )
             for partition in new_partitions:
-                self._spawn(self._coordinate(partition))
+                self._spawn(self._hold(partition))
             await asyncio.sleep(JOIN_INTERVAL_S)
 
+    async def _hold(self, partition: Partition) -> None:
+        """Coordinates a partition; an error releases it to be taken anew."""
+        try:
+            await self._coordinate(partition)
+        finally:
+            self.server.release_partition(partition, "no longer coordinated")
+
     async def _coordinate(self, partition: Partition) -> None:
         """Loads the jobs of a partition, then follows new records."""
         backoff_s = RETRY_S
@@ -302,7 +306,7 @@
                     offset=offset,
                 )
                 offset = None
-            except StoreUnavailableError as error:
+            except (StoreUnavailableError, AppendOrderError) as error:
                 logs.info("jobs_not_read", part=partition.number, error=error)
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(MAX_RETRY_S, 2 * backoff_s)
@@ -312,11 +316,14 @@
     async def _load(self, partition: Partition) -> int:
         """Loads the newest records; returns the offset to follow from."""
         if not partition.is_loaded:
-            # This append makes the store fence off all earlier coordinators.
+            # This append makes the store fence off all earlier coordinators,
+            # and what this one has sent before it lost the partition. Each
+            # attempt has an epoch of its own: an earlier one may be applied
+            # late.
+            self.server.begin_epoch(partition)
             await self.store.append(
-                PROGRESS, partition.number, (), Writer(partition.generation, 0)
+                PROGRESS, partition.number, (), Writer(partition.epoch, 0)
             )
-            self.append_numbers[partition.number] = 0
         progress = await self.store.newest(PROGRESS, partition.number)
         batch = await self.store.newest(JOBS, partition.number)
         self.server.load_partition(
@@ -368,9 +375,8 @@
 
     async def _write(self, batch: ProgressBatch) -> None:
         """Writes a batch, with retries, unless the partition is released."""
-        writer = Writer(
-            batch.generation, self.append_numbers[batch.partition] + 1
-        )
+        partition = self.server.board.kept.partitions[batch.partition]
+        writer = Writer(batch.epoch, partition.last_append + 1)
         dropped_ids = [
             j for j, value in batch.progress.items() if value is None
         ]
@@ -378,8 +384,7 @@
             Record(job, value and jobrecord.encode_progress(value))
             for job, value in batch.progress.items()
         ]
-        partition = self.server.board.kept.partitions.get(batch.partition)
-        while partition is not None and self.server.is_coordinator(partition):
+        while self.server.is_coordinator(partition):
             try:
                 if dropped_ids:
                     # The submissions are deleted first. Without its progress a
@@ -397,7 +402,7 @@
             except AppendOrderError as error:
                 logs.warning("progress_renumbered", expected=error.expected)
                 if error.expected != writer.number + 1:
-                    writer = Writer(batch.generation, error.expected)
+                    writer = Writer(batch.epoch, error.expected)
                     continue
                 # An earlier attempt was applied although it was not answered.
             except StoreUnavailableError as error:
@@ -409,7 +414,7 @@
                 )
                 await asyncio.sleep(RETRY_S)
                 continue
-            self.append_numbers[batch.partition] = writer.number
+            partition.last_append = writer.number
             self.server.on_written(batch)
             return
 
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -8,6 +8,9 @@
 if typing.TYPE_CHECKING:
     from egretthread.scheduling.entryboard import Job
 
+# Upper bound of the epochs of a partition in one generation of the group.
+EPOCHS_PER_GENERATION = 2**24
+
 
 @dataclasses.dataclass(eq=False)
 class KeptJob:
@@ -51,9 +54,11 @@
 
     Attributes:
         number: Its number.
-        generation: Generation of the group when it was assigned; it orders the
-            coordinators of the partition.
+        generation: Generation of the group when it was assigned.
+        epoch: Epoch of its appends of progress. It orders the coordinators of
+            the partition, and is new after each loss of the partition.
         ready_s: When all runs ordered by earlier coordinators have ended.
+        last_append: Number of the last append of progress in this epoch.
         is_loaded: Whether its jobs have been read from the store.
         is_open: Whether the tasks of its jobs may be dispatched.
         jobs: Its jobs by id.
@@ -63,7 +68,9 @@
 
     number: int
     generation: int
+    epoch: int
     ready_s: float
+    last_append: int = 0
     is_loaded: bool = False
     is_open: bool = False
     jobs: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
@@ -77,7 +84,7 @@
 
     Attributes:
         partition: Number of the partition.
-        generation: Generation of the group when it was assigned.
+        epoch: Epoch of the partition when the batch was taken.
         progress: Progress by job id; None deletes the records of a job.
         settles: Sequence numbers of the ends that are acknowledged once the
             batch has been written, by agent and incarnation of the backend
@@ -85,7 +92,7 @@
     """
 
     partition: int
-    generation: int
+    epoch: int
     progress: dict[str, Progress | None]
     settles: dict[tuple[str, str], tuple[int, ...]]
 
@@ -97,6 +104,7 @@
     Attributes:
         partition_count: Number of partitions of the job log.
         partitions: Partitions that the entry coordinates, by number.
+        epochs: The last epoch of each partition in this process, by number.
         is_member: Whether the store has answered a request to join the group,
             with or without partitions.
         others_have_jobs: Whether another entry coordinates a kept job.
@@ -107,6 +115,7 @@
 
     partition_count: int = 1
     partitions: dict[int, Partition] = dataclasses.field(default_factory=dict)
+    epochs: dict[int, int] = dataclasses.field(default_factory=dict)
     is_member: bool = False
     others_have_jobs: bool = False
     until_s: float = 0.0
@@ -122,6 +131,16 @@
             or any(p.jobs or not p.is_loaded for p in self.partitions.values())
         )
 
+    def new_epoch(self, number: int, generation: int) -> int:
+        """Returns an epoch above all earlier ones of a partition.
+
+        A change of coordinators always brings a new generation, but one that
+        loses a partition may be assigned it again in the same generation.
+        """
+        first = generation * EPOCHS_PER_GENERATION
+        self.epochs[number] = max(first, self.epochs.get(number, -1) + 1)
+        return self.epochs[number]
+
     def find(self, job: str) -> KeptJob | None:
         """Returns a job that this entry coordinates; None when unknown."""
         for partition in self.partitions.values():
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -69,7 +69,10 @@
             release(board, number, "assigned elsewhere")
     for number in sorted(numbers - kept_board.partitions.keys()):
         ready_s = leaserule.fence_s(board.now_s, ordered=True)
-        kept_board.partitions[number] = Partition(number, generation, ready_s)
+        epoch = kept_board.new_epoch(number, generation)
+        kept_board.partitions[number] = Partition(
+            number, generation, epoch, ready_s
+        )
         logs.info("partition_assigned", part=number, generation=generation)
 
 
@@ -98,15 +101,23 @@
         jobs.drop(board, kept_job.job)
 
 
+def begin_epoch(board: EntryBoard, partition: Partition) -> None:
+    """Begins a new epoch of a partition that has not been loaded."""
+    partition.epoch = board.kept.new_epoch(
+        partition.number, partition.generation
+    )
+    partition.last_append = 0
+
+
 def on_loaded(
     board: EntryBoard,
     number: int,
-    generation: int,
+    epoch: int,
     submissions: Iterable[Submission],
     progress: dict[str, Progress],
 ) -> None:
     """Adds the jobs read from a newly assigned partition."""
-    partition = _find_partition(board, number, generation)
+    partition = _find_partition(board, number, epoch)
     if partition is None:
         return
     partition.is_loaded = True
@@ -117,26 +128,24 @@
     logs.info(
         "partition_loaded",
         part=number,
-        generation=generation,
+        generation=partition.generation,
         jobs=len(partition.jobs),
         open=sum(k.state not in FINAL_STATES for k in partition.jobs.values()),
     )
 
 
 def on_submitted(
-    board: EntryBoard, number: int, generation: int, submission: Submission
+    board: EntryBoard, number: int, epoch: int, submission: Submission
 ) -> None:
     """Adds the job of a submission read from the log."""
-    partition = _find_partition(board, number, generation)
+    partition = _find_partition(board, number, epoch)
     if partition is not None and submission.spec.job not in partition.jobs:
         _add(board, partition, submission, None)
 
 
-def on_cancelled(
-    board: EntryBoard, number: int, generation: int, job: str
-) -> None:
+def on_cancelled(board: EntryBoard, number: int, epoch: int, job: str) -> None:
     """Cancels an open job whose cancellation was read from the log."""
-    partition = _find_partition(board, number, generation)
+    partition = _find_partition(board, number, epoch)
     kept_job = partition.jobs.get(job) if partition else None
     if kept_job is None or kept_job.state in FINAL_STATES:
         return
@@ -145,11 +154,11 @@
 
 
 def _find_partition(
-    board: EntryBoard, number: int, generation: int
+    board: EntryBoard, number: int, epoch: int
 ) -> Partition | None:
-    """Returns a partition if it is still assigned in that generation."""
+    """Returns a partition if it has not been lost since that epoch began."""
     partition = board.kept.partitions.get(number)
-    if partition is None or partition.generation != generation:
+    if partition is None or partition.epoch != epoch:
         return None
     return partition
 
@@ -335,7 +344,7 @@
             settles.setdefault((node, server), []).append(sequence)
     return ProgressBatch(
         number,
-        partition.generation,
+        partition.epoch,
         progress,
         {key: tuple(sequences) for key, sequences in settles.items()},
     )
@@ -375,7 +384,7 @@
 
 def on_written(board: EntryBoard, batch: ProgressBatch) -> None:
     """Records that a batch is stored; acknowledges its ends to the agents."""
-    partition = _find_partition(board, batch.partition, batch.generation)
+    partition = _find_partition(board, batch.partition, batch.epoch)
     for job, progress in batch.progress.items():
         kept_job = partition.jobs.get(job) if partition else None
         if kept_job is not None and progress is not None:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -25,6 +25,8 @@
 from tests.scheduling.fakeserver import FakeServer
 
 PARTITIONS = 12
+# Appends of a partition whose repetition is recognised.
+REMEMBERED_APPENDS = 5
 # Records in one page of the newest records of a partition.
 PAGE_RECORDS = 3
 CONFIG = {
@@ -69,7 +71,7 @@
         garbage_count: Number of such answers.
         records: Records by topic and partition.
         first: Offset of the first record that has not been deleted.
-        epochs: Epoch and sequence number of the last fenced append.
+        epochs: Epoch and sequence numbers of the last fenced appends.
         members: Time at which each member of the group last joined.
         generation: Number of changes of the group's membership.
         streams: Connections on which a request has arrived.
@@ -121,20 +123,24 @@
                 found[record.key] = (offset, record.value)
         return found
 
-    def check_order(self, topic, partition, epoch, number, is_empty):
+    def check_order(self, topic, partition, epoch, number):
         """Checks the epoch and sequence number of an append.
 
         Returns:
-            The body of a refusal, "done" for a duplicate, or None.
+            The body of a refusal, "done" for a repeat of one of the last
+            appends of the epoch, or None.
         """
-        last = self.epochs.get((topic, partition), (0, 0))
-        if epoch < last[0]:
+        last_epoch, numbers = self.epochs.get((topic, partition), (0, [0]))
+        if epoch < last_epoch:
             return {"reason": "fenced"}
-        if epoch == last[0] and number == last[1] and not is_empty:
+        if epoch > last_epoch:
+            numbers = []
+        elif number in numbers:
             return "done"
-        if epoch == last[0] and number != last[1] + 1:
-            return {"reason": "seq", "sequence": last[1] + 1}
-        self.epochs[topic, partition] = (epoch, number)
+        elif number != numbers[-1] + 1:
+            return {"reason": "seq", "sequence": numbers[-1] + 1}
+        remembered = [*numbers, number][-REMEMBERED_APPENDS:]
+        self.epochs[topic, partition] = (epoch, remembered)
         return None
 
     def partitions_of(self, member):
@@ -242,7 +248,7 @@
         if epoch:
             number = int(self.get_argument("sequence"))
             refusal = self.store.check_order(
-                topic, partition, int(epoch), number, not body
+                topic, partition, int(epoch), number
             )
             if isinstance(refusal, dict):
                 self.set_status(409)
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -7,8 +7,8 @@
 
 from egretthread import metrics
 from egretthread.platform import entryprogram
-from egretthread.scheduling import joblog
-from tests.platform import test_path
+from egretthread.scheduling import joblog, jobrecord
+from tests.platform import fakes, test_path
 from tests.platform.test_operators import until
 
 KEPT = {**test_path.JOB, "best_effort": False}
@@ -143,6 +143,80 @@
 
         self.run_scenario(scenario)
 
+    def ids(self, count):
+        """Returns numbers of jobs that belong to the same partition."""
+        numbers = [
+            number
+            for number in range(1, 1000)
+            if jobrecord.partition_of(f"{number:016x}", fakes.PARTITIONS) == 0
+        ]
+        return numbers[:count]
+
+    async def complete(self, cluster, number):
+        self.assertEqual(200, (await cluster.submit(number, KEPT))[0])
+        await self.wait_for(cluster, number, "completed")
+
+    async def lose_partitions(self, cluster):
+        """Keeps the store out until the entry has lost its partitions."""
+        generation = cluster.store.generation
+        kept = cluster.entry.server.board.kept
+        cluster.store.mode = "busy"
+        await until(lambda: not kept.partitions)
+        cluster.store.mode = ""
+        await until(lambda: kept.partitions)
+        self.assertEqual(generation, cluster.store.generation)
+
+    async def restart_entry(self, cluster):
+        await cluster.entry.close()
+        cluster.entry = entryprogram.Entry(cluster.entry.settings)
+        await cluster.entry.start()
+
+    # Guards against TWICE: appends after a loss of the partition repeated the
+    # numbers of those before it, and the store took them for repetitions.
+    def test_progress_is_stored_after_a_loss_in_the_same_generation(self):
+        async def scenario(cluster):
+            before, after = self.ids(2)
+            await self.complete(cluster, before)
+            await self.lose_partitions(cluster)
+            await self.complete(cluster, after)
+            await self.restart_entry(cluster)
+            for number in (before, after):
+                await self.wait_for(cluster, number, "completed")
+            await asyncio.sleep(3.0)
+            self.assertEqual(8, self.run_count(cluster))
+
+        self.run_scenario(scenario)
+
+    # Guards against LOST: an append refused for its number left the partition
+    # assigned and never loaded.
+    def test_a_partition_is_loaded_after_a_loss_in_the_same_generation(self):
+        async def scenario(cluster):
+            *before, after = self.ids(2 * fakes.REMEMBERED_APPENDS)
+            for number in before:
+                await self.complete(cluster, number)
+            await self.lose_partitions(cluster)
+            await self.complete(cluster, after)
+
+        self.run_scenario(scenario)
+
+    # Guards against TWICE: records that were read before a loss of the
+    # partition were added after it, without the progress of their jobs.
+    def test_records_read_before_a_loss_are_not_added_after_it(self):
+        async def scenario(cluster):
+            (number,) = self.ids(1)
+            await self.complete(cluster, number)
+            server = cluster.entry.server
+            partition = server.board.kept.partitions[0]
+            submission = partition.jobs[f"{number:016x}"].submission
+            server.release_partition(partition, "test")
+            await until(lambda: 0 in server.board.kept.partitions)
+            server.add_submission(partition, submission)
+            self.assertEqual({}, server.board.kept.partitions[0].jobs)
+            await self.wait_for(cluster, number, "completed")
+            self.assertEqual(4, self.run_count(cluster))
+
+        self.run_scenario(scenario)
+
     def test_malformed_records_are_ignored(self):
         async def scenario(cluster):
             await cluster.submit(1, KEPT)
--- a/tests/scheduling/fakelog.py
+++ b/tests/scheduling/fakelog.py
@@ -132,7 +132,7 @@
 
     def write(self, batch):
         """Writes progress; returns whether the writer is still coordinator."""
-        if batch.generation < self.epochs[batch.partition]:
+        if batch.epoch < self.epochs[batch.partition]:
             return False
         for job, progress in batch.progress.items():
             if progress is not None:
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -544,9 +544,9 @@
         """Reads a partition for its new coordinator."""
         log = self.log
         reached = log.reaches(process.name, self.now_s)
-        if not reached or partition.generation < log.epochs[partition.number]:
+        if not reached or partition.epoch < log.epochs[partition.number]:
             return
-        log.epochs[partition.number] = partition.generation
+        log.epochs[partition.number] = partition.epoch
         submissions, progress, cancelled = log.read(partition.number)
         self.run_event(
             process,
@@ -559,7 +559,7 @@
         )
 
     def _on_loaded(self, process, partition, submissions, progress, cancelled):
-        board, key = process.board, (partition.number, partition.generation)
+        board, key = process.board, (partition.number, partition.epoch)
         if (
             partition.is_loaded
             or board.kept.partitions.get(partition.number) is not partition
@@ -627,7 +627,7 @@
     def _read(self, process, number, handler, change):
         partition = process.board.kept.partitions.get(number)
         if partition is not None and partition.is_loaded:
-            handler(process.board, number, partition.generation, change)
+            handler(process.board, number, partition.epoch, change)
 
     def heartbeat(self, name):
         """Sends the periodic heartbeat of a backend server to its agent."""
