--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -61,20 +61,25 @@
     )
 
 
-def set_time(board: EntryBoard, now_s: float, unix_s: float) -> None:
+def set_time(board: EntryBoard, now_s: float, unix_s: float) -> bool:
     """Sets the time of the event that is handled next.
 
     Args:
         board: The blackboard.
         now_s: Time on the monotonic clock.
         unix_s: Time on the wall clock.
+
+    Returns:
+        Whether the process was paused before this event.
     """
     board.now_s = now_s
     board.unix_s = unix_s
-    if now_s - board.last_tick_s > PAUSE_S:
-        logs.warning("process_paused", paused_s=now_s - board.last_tick_s)
-        board.resume_at_s = now_s + RESUME_DELAY_S
-        board.last_tick_s = now_s
+    if now_s - board.last_tick_s <= PAUSE_S:
+        return False
+    logs.warning("process_paused", paused_s=now_s - board.last_tick_s)
+    board.resume_at_s = now_s + RESUME_DELAY_S
+    board.last_tick_s = now_s
+    return True
 
 
 def is_ready(board: EntryBoard) -> bool:
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -60,6 +60,19 @@
 UNREADY_S = 2.5
 
 
+@dataclasses.dataclass(frozen=True, eq=False)
+class Waiter:
+    """A caller that waits for the answer to a job.
+
+    Attributes:
+        caller: The caller.
+        answer: Future of the answer.
+    """
+
+    caller: Caller
+    answer: asyncio.Future
+
+
 class EntryServer:
     """One running entry.
 
@@ -73,7 +86,7 @@
         entry_links: Open links to other entries by node id.
         entry_clients: Links to other entries by address.
         unreachable_since_s: When a link to an entry was lost, by its address.
-        waiters: Futures of the callers that wait for an answer, by job id.
+        waiters: The callers that wait for an answer, by job id.
         encoded_state: Operator state in force, encoded for other entries.
         decode_state: Decodes an operator state that another entry has sent.
         is_drained: Whether jobs are no longer accepted.
@@ -118,7 +131,7 @@
         self.entry_links = routes.Routes()
         self.entry_clients: dict[str, link.LinkClient] = {}
         self.unreachable_since_s: dict[str, float] = {}
-        self.waiters: dict[str, list[asyncio.Future]] = {}
+        self.waiters: dict[str, list[Waiter]] = {}
         self.encoded_state = ""
         self.decode_state = decode_state
         self.is_drained = False
@@ -207,7 +220,7 @@
             logs.info("caller_left", job=spec.job, route=route.name)
             waiter.set_result(Answer(spec.job, Outcome.REFUSED, "caller left"))
             return waiter
-        self.waiters.setdefault(spec.job, []).append(waiter)
+        self.waiters.setdefault(spec.job, []).append(Waiter(caller, waiter))
         left_s = caller.left_s(self.board.now_s)
         refusal = entryengine.submit(self.board, spec, route, left_s)
         if refusal is not None:
@@ -215,15 +228,33 @@
         self._process_output()
         return waiter
 
-    def remove_waiter(self, job: str, waiter: asyncio.Future) -> None:
+    def remove_waiter(self, job: str, answer: asyncio.Future) -> None:
         """Removes a caller that left; cancels the job after the last one."""
         waiters = self.waiters.get(job, [])
-        if waiter in waiters:
-            waiters.remove(waiter)
+        waiters[:] = [each for each in waiters if each.answer is not answer]
         if not waiters:
             self.waiters.pop(job, None)
             self.cancel(job, "caller left")
 
+    def _remove_left(self) -> None:
+        """Removes the callers that left while the process was paused.
+
+        The ends of their connections have not been read yet, and their jobs
+        may have been submitted to other entries since.
+        """
+        left = [
+            (job, waiter)
+            for job, waiters in self.waiters.items()
+            for waiter in waiters
+            if waiter.caller.has_left()
+        ]
+        for job, waiter in left:
+            if not waiter.answer.done():
+                waiter.answer.set_result(
+                    Answer(job, Outcome.CANCELLED, "caller left")
+                )
+            self.remove_waiter(job, waiter.answer)
+
     def cancel(self, job: str, reason: str) -> None:
         """Cancels a job."""
         self._update_time()
@@ -401,7 +432,11 @@
 
     def _update_time(self) -> None:
         """Sets the time of the event that is handled next."""
-        entryengine.set_time(self.board, clock.monotonic_s(), clock.unix_s())
+        was_paused = entryengine.set_time(
+            self.board, clock.monotonic_s(), clock.unix_s()
+        )
+        if was_paused:
+            self._remove_left()
 
     def _process_output(self) -> None:
         """Sends the queued messages and answers."""
@@ -411,8 +446,8 @@
         answers, self.board.answers = self.board.answers, []
         for answer in answers:
             for waiter in self.waiters.pop(answer.job, ()):
-                if not waiter.done():
-                    waiter.set_result(answer)
+                if not waiter.answer.done():
+                    waiter.answer.set_result(answer)
         relays, self.board.relays = self.board.relays, []
         for crash in relays:
             self._send_to_entries(crash)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -332,6 +332,34 @@
 
         self.run_scenario(scenario)
 
+    # Guards against TWICE: an entry woke from a pause and dispatched waiting
+    # jobs before it had read that their callers had left meanwhile.
+    def test_callers_that_left_during_a_pause_are_noticed_before_all_else(self):
+        async def scenario(cluster):
+            cluster.backend.server.work_s = lambda task: 30.0
+            server = cluster.entry.server
+            running, left, joined = (f"{n:016x}" for n in (1, 2, 3))
+            connections = [self.connect(cluster) for _ in range(4)]
+            for connection in connections:
+                self.addCleanup(connection.close)
+            wide = {**JOB, "steps": [{**JOB["steps"][0], "count": 8}]}
+            connections[0].sendall(request(1, wide))
+            await until(lambda: len(cluster.backend.server.runs) == 8)
+            for connection, number in zip(
+                connections[1:], (2, 3, 3), strict=True
+            ):
+                connection.sendall(request(number))
+            await until(lambda: len(server.waiters.get(joined, ())) == 2)
+            await until(lambda: left in server.waiters)
+            connections[1].close()
+            connections[2].close()
+            time.sleep(0.6)
+            server.is_ready()
+            self.assertEqual({running, joined}, set(server.board.jobs))
+            self.assertEqual(1, len(server.waiters[joined]))
+
+        self.run_scenario(scenario)
+
 
 class TestWaitLimits(testtools.TestCase):
     run_scenario = TestPath.run_scenario
