--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -11,6 +11,7 @@
 from egretthread.scheduling.keptboard import Partition, ProgressBatch
 from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.storecall import (
+    POLL_WAIT_S,
     AppendOrderError,
     FencedError,
     HistoryGoneError,
@@ -20,6 +21,7 @@
     StoreRefusedError,
     StoreUnavailableError,
     Writer,
+    retry_delay_s,
 )
 
 # Topic of submissions and cancellations by job, which the coordinator of a
@@ -36,11 +38,8 @@
 JOIN_INTERVAL_S = 0.6
 # A coordinator stops this much earlier than the store may reassign a partition.
 TTL_MARGIN_S = 0.2
-# Maximum duration of a long poll for the submissions of a partition.
-POLL_S = 3.0
-# Backoff after a failed call; doubles up to MAX_RETRY_S.
+# Delay before an append or a call to join is repeated after a failure.
 RETRY_S = 0.1
-MAX_RETRY_S = 1.0
 # Share of the store's write rate that the job logs of all entries may use.
 WRITE_SHARE = 0.7
 # Maximum number of records of a partition that wait to be appended.
@@ -284,14 +283,15 @@
 
     async def _coordinate(self, partition: Partition) -> None:
         """Loads the jobs of a partition, then follows new records."""
-        backoff_s = RETRY_S
+        failures = 0
         offset = None
         while self.server.is_coordinator(partition):
             try:
                 if offset is None:
                     offset = await self._load(partition)
                 else:
-                    offset = await self._follow(partition, offset)
+                    wait_s = 0.0 if failures else POLL_WAIT_S
+                    offset = await self._follow(partition, offset, wait_s)
             except FencedError as error:
                 self.server.release_partition(partition, error.message)
                 return
@@ -304,10 +304,10 @@
                 offset = None
             except StoreUnavailableError as error:
                 logs.info("jobs_not_read", part=partition.number, error=error)
-                await asyncio.sleep(backoff_s)
-                backoff_s = min(MAX_RETRY_S, 2 * backoff_s)
+                failures += 1
+                await asyncio.sleep(retry_delay_s(failures, error))
                 continue
-            backoff_s = RETRY_S
+            failures = 0
 
     async def _load(self, partition: Partition) -> int:
         """Loads the newest records; returns the offset to follow from."""
@@ -331,9 +331,17 @@
         self._apply_cancellations(partition, batch.records)
         return batch.end
 
-    async def _follow(self, partition: Partition, offset: int) -> int:
-        """Waits for new records; returns the offset to follow from."""
-        batch = await self.store.read(JOBS, offset, POLL_S, partition.number)
+    async def _follow(
+        self, partition: Partition, offset: int, wait_s: float
+    ) -> int:
+        """Applies new records; returns the offset to follow from.
+
+        Args:
+            partition: The partition.
+            offset: Offset of the next record to read.
+            wait_s: How long to wait for a record if there is none yet.
+        """
+        batch = await self.store.read(JOBS, offset, wait_s, partition.number)
         for record in batch.records:
             submission = _decode_submission(record)
             if submission is not None:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -213,6 +213,7 @@
                 {"items": page, "has_more": has_more, "end_offset": end}
             )
             return
+        self.store.calls["read", *key] += 1
         offset = int(self.get_argument("from"))
         wait_s = int(self.get_argument("wait_ms", "0")) / 1000
         if offset < self.store.first[key]:
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -7,11 +7,15 @@
 
 from egretthread import metrics
 from egretthread.platform import entryprogram
-from egretthread.scheduling import joblog
-from tests.platform import test_path
+from egretthread.scheduling import joblog, jobrecord
+from egretthread.scheduling.storecall import Record
+from tests.platform import fakes, test_path
 from tests.platform.test_operators import until
 
 KEPT = {**test_path.JOB, "best_effort": False}
+# Time after a cancellation, and after a disruption, within which no task of the
+# job is started any more.
+CANCEL_S = 3.0
 
 
 class TestJobLog(testtools.TestCase):
@@ -127,6 +131,32 @@
 
         self.run_scenario(scenario)
 
+    # Guards against a cancellation that is acknowledged by another entry and
+    # read too late, as the connections to the store have gone silent.
+    def test_a_cancellation_is_applied_after_all_connections_went_silent(self):
+        async def scenario(cluster):
+            store = cluster.store
+            cluster.backend.server.work_s = lambda name: 20.0
+            job = f"{1:016x}"
+            await cluster.submit(1, KEPT)
+            await until(lambda: cluster.backend.server.runs)
+            number = jobrecord.partition_of(job, fakes.PARTITIONS)
+            poll = "read", joblog.JOBS, number
+            await asyncio.gather(
+                *(cluster.entry.store.newest("other") for _ in range(30))
+            )
+            count = store.calls[poll]
+            await until(lambda: store.calls[poll] > count)
+            store.mute()
+            silent_s = asyncio.get_running_loop().time()
+            key = job + jobrecord.CANCEL_SUFFIX
+            store.write(joblog.JOBS, Record(key, b"1"), number)
+            await until(lambda: not cluster.backend.server.runs, 20.0)
+            took_s = asyncio.get_running_loop().time() - silent_s
+            self.assertLess(took_s, CANCEL_S)
+
+        self.run_scenario(scenario)
+
     def test_a_cancelled_job_is_stopped(self):
         async def scenario(cluster):
             cluster.backend.server.work_s = lambda name: 8.0
