--- a/egretthread_standins/platformsite/store.py
+++ b/egretthread_standins/platformsite/store.py
@@ -24,8 +24,8 @@
     Attributes:
         records: Key and value of each record; the value is None to delete.
         first: Offset of the first record that can be read.
-        producers: Epoch, last sequence number and the answers to the last
-            appends, by producer.
+        producers: Epoch, last sequence number, and answers and bodies of the
+            last appends, by producer.
     """
 
     def __init__(self):
@@ -227,28 +227,36 @@
         if epoch < last_epoch:
             return 409, {"reason": "fenced"}
         if epoch == last_epoch:
+            place = {"topic": topic, "part": part, "epoch": epoch}
             if number in answers:
                 if records:
                     self.log(
                         "store",
                         "append repeats a sequence number",
-                        topic=topic,
-                        part=part,
-                        epoch=epoch,
+                        **place,
                         sequence=number,
+                        is_same=answers[number][1] == request.body,
                     )
-                return 200, answers[number]
+                return 200, answers[number][0]
             if number != last + 1:
+                self.log(
+                    "store",
+                    "append out of order",
+                    **place,
+                    sequence=number,
+                    expected=last + 1,
+                )
                 return 409, {"reason": "seq", "sequence": last + 1}
         else:
             answers = {}
         begin = len(partition.records)
         end = self._append(topic, part, records) if records else begin
-        answers[number] = {"offset": begin, "end_offset": end}
+        answer = {"offset": begin, "end_offset": end}
+        answers[number] = (answer, request.body)
         while len(answers) > REMEMBERED_APPENDS:
             del answers[min(answers)]
         partition.producers[producer] = (epoch, number, answers)
-        return 200, answers[number]
+        return 200, answer
 
     async def _on_read(self, machine: str, request: web.Request):
         query = request.query
--- a/egretthread_standins/soak/__main__.py
+++ b/egretthread_standins/soak/__main__.py
@@ -14,6 +14,7 @@
 
 def main() -> None:
     """Plays runs with one seed each; exits with 1 if a rule was broken."""
+    known = {*disturbances.ACTIONS, runner.KEPT_JOBS}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, help="first seed; drawn if missing")
     parser.add_argument("--runs", type=int, default=1)
@@ -23,15 +24,15 @@
     parser.add_argument(
         "--without",
         default="",
-        help="disturbances left out, separated by commas, of "
-        + ", ".join(sorted(disturbances.ACTIONS)),
+        help="what is left out, separated by commas, of "
+        + ", ".join(sorted(known)),
     )
     parser.add_argument(
         "--folder", type=pathlib.Path, default=pathlib.Path("build/soak")
     )
     arguments = parser.parse_args()
     without = frozenset(filter(None, arguments.without.split(",")))
-    if without - disturbances.ACTIONS.keys():
+    if without - known:
         parser.error(f"--without: unknown disturbances {without}")
     first = arguments.seed
     if first is None:
--- a/egretthread_standins/soak/breaks.py
+++ b/egretthread_standins/soak/breaks.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import json
+import zlib
 
+from egretthread_standins.platformsite import site as sites
 from egretthread_standins.platformsite.site import Event
 
 # A break is shown with what was done to the site in this time before it.
@@ -41,12 +43,19 @@
 
 
 def explain(broken: Break, events: list[Event]) -> list[str]:
-    """Returns the events that led to a break, as lines."""
+    """Returns the events that led to a break, as lines.
+
+    These are those of its job, appends to the job's partition that the store
+    did not accept as new, and what was done to the site shortly before.
+    """
     begin_s, end_s = broken.at_s - NEAR_S, broken.at_s + 0.1
+    part = zlib.crc32(broken.job.encode()) % sites.PARTS if broken.job else None
     lines = [f"{broken.rule} at {broken.at_s:.3f}: {broken.text}"]
     for event in sorted(events, key=lambda event: event.at_s):
         is_near = event.who in DOERS and begin_s <= event.at_s <= end_s
-        if is_near or (broken.job and broken.job == job_of(event)):
+        is_log = event.who == "store" and event.fields.get("part") == part
+        is_job = broken.job and broken.job == job_of(event)
+        if is_near or is_log or is_job:
             lines.append(f"  {render(event)}")
     return lines
 
--- a/egretthread_standins/soak/callers.py
+++ b/egretthread_standins/soak/callers.py
@@ -83,13 +83,32 @@
     return 1.5 if draw < 0.05 else 0.05 + 0.5 * draw
 
 
+def describe(job: str, entry: str, table: dict) -> dict:
+    """Returns the fields of events about a submission."""
+    return {
+        "job": job,
+        "entry": entry,
+        "kept": not table.get("best_effort", False),
+        "steps": [
+            (step["count"], step.get("after", [])) for step in table["steps"]
+        ],
+    }
+
+
 class Submitter(Caller):
-    """Submits one job after the other until it is told to stop."""
+    """Submits one job after the other until it is told to stop.
 
-    def __init__(self, site: sites.Site, seed: int):
+    Attributes:
+        kept_share: Share of the jobs that are kept.
+        stopped: Whether it has been told to stop.
+    """
+
+    def __init__(
+        self, site: sites.Site, seed: int, kept_share: float = KEPT_SHARE
+    ):
         super().__init__(site, seed)
+        self.kept_share = kept_share
         self.stopped = False
-        self.open_jobs: set[str] = set()
 
     async def run(self) -> None:
         """Submits jobs."""
@@ -102,7 +121,7 @@
         table = sites.job(
             rng.choice((1, 2, 2, 4)),
             300,
-            kept=rng.random() < KEPT_SHARE,
+            kept=rng.random() < self.kept_share,
         )
         table["task_spec"] = f"match {job}"
         if rng.random() < TWO_STEPS_SHARE:
@@ -150,6 +169,8 @@
         attempt: int,
     ) -> int:
         """Submits a job once and returns the status of the answer."""
+        fields = describe(job, entry, table)
+        self.site.log("caller", "submits", **fields)
         sent_s, status, body = await self.request(
             entry,
             "POST",
@@ -161,18 +182,12 @@
         self.site.log(
             "caller",
             "POST",
-            job=job,
-            entry=entry,
             sent=sent_s,
             status=status,
             state=body.get("state", ""),
-            kept=not table.get("best_effort", False),
             attempt=attempt,
             patience=patience_s,
-            steps=[
-                (step["count"], step.get("after", []))
-                for step in table["steps"]
-            ],
+            **fields,
         )
         return status
 
@@ -246,13 +261,15 @@
             job, method = f"{self.rng.getrandbits(64):016x}", "POST"
             table = sites.job(1, 100, kept=False)
             table["task_spec"] = f"match {job}"
+            self.site.log(
+                "caller", "submits", **describe(job, self.entry, table)
+            )
         pid = self.site.processes[self.entry].pid
         sent_s, status, body = await self.request(
             self.entry, method, prefix + job, 1.7, table, is_new=self.is_new
         )
         fields = {
             "prefix": prefix,
-            "entry": self.entry,
             "sent": sent_s,
             "status": status,
             "connection": "new" if self.is_new else "kept-open",
@@ -265,12 +282,15 @@
             self.site.log(
                 "caller",
                 "POST",
-                job=job,
                 state=body.get("state", ""),
-                kept=False,
-                steps=[(1, [])],
                 **fields,
+                **describe(job, self.entry, table),
             )
         else:
-            pending = body.get("pending_jobs", -1)
-            self.site.log("caller", "GET queue", pending=pending, **fields)
+            self.site.log(
+                "caller",
+                "GET queue",
+                entry=self.entry,
+                pending=body.get("pending_jobs", -1),
+                **fields,
+            )
--- a/egretthread_standins/soak/runner.py
+++ b/egretthread_standins/soak/runner.py
@@ -20,6 +20,8 @@
 from egretthread_standins.soak.breaks import Break
 from egretthread_standins.soak.disturbances import Play
 
+# May be left out like a disturbance.
+KEPT_JOBS = "kept-jobs"
 SUBMITTERS = 24
 # The stand-ins share one event loop. If it is late by this much, the store and
 # the backend servers were slow.
@@ -39,7 +41,7 @@
         seconds: How long disturbances go on.
         entries: Number of entries.
         agents: Number of agents.
-        without: Names of disturbances that are left out.
+        without: Names of disturbances that are left out, or KEPT_JOBS.
         folder: Folder that gets a folder for the seed if a rule is broken.
     """
 
@@ -100,8 +102,10 @@
 
 async def _play(settings: SoakSettings, site: sites.Site) -> None:
     rng = random.Random(settings.seed)
+    kept_share = 0.0 if KEPT_JOBS in settings.without else callers.KEPT_SHARE
     submitters = [
-        callers.Submitter(site, rng.getrandbits(32)) for _ in range(SUBMITTERS)
+        callers.Submitter(site, rng.getrandbits(32), kept_share)
+        for _ in range(SUBMITTERS)
     ]
     watchers = [
         callers.Watcher(site, entry, rng.getrandbits(32), is_new)
@@ -125,6 +129,7 @@
         await asyncio.sleep(begin_s + step.at_s - site.now_s())
         action = disturbances.ACTIONS[step.kind](play, step)
         acting.append(asyncio.create_task(action))
+    await asyncio.sleep(begin_s + settings.seconds - site.now_s())
     await asyncio.gather(*acting)
     await asyncio.sleep(CALM_S)
     for each in submitters:
--- a/egretthread_standins/soak/runrules.py
+++ b/egretthread_standins/soak/runrules.py
@@ -115,7 +115,7 @@
     return {
         event.fields["job"]
         for event in events
-        if event.what == "POST" and event.fields["kept"]
+        if event.what in ("submits", "POST") and event.fields["kept"]
     }
 
 
@@ -124,7 +124,7 @@
     return {
         event.fields["job"]: event.fields["steps"]
         for event in events
-        if event.what == "POST"
+        if event.what in ("submits", "POST")
     }
 
 
