--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -172,9 +172,14 @@
         self.log = log
         self.job = ""
         self.waiter: asyncio.Future | None = None
+        self.server.open_requests += 1
         unread_s = listener.unread_s(self.request.connection.stream)
         self.received_s = clock.monotonic_s() - unread_s
 
+    def on_finish(self) -> None:
+        """Counts the request as answered."""
+        self.server.open_requests -= 1
+
     def on_connection_close(self) -> None:
         """Cancels the job of a caller that has disconnected."""
         if self.waiter is not None and not self.waiter.done():
@@ -304,7 +309,7 @@
         except StoreRefusedError as error:
             self.refuse(503, error.message, 1.0)
             return False
-        except TimeoutError:
+        except (StoreUnavailableError, TimeoutError):
             # The record may be stored; the caller finds out by retrying.
             self.refuse(504, "the store does not answer", 1.0)
             return False
--- a/egretthread/platform/entryprogram.py
+++ b/egretthread/platform/entryprogram.py
@@ -7,7 +7,7 @@
 from egretthread.listeners import Listeners
 from egretthread.platform import callers, directory, operators
 from egretthread.platform.store import Store
-from egretthread.scheduling import entrygauges, joblog
+from egretthread.scheduling import entrygauges, entryserver, joblog
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.nodesettings import NodeSettings
 
@@ -79,6 +79,9 @@
     async def close(self) -> None:
         """Shuts down after the accepted jobs have been answered."""
         await asyncio.gather(self.log.leave_group(), self.server.drain())
+        if self.server.open_requests:
+            self.log.give_up()
+            await asyncio.sleep(entryserver.FLUSH_S)
         for http in self.http_servers:
             http.stop()
             await http.close_all_connections()
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -88,6 +88,7 @@
         entry_clients: Links to other entries by address.
         unreachable_since_s: When a link to an entry was lost, by its address.
         waiters: The callers that wait for an answer, by job id.
+        open_requests: Number of requests of callers that are not answered yet.
         encoded_state: Operator state in force, encoded for other entries.
         decode_state: Decodes an operator state that another entry has sent.
         is_drained: Whether jobs are no longer accepted.
@@ -133,6 +134,7 @@
         self.entry_clients: dict[str, link.LinkClient] = {}
         self.unreachable_since_s: dict[str, float] = {}
         self.waiters: dict[str, list[Waiter]] = {}
+        self.open_requests = 0
         self.encoded_state = ""
         self.decode_state = decode_state
         self.is_drained = False
@@ -156,7 +158,7 @@
             self._spawn(background.keep_running(loop))
 
     async def drain(self) -> None:
-        """Answers all open jobs within shutdown_s and then refuses new ones.
+        """Answers all requests within shutdown_s and then refuses new jobs.
 
         Jobs that arrive meanwhile are accepted if they can end in time.
         """
@@ -166,7 +168,7 @@
         end_s = clock.monotonic_s() + grace_s
         await asyncio.sleep(min(UNREADY_S, grace_s))
         while (
-            self.waiters or self.board.forwarding.received
+            self.open_requests or self.board.forwarding.received
         ) and clock.monotonic_s() < end_s:
             await asyncio.sleep(TICK_S)
         self.is_drained = True
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -75,6 +75,7 @@
         writes_per_s: Write rate that the store accepts from all processes.
         generation: Last generation of the group that the store has returned.
         pending: Records to be appended, by partition.
+        open_writes: Futures of the records that are not stored yet.
         appending: Partitions with an append in progress.
         writing: Partitions whose progress is being written.
         tasks: Background tasks, which are cancelled when the log is closed.
@@ -90,6 +91,7 @@
         self.writes_per_s = settings.store_writes_per_s
         self.generation = 0
         self.pending: dict[int, list[_PendingRecord]] = {}
+        self.open_writes: set[asyncio.Future] = set()
         self.appending: set[int] = set()
         self.writing: set[int] = set()
         self.tasks: set[asyncio.Task] = set()
@@ -120,6 +122,14 @@
         except StoreUnavailableError as error:
             logs.info("group_not_left", error=error.message)
 
+    def give_up(self) -> None:
+        """Fails the writes that are not stored, as the entry exits."""
+        for pending in self.open_writes:
+            error = StoreUnavailableError(
+                "the entry is shutting down", "repeat the request"
+            )
+            _fail(pending, error)
+
     def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
@@ -140,7 +150,8 @@
 
         Raises:
             StoreRefusedError: The submission is not stored and will not be.
-            TimeoutError: It may be stored, or may be later.
+            StoreUnavailableError: It may be stored, or may be later.
+            TimeoutError: The same.
         """
         value = jobrecord.encode_submission(submission)
         await self._append(Record(submission.spec.job, value), caller)
@@ -154,7 +165,8 @@
 
         Raises:
             StoreRefusedError: The cancellation is not stored and will not be.
-            TimeoutError: It may be stored, or may be later.
+            StoreUnavailableError: It may be stored, or may be later.
+            TimeoutError: The same.
         """
         record = Record(job + jobrecord.CANCEL_SUFFIX, b"1")
         await self._append(record, caller)
@@ -190,6 +202,8 @@
                 "submit the job again later",
             )
         stored = asyncio.get_running_loop().create_future()
+        self.open_writes.add(stored)
+        stored.add_done_callback(self.open_writes.discard)
         queue.append(_PendingRecord(record, stored))
         if partition not in self.appending:
             self.appending.add(partition)
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -69,6 +69,7 @@
             `silent` neither executes nor answers them; `lost` executes them
             and does not answer; `garbage` answers with a body that is none.
         garbage_count: Number of such answers.
+        append_delay_s: Time until an append that was executed is answered.
         records: Records by topic and partition.
         first: Offset of the first record that has not been deleted.
         epochs: Epoch and sequence numbers of the last fenced appends.
@@ -80,6 +81,7 @@
     def __init__(self):
         self.mode = ""
         self.garbage_count = 0
+        self.append_delay_s = 0.0
         self.records = collections.defaultdict(list)
         self.first = collections.defaultdict(int)
         self.epochs = {}
@@ -259,6 +261,7 @@
                 body = b""
         for record in decode_batch(READ_HEADER.pack(0, 0) + body, 0).records:
             self.store.write(topic, record, partition)
+        await asyncio.sleep(self.store.append_delay_s)
         await self.answer({"offset": 0, "end_offset": 0})
 
 
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -7,7 +7,7 @@
 
 from egretthread import metrics
 from egretthread.platform import entryprogram
-from egretthread.scheduling import joblog, jobrecord
+from egretthread.scheduling import entryserver, joblog, jobrecord
 from egretthread.scheduling.storecall import Record
 from tests.platform import fakes, test_path
 from tests.platform.test_operators import until
@@ -247,6 +247,40 @@
 
         self.run_scenario(scenario)
 
+    # Guards against LOST: a shutdown closed the connections of callers whose
+    # jobs were being stored.
+    def test_a_shutdown_waits_until_jobs_are_stored(self):
+        self.patch(entryserver, "UNREADY_S", 0.2)
+
+        async def scenario(cluster):
+            cluster.store.append_delay_s = 0.7
+            stored = asyncio.create_task(cluster.submit(1, KEPT))
+            await until(lambda: cluster.entry.log.appending)
+            await cluster.entry.close()
+            self.assertEqual(200, (await stored)[0])
+            cluster.store.append_delay_s = 0.0
+            await cluster.entry.start()
+
+        self.run_scenario(scenario)
+
+    # Guards against LOST: the same, when the store does not answer in time.
+    def test_a_shutdown_answers_for_jobs_that_are_not_stored(self):
+        self.patch(entryserver, "UNREADY_S", 0.2)
+
+        async def scenario(cluster):
+            cluster.store.mode = "silent"
+            host, _, port = cluster.callers.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(test_path.request(1, KEPT, deadline_ms=9000))
+            await until(lambda: cluster.entry.log.appending)
+            await cluster.entry.close()
+            self.assertIn(b"504", await reader.readline())
+            writer.close()
+            cluster.store.mode = ""
+            await cluster.entry.start()
+
+        self.run_scenario(scenario)
+
     def test_malformed_records_are_ignored(self):
         async def scenario(cluster):
             await cluster.submit(1, KEPT)
