--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -238,10 +238,13 @@
             server = cluster.entry.server
             partition = server.board.kept.partitions[0]
             submission = partition.jobs[f"{number:016x}"].submission
+            # The partition is assigned again some time before it is loaded.
+            cluster.store.append_delay_s = 0.5
             server.release_partition(partition, "test")
             await until(lambda: 0 in server.board.kept.partitions)
             server.add_submission(partition, submission)
             self.assertEqual({}, server.board.kept.partitions[0].jobs)
+            cluster.store.append_delay_s = 0.0
             await self.wait_for(cluster, number, "completed")
             self.assertEqual(4, self.run_count(cluster))
 
