--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -34,8 +34,11 @@
 # normally answers within a few ms, so a connection that is silent for longer
 # is treated as dead.
 TIMEOUT_S = 0.8
-# One connection per partition for long polls, and some for other requests.
 MAX_CONNECTIONS = 24
+# Long polls have connections of their own, so that they never delay other
+# requests. Each partition has one follower, which sends one at a time.
+MAX_POLL_CONNECTIONS = 1000
+MAX_IDLE_S = 60.0
 MAX_BODY_BYTES = 4 * 2**20
 MAX_READ_KB = 1024
 RAW_HEADERS = {"Content-Type": "application/octet-stream"}
@@ -61,22 +64,25 @@
 
     Attributes:
         pool: Connections to the store.
+        poll_pool: Connections for reads, which may wait for a record.
         samples: Receives the duration of each request, as (metric, seconds,
             call, result).
     """
 
     def __init__(self, address: str, samples: collections.deque):
         self.samples = samples
+        url = f"http://{address}"
         self.pool = backendpool.ConnectionPool(
-            f"http://{address}",
-            MAX_CONNECTIONS,
-            MAX_BODY_BYTES,
-            max_idle_s=60.0,
+            url, MAX_CONNECTIONS, MAX_BODY_BYTES, MAX_IDLE_S
+        )
+        self.poll_pool = backendpool.ConnectionPool(
+            url, MAX_POLL_CONNECTIONS, MAX_BODY_BYTES, MAX_IDLE_S
         )
 
     def close(self) -> None:
         """Closes the connections."""
         self.pool.close()
+        self.poll_pool.close()
 
     async def newest(
         self, topic: str, partition: int = 0, timeout_s: float = TIMEOUT_S
@@ -177,7 +183,13 @@
             "max_kb": MAX_READ_KB,
             "wait_ms": int(wait_s * 1000),
         }
-        response = await self.call("GET", "/log-read", query, wait_s=wait_s)
+        response = await self.call(
+            "GET",
+            "/log-read",
+            query,
+            timeout_s=TIMEOUT_S + wait_s,
+            pool=self.poll_pool,
+        )
         with _decoding("/log-read"):
             return decode_batch(response.body, offset)
 
@@ -274,11 +286,19 @@
         path: str,
         query: dict | None = None,
         body: bytes = b"",
-        wait_s: float = 0.0,
         timeout_s: float = TIMEOUT_S,
+        pool: backendpool.ConnectionPool | None = None,
     ) -> Response:
         """Sends a request and returns the response if it succeeded.
 
+        Args:
+            method: HTTP method.
+            path: Path of the call.
+            query: Parameters of the query.
+            body: The body.
+            timeout_s: Timeout of the request.
+            pool: The connections to use; None for those of short requests.
+
         Raises:
             StoreError: The request failed; see the callers above for the
                 classes.
@@ -289,8 +309,8 @@
         started_s = clock.monotonic_s()
         result = "lost"
         try:
-            response = await self.pool.request(
-                target, body, timeout_s + wait_s, method, headers
+            response = await (pool or self.pool).request(
+                target, body, timeout_s, method, headers
             )
             result = str(response.code)
         except OSError as error:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -109,6 +109,12 @@
         """Deletes all records except the newest one of each key."""
         self.first[topic, partition] = len(self.records[topic, partition])
 
+    async def fill(self, client):
+        """Makes a client keep many idle connections."""
+        calls = [client.newest("other") for _ in range(30)]
+        reads = [client.read("other", 0, 0.1) for _ in range(30)]
+        await asyncio.gather(*calls, *reads)
+
     def mute(self):
         """Makes the open connections silent for good; new ones work."""
         for stream in self.streams:
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -121,9 +121,7 @@
             cluster.backend.server.work_s = lambda name: 20.0
             await cluster.submit(1, KEPT)
             await until(lambda: len(cluster.backend.server.runs) == 4)
-            await asyncio.gather(
-                *(cluster.entry.store.newest("other") for _ in range(30))
-            )
+            await cluster.store.fill(cluster.entry.store)
             cluster.store.mute()
             await asyncio.sleep(joblog.TTL_S + 1.0)
             self.assertEqual(4, len(cluster.backend.server.runs))
@@ -142,9 +140,7 @@
             await until(lambda: cluster.backend.server.runs)
             number = jobrecord.partition_of(job, fakes.PARTITIONS)
             poll = "read", joblog.JOBS, number
-            await asyncio.gather(
-                *(cluster.entry.store.newest("other") for _ in range(30))
-            )
+            await cluster.store.fill(cluster.entry.store)
             count = store.calls[poll]
             await until(lambda: store.calls[poll] > count)
             store.mute()
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -205,9 +205,7 @@
         async def scenario():
             async with FeedFixture() as fixture:
                 await until(lambda: fixture.states)
-                # As many connections as the client keeps.
-                calls = [fixture.store.newest("other") for _ in range(30)]
-                await asyncio.gather(*calls)
+                await fixture.fake.fill(fixture.store)
                 loop = asyncio.get_running_loop()
                 await disrupt(fixture.fake)
                 end_s = loop.time()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -43,3 +43,54 @@
             await fake.close()
 
         asyncio.run(scenario())
+
+
+class TestLongPolls(testtools.TestCase):
+    # Guards against long polls that take up all connections, so that other
+    # requests time out although the store answers.
+    def test_other_requests_are_not_delayed_by_long_polls(self):
+        async def scenario():
+            fake = fakes.FakeStore()
+            client = store.Store(fake.address, collections.deque())
+            polls = [
+                asyncio.ensure_future(client.read("t", 0, 1.5, partition))
+                for partition in range(2 * store.MAX_CONNECTIONS)
+            ]
+            async with asyncio.timeout(5.0):
+                while fake.calls["/log-read"] < store.MAX_CONNECTIONS:
+                    await asyncio.sleep(0.01)
+            await client.newest("t")
+            await client.join("g", "m", "t", 1.0, 0)
+            await asyncio.gather(*polls)
+            self.assertEqual(len(polls), fake.calls["/log-read"])
+            client.close()
+            await fake.close()
+
+        asyncio.run(scenario())
+
+    # Guards against requests without an answer that keep a read from being
+    # sent.
+    def test_reads_are_not_delayed_by_other_requests(self):
+        async def scenario():
+            fake = fakes.FakeStore()
+            fake.put("op", "config", {})
+            client = store.Store(fake.address, collections.deque())
+            fake.mode = "silent"
+            calls = [
+                asyncio.ensure_future(client.newest("t"))
+                for _ in range(2 * store.MAX_CONNECTIONS)
+            ]
+            async with asyncio.timeout(5.0):
+                while fake.calls["/log-newest"] < store.MAX_CONNECTIONS:
+                    await asyncio.sleep(0.01)
+            fake.mode = ""
+            async with asyncio.timeout(0.3):
+                batch = await client.read("op", 0, 0.0)
+            self.assertEqual(1, batch.end)
+            for call in calls:
+                call.cancel()
+            await asyncio.wait(calls)
+            client.close()
+            await fake.close()
+
+        asyncio.run(scenario())
