--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -111,11 +111,21 @@
 
 
 def decode_relay(text: str) -> OperatorState:
-    """Decodes the records relayed by another entry."""
-    table = orjson.loads(text)
-    encoded = table["values"].items()
-    values = {key: base64.b64decode(value) for key, value in encoded}
-    return decode(values, table["offset"])
+    """Decodes the records relayed by another entry.
+
+    Raises:
+        bodies.BodyError: The text or the configuration in it is malformed.
+    """
+    table = bodies.parse(text.encode())
+    encoded = bodies.field(table, "values", dict)
+    try:
+        values = {key: base64.b64decode(v) for key, v in encoded.items()}
+    except (TypeError, ValueError) as error:
+        raise bodies.BodyError(
+            f"a relayed value is malformed: {error}",
+            "run the same release on all entries and agents",
+        ) from error
+    return decode(values, bodies.count(table, "offset"))
 
 
 class OperatorFeed:
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from egretthread import background, clock, link, logs, nodeid, routes
+from egretthread import background, clock, link, logs, nodeid, routes, util
 from egretthread.listeners import Listeners
 from egretthread.scheduling import (
     dispatch,
@@ -512,8 +512,18 @@
     def _on_operator_record(self, peer, record: OperatorRecord) -> None:
         if record.offset <= self.board.operator_state.offset:
             return
+        try:
+            state = self.decode_state(record.text)
+        except util.EgretthreadError as error:
+            logs.error(
+                "operators_relay_malformed",
+                offset=record.offset,
+                peer=peer.node,
+                error=error,
+            )
+            return
         logs.info("operators_relayed", offset=record.offset, peer=peer.node)
-        self.apply_operators(self.decode_state(record.text), record.text)
+        self.apply_operators(state, record.text)
 
     def _on_open(self, peer: link.Peer) -> None:
         if peer.role != "agent":
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -62,6 +62,20 @@
             operators.decode(values, 9), operators.decode_relay(text)
         )
 
+    def test_a_malformed_relay_is_an_error(self):
+        for text in (
+            "",
+            "[]",
+            '{"offset": 3}',
+            '{"offset": 3, "values": []}',
+            '{"offset": 3, "values": {"config": 5}}',
+            '{"offset": 3, "values": {"config": "x"}}',
+            '{"offset": "3", "values": {}}',
+            operators.encode_relay({"config": b"{"}, 3),
+        ):
+            with self.assertRaises(bodies.BodyError):
+                operators.decode_relay(text)
+
 
 async def until(condition, limit_s=5.0):
     async with asyncio.timeout(limit_s):
--- a/tests/scheduling/test_entryserver.py
+++ b/tests/scheduling/test_entryserver.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from egretthread import clock
+from egretthread import clock, util
 from egretthread.listeners import Listeners
 from egretthread.scheduling import entryserver, nodesettings, peerload
 from egretthread.scheduling.jobspec import OperatorState
@@ -13,8 +13,10 @@
     EntryHello,
     EntryLoad,
     ForwardCancel,
+    JobQuestion,
     LiveRun,
     LiveRuns,
+    OperatorRecord,
 )
 
 
@@ -93,6 +95,26 @@
         self.sent.append(outgoing)
 
 
+class TestOperatorRecords(testtools.TestCase):
+    # Guards against messages that are lost since they came with operators'
+    # records that can't be decoded.
+    def test_a_malformed_relay_changes_nothing(self):
+        def decode_state(text):
+            if text:
+                return OperatorState(offset=7)
+            raise util.EgretthreadError("malformed", "send another")
+
+        entry = TestHellos.entry(self, others=0)
+        entry.decode_state = decode_state
+        peer = StubPeer("e1#1")
+        messages = (OperatorRecord(8, ""), JobQuestion(1, "0" * 16))
+        entry._on_messages(peer, messages)
+        self.assertEqual(0, entry.board.operator_state.offset)
+        self.assertEqual([1], [reply.number for reply in peer.sent])
+        entry._on_messages(peer, (OperatorRecord(7, "state"),))
+        self.assertEqual(7, entry.board.operator_state.offset)
+
+
 class TestForwardedJobs(testtools.TestCase):
     def entry(self):
         entry = TestHellos.entry(self, others=0)
