--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -62,6 +62,20 @@
             operators.decode(values, 9), operators.decode_relay(text)
         )
 
+    def test_a_malformed_relay_is_an_error(self):
+        for text in (
+            "",
+            "[]",
+            '{"offset": 3}',
+            '{"offset": 3, "values": []}',
+            '{"offset": 3, "values": {"config": 5}}',
+            '{"offset": 3, "values": {"config": "x"}}',
+            '{"offset": "3", "values": {}}',
+            operators.encode_relay({"config": b"{"}, 3),
+        ):
+            with self.assertRaises(bodies.BodyError):
+                operators.decode_relay(text)
+
 
 async def until(condition, limit_s=5.0):
     async with asyncio.timeout(limit_s):
@@ -205,9 +219,7 @@
         async def scenario():
             async with FeedFixture() as fixture:
                 await until(lambda: fixture.states)
-                # As many connections as the client keeps.
-                calls = [fixture.store.newest("other") for _ in range(30)]
-                await asyncio.gather(*calls)
+                await fixture.fake.fill(fixture.store)
                 loop = asyncio.get_running_loop()
                 await disrupt(fixture.fake)
                 end_s = loop.time()
