--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -221,11 +221,10 @@
     A heartbeat of another incarnation does not prove it: it may be of another
     writer, or have been delayed.
     """
-    return (
-        board.server is None
-        or not board.is_confirmed
-        or board.state is ServerState.ABSENT
-    )
+    if board.server is None:
+        return True
+    has_ended = not board.is_confirmed or board.state is ServerState.ABSENT
+    return has_ended and not board.runs_by_task
 
 
 def _adopt(board: AgentBoard, record: ServerRecord) -> None:
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -1,6 +1,7 @@
 """Orders from entries to an agent, and its calls to its backend server."""
 
 import dataclasses
+from collections.abc import Sequence
 
 from egretthread import logs
 from egretthread.scheduling import leaserule, runs, servercrash
@@ -304,14 +305,24 @@
     mark_server_lost(board, "connection refused")
 
 
-def mark_server_lost(board: AgentBoard, reason: str) -> None:
-    """Drops all runs, since the incarnation that executed them has ended."""
+def mark_server_lost(
+    board: AgentBoard, reason: str, remaining: Sequence[Run] = ()
+) -> None:
+    """Drops all runs, since the incarnation that executed them has ended.
+
+    Args:
+        board: The blackboard.
+        reason: How its end was noticed.
+        remaining: Runs that its successor may execute, and that are stopped.
+    """
     server = board.server.server if board.server else ""
     logs.warning(
         "server_lost", reason=reason, server=server, runs=len(board.runs)
     )
     servercrash.record(board, is_certain=True)
-    runs.drop_all(board, RunEnd.STOPPED)
+    runs.drop_all(board, RunEnd.STOPPED, remaining)
+    for run in remaining:
+        runs.begin_stop(board, run, RunEnd.STOPPED)
     board.blocked_runs.clear()
     board.is_confirmed = False
     if board.state is not ServerState.DRAINING:
--- a/egretthread/scheduling/runs.py
+++ b/egretthread/scheduling/runs.py
@@ -1,5 +1,7 @@
 """Lifecycle of the runs that an agent holds: stops, ends and reports."""
 
+from collections.abc import Sequence
+
 from egretthread.scheduling.agentboard import (
     AgentBoard,
     Run,
@@ -85,8 +87,18 @@
     )
 
 
-def drop_all(board: AgentBoard, end: RunEnd) -> None:
-    """Removes all runs, which have ended together with their backend server."""
+def drop_all(
+    board: AgentBoard, end: RunEnd, remaining: Sequence[Run] = ()
+) -> None:
+    """Removes all runs, which have ended together with their backend server.
+
+    Args:
+        board: The blackboard.
+        end: How the runs ended that were at the backend server.
+        remaining: Runs that have not ended.
+    """
     for run in tuple(board.runs.values()):
+        if run in remaining:
+            continue
         run_end = RunEnd.REFUSED if run.phase is RunPhase.QUEUED else end
         finish(board, run, run_end)
--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -100,7 +100,7 @@
         and server.started_unix_ms
         and result.started_unix_ms != server.started_unix_ms
     ):
-        runorders.mark_server_lost(board, "incarnation changed")
+        _on_successor(board, call, result)
         return
     servercrash.withdraw(board)
     board.is_confirmed = True
@@ -135,6 +135,35 @@
             _on_missing_run(board, call, run)
 
 
+def _on_successor(
+    board: AgentBoard, call: PollCall, result: PollResult
+) -> None:
+    """Ends the runs of an incarnation after one with the same id has answered.
+
+    Calls name the id alone, so that the successor may have carried out starts
+    that were meant for the incarnation before it. These runs are stopped first.
+    """
+    listed = {(running.name, running.number) for running in result.running}
+    remaining = []
+    for run in board.runs.values():
+        if run.phase is RunPhase.QUEUED:
+            continue
+        is_listed = (run.name, run.number) in listed
+        if is_listed:
+            run.stop_confirmed_s = 0.0
+        if is_listed or not _is_over(run, call):
+            remaining.append(run)
+    board.knows_runs = False
+    runorders.mark_server_lost(board, "incarnation changed", remaining)
+
+
+def _is_over(run: Run, call: PollCall) -> bool:
+    """Whether a run that a poll does not list has ended."""
+    if run.phase is RunPhase.STOPPING:
+        return 0 < run.stop_confirmed_s < call.sent_s
+    return run.phase is RunPhase.RUNNING and run.started_s < call.sent_s
+
+
 def _on_ended(board: AgentBoard, ended_run: EndedRun) -> None:
     run = board.runs_by_task.get(ended_run.name)
     if run is not None and run.number != ended_run.number:
@@ -295,14 +324,13 @@
 
 def _on_missing_run(board: AgentBoard, call: PollCall, run: Run) -> None:
     """Handles a run that is listed neither as running nor as ended."""
-    if run.phase is RunPhase.RUNNING and run.started_s < call.sent_s:
+    if not _is_over(run, call):
+        return
+    if run.phase is RunPhase.STOPPING:
+        runs.finish(board, run, run.end)
+    else:
         logs.warning("run_missing", job=run.name.job, number=run.number)
         runs.finish(board, run, RunEnd.STOPPED)
-    elif (
-        run.phase is RunPhase.STOPPING
-        and 0 < run.stop_confirmed_s < call.sent_s
-    ):
-        runs.finish(board, run, run.end)
 
 
 def drop_expired_runs(board: AgentBoard) -> None:
