--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -232,22 +232,37 @@
     board.room_limit = None
     board.server = record
     if record.is_draining:
-        _begin_drain(board)
+        _begin_drain(board, "heartbeat")
     elif board.state in (ServerState.ABSENT, ServerState.DRAINING):
         _set_state(board, ServerState.READY, "heartbeat")
 
 
 def on_leave(board: AgentBoard, leave: ServerLeave) -> None:
-    """Drops the backend server, which leaves, and its runs.
+    """Stops the runs at the backend server, and removes it after them.
+
+    The server announces its end, but goes on until its leave is acknowledged.
 
     Raises:
         serveridentity.ForeignServerError: It is of another writer.
     """
     serveridentity.check_leave(board, leave)
-    if board.server is not None and board.server.server == leave.server:
-        logs.info("server_left", server=leave.server, runs=len(board.runs))
-        runs.drop_all(board, RunEnd.STOPPED)
-        board.left_server = board.server
+    if board.server is None or board.server.server != leave.server:
+        return
+    logs.info("server_left", server=leave.server, runs=len(board.runs))
+    board.left_server = board.server
+    _begin_drain(board, "leave")
+    for run in tuple(board.runs.values()):
+        runs.begin_stop(board, run, RunEnd.STOPPED)
+    _remove_left_server(board)
+
+
+def _remove_left_server(board: AgentBoard) -> None:
+    """Removes a backend server that leaves once all its runs have ended."""
+    if (
+        board.server is not None
+        and board.server is board.left_server
+        and not board.runs_by_task
+    ):
         _remove_server(board, "left")
 
 
@@ -288,6 +303,7 @@
 
 def after_event(board: AgentBoard) -> None:
     """Starts queued runs that fit now, and sends the pending reports."""
+    _remove_left_server(board)
     candidate = board.candidate
     if candidate is not None and _may_be_replaced(board):
         _replace_server(board, candidate.record, candidate.clock_offset_ms)
@@ -425,7 +441,11 @@
     An incarnation ends when it has left, so such a heartbeat was delayed.
     """
     left = board.left_server
-    if left is None or not record.started_unix_ms or not left.started_unix_ms:
+    if left is None:
+        return False
+    if left is board.server and serveridentity.is_same(record, left):
+        return True
+    if not record.started_unix_ms or not left.started_unix_ms:
         return False
     if record.started_unix_ms == left.started_unix_ms:
         return record.server == left.server
@@ -496,9 +516,9 @@
             send_heartbeat(board, coordinator)
 
 
-def _begin_drain(board: AgentBoard) -> None:
+def _begin_drain(board: AgentBoard, reason: str) -> None:
     if board.state is not ServerState.DRAINING:
-        _set_state(board, ServerState.DRAINING, "heartbeat")
+        _set_state(board, ServerState.DRAINING, reason)
         runorders.refuse_queued(board)
 
 
--- a/egretthread/scheduling/servercrash.py
+++ b/egretthread/scheduling/servercrash.py
@@ -25,8 +25,8 @@
         is_certain: Whether the incarnation has ended.
     """
     server = board.server
-    if server is None or server.is_draining:
-        # A backend server that drains may end with runs at it.
+    if server is None or server.is_draining or server is board.left_server:
+        # A backend server that drains or leaves may end with runs at it.
         return
     lost = [
         run for run in board.runs.values() if run.phase is not RunPhase.QUEUED
--- a/tests/platform/test_foreignheartbeats.py
+++ b/tests/platform/test_foreignheartbeats.py
@@ -284,6 +284,9 @@
         agentengine.on_leave(
             self.agent.board, servers.decode_leave(SERVER, b"")
         )
+        self.assertIs(ServerState.DRAINING, self.agent.board.state)
+        self.agent.poll(Verdict.NOT_LISTENING)
+        self.assertEqual({}, self.agent.board.runs)
         self.assertIsNone(self.agent.board.server)
 
     def test_a_server_whose_service_is_removed_is_kept(self):
--- a/tests/scheduling/test_runorders.py
+++ b/tests/scheduling/test_runorders.py
@@ -378,6 +378,32 @@
         self.assertEqual(2, self.board.server.started_unix_ms)
         self.assertIs(ServerState.READY, self.board.state)
 
+    # TWICE: runs were reported as stopped at a leave, before the server ended.
+    def test_a_leave_stops_the_runs_that_are_still_at_work(self):
+        for verdict in (Verdict.NOT_LISTENING, Verdict.OK):
+            self.board.outbox.clear()
+            self.register("i-1", self.board.clock_ms, clock_ms=1000)
+            call = self.start(attempt=1)
+            agentengine.on_call_result(
+                self.board, call, CallResult(Verdict.OK, 1000)
+            )
+            agentengine.on_leave(self.board, ServerLeave("i-1"))
+            agentengine.after_event(self.board)
+            self.assertEqual([], self.ends())
+            self.assertIs(ServerState.DRAINING, self.board.state)
+            self.assertTrue(agentengine.needs_poll(self.board))
+            (stop,) = self.board.calls
+            self.board.calls.clear()
+            agentengine.on_call_result(
+                self.board, stop, CallResult(verdict, 1000)
+            )
+            self.poll()
+            self.assertEqual([(1, RunEnd.STOPPED)], self.ends())
+            self.assertIsNone(self.board.server)
+            self.assertIs(ServerState.ABSENT, self.board.state)
+            self.assertEqual([], self.board.crashes)
+            self.board.now_s += 1.0
+
     def test_a_server_that_left_is_not_used_because_of_a_late_heartbeat(self):
         agentengine.on_leave(self.board, ServerLeave("i-1"))
         self.register("i-1", 1, clock_ms=1000)
