--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -361,9 +361,7 @@
             return "running" if _has_started(job) else "queued"
         try:
             async with asyncio.timeout(caller.left_s(clock.monotonic_s())):
-                is_known, state = await self.server.job_state(self.job)
-                if not is_known:
-                    state = await self.log.state(self.job)
+                state = await self.log.state(self.job)
         except StoreUnavailableError as error:
             self.refuse(503, error.message, 1.0)
             return ""
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -342,15 +342,12 @@
         keptjobs.on_written(self.board, batch)
         self._process_output()
 
-    async def job_state(self, job: str) -> tuple[bool, str]:
-        """Returns whether a job's coordinator answered, and the job's state.
-
-        The state is empty when there is no such job.
-        """
+    async def job_state(self, job: str) -> str:
+        """Returns a job's state by its coordinator; empty when it has none."""
         self._update_time()
-        known = keptjobs.state(self.board, job)
-        if known[0]:
-            return known
+        is_known, state = keptjobs.state(self.board, job)
+        if is_known:
+            return state
         partition = jobrecord.partition_of(job, self.board.kept.partition_count)
         for address, (hello, received_s) in self.hellos.items():
             client = self.entry_clients.get(address)
@@ -362,9 +359,9 @@
                 and client.peer
             ):
                 return await self._ask(client.peer, job)
-        return False, ""
+        return ""
 
-    async def _ask(self, peer: link.Peer, job: str) -> tuple[bool, str]:
+    async def _ask(self, peer: link.Peer, job: str) -> str:
         """Asks another entry for the state of a kept job."""
         self.last_question += 1
         number = self.last_question
@@ -376,10 +373,10 @@
                 reply = await future
         except TimeoutError:
             logs.info("job_question_unanswered", job=job, peer=peer.node)
-            return False, ""
+            return ""
         finally:
             del self.questions[number]
-        return reply.is_known, reply.state
+        return reply.state if reply.is_known else ""
 
     def pending_kept_jobs(self, route: str) -> int:
         """Returns the number of kept jobs of a route that wait at any entry."""
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -172,11 +172,17 @@
         await self._append(record, caller)
 
     async def state(self, job: str) -> str:
-        """Returns the stored state of a job; empty when there is no such job.
+        """Returns the state of a job; empty when there is no such job.
+
+        Only the store tells that there is none: its coordinator may not have
+        read the submission yet.
 
         Raises:
             StoreUnavailableError: The store did not answer or refused.
         """
+        state = await self.server.job_state(job)
+        if state:
+            return state
         partition = jobrecord.partition_of(job, self.partition_count)
         value = await self.store.find(PROGRESS, partition, job)
         if value is not None:
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -8,7 +8,7 @@
 from egretthread import metrics
 from egretthread.platform import entryprogram
 from egretthread.scheduling import entryserver, joblog, jobrecord
-from egretthread.scheduling.storecall import Record
+from egretthread.scheduling.storecall import POLL_WAIT_S, Record
 from tests.platform import fakes, test_path
 from tests.platform.test_operators import until
 
@@ -280,6 +280,56 @@
 
         self.run_scenario(scenario)
 
+    async def hold_up_reads(self, cluster):
+        """Holds up the reads of submissions; returns what ends that."""
+        store, resumed = cluster.entry.store, asyncio.Event()
+        read = store.read
+
+        async def read_later(topic, *args):
+            if topic == joblog.JOBS:
+                await resumed.wait()
+            return await read(topic, *args)
+
+        self.patch(store, "read", read_later)
+        # The long polls that were already under way end.
+        await asyncio.sleep(POLL_WAIT_S + 0.3)
+        return resumed
+
+    # Guards against UNASKED: DELETE was answered 410 as the coordinator had
+    # not read the submission, and the job ran later.
+    def test_a_job_that_its_coordinator_has_not_read_is_cancelled(self):
+        async def scenario(cluster):
+            resumed = await self.hold_up_reads(cluster)
+            self.assertEqual(200, (await cluster.submit(1, KEPT))[0])
+            self.assertEqual((200, "queued"), await self.state(cluster, 1))
+            path = f"/p/{1:016x}"
+            code, _, _ = await cluster.fetch(cluster.callers, path, "DELETE")
+            self.assertEqual(200, code)
+            resumed.set()
+            await self.wait_for(cluster, 1, "cancelled")
+            self.assertNotIn(
+                "done", [row[4] for row in cluster.backend.server.history]
+            )
+
+        self.run_scenario(scenario)
+
+    # Guards against LOST: GET was answered 410 for an accepted job by an entry
+    # that was cut from the store.
+    def test_without_the_store_an_unknown_job_gets_an_error_to_retry(self):
+        async def scenario(cluster):
+            partitions = cluster.entry.server.board.kept.partitions
+            await until(lambda: partitions)
+            await until(lambda: all(p.is_loaded for p in partitions.values()))
+            cluster.store.mode = "busy"
+            for method in ("GET", "DELETE"):
+                code, _, headers = await cluster.fetch(
+                    cluster.callers, f"/p/{1:016x}", method
+                )
+                self.assertEqual(503, code)
+                self.assertIn("Retry-After", headers)
+
+        self.run_scenario(scenario)
+
     def test_malformed_records_are_ignored(self):
         async def scenario(cluster):
             await cluster.submit(1, KEPT)
