--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -64,6 +64,8 @@
 def set_time(board: EntryBoard, now_s: float, unix_s: float) -> bool:
     """Sets the time of the event that is handled next.
 
+    Partitions whose time has passed are released before it.
+
     Args:
         board: The blackboard.
         now_s: Time on the monotonic clock.
@@ -74,6 +76,7 @@
     """
     board.now_s = now_s
     board.unix_s = unix_s
+    keptjobs.expire(board)
     if now_s - board.last_tick_s <= PAUSE_S:
         return False
     logs.warning("process_paused", paused_s=now_s - board.last_tick_s)
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -213,8 +213,7 @@
 
 
 def on_tick(board: EntryBoard) -> None:
-    """Releases expired partitions, opens ready ones and drops old jobs."""
-    expire(board)
+    """Opens the partitions that are ready, and drops old jobs."""
     for partition in board.kept.partitions.values():
         if partition.is_loaded and not partition.is_open:
             _open_if_ready(board, partition)
--- a/tests/scheduling/test_entryengine.py
+++ b/tests/scheduling/test_entryengine.py
@@ -2,7 +2,12 @@
 
 import testtools
 
-from egretthread.scheduling import agentviews, entryengine, leaserule
+from egretthread.scheduling import (
+    agentviews,
+    entryengine,
+    keptjobs,
+    leaserule,
+)
 from egretthread.scheduling.jobspec import OperatorState
 
 
@@ -45,6 +50,18 @@
         )
 
 
+class TestPausedEntry(testtools.TestCase):
+    # Guards against TWICE: an entry woke from a pause and dispatched kept jobs
+    # on a message of an agent, before a tick released their partitions.
+    def test_partitions_are_lost_at_their_time_whatever_comes_first(self):
+        board = entryengine.new_board("e#1", "a", 0.0)
+        keptjobs.on_assigned(board, 1, [0, 1], until_s=2.3)
+        entryengine.set_time(board, 2.29, 0.0)
+        self.assertEqual({0, 1}, set(board.kept.partitions))
+        entryengine.set_time(board, 2.31, 0.0)
+        self.assertEqual({}, board.kept.partitions)
+
+
 class TestServices(testtools.TestCase):
     def test_agents_are_sent_the_named_services_when_they_changed(self):
         board = entryengine.new_board("e#1", "a", 0.0)
