--- a/egretthread/explanation.py
+++ b/egretthread/explanation.py
@@ -127,6 +127,15 @@
         "tasks of its route have crashed backend servers, and those that the"
         " route may still use are down",
     ),
+    Cause(
+        "no time left",
+        ("refused",),
+        "job_refused",
+        _reason("no time left"),
+        "the request had arrived, but could not be handled until {late_s} s"
+        " after its caller stopped waiting: the entry had no configuration, or"
+        " was paused or overloaded",
+    ),
     Cause(
         "overload, share used up",
         ("refused",),
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -86,7 +86,13 @@
         return None
     if wait_limit_s <= 0:
         board.counters["jobs_refused"] += 1
-        logs.info("job_too_late", job=spec.job, late_s=-wait_limit_s)
+        logs.info(
+            "job_refused",
+            job=spec.job,
+            reason=NO_TIME_REASON,
+            route=route.name,
+            late_s=-wait_limit_s,
+        )
         return Answer(spec.job, Outcome.REFUSED, NO_TIME_REASON)
     critical_s = critical_path_s(spec, _expected_s(board, spec, route))
     slack_s = _slack_s(route, critical_s)
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -153,6 +153,10 @@
         refused = line("job_refused", 10.0, reason="route confined")
         self.check([refused], "refused", "crashed backend servers")
 
+    def test_a_refusal_after_the_caller_stopped_waiting(self):
+        refused = line("job_refused", 10.0, reason="no time left", late_s=0.4)
+        self.check([refused], "refused", "0.4 s", "stopped waiting")
+
     def test_a_late_answer_after_its_agent_was_lost(self):
         state = line("agent_lost", 9.7, agent="a#1", silent_s=2.1, job="")
         slow = line("slow_run", 9.4, agent="a#1", room_elsewhere="true")
