--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -135,10 +135,13 @@
         store: Client of the store.
         on_state: Called with each new state and its encoding for other
             entries.
-        values: Newest value of each key that was read.
+        values: Newest value of each key that was read; of the configuration,
+            the newest that can be decoded.
         offset: Offset of the next record to read; None until the newest
             records have been read, and after a gap in the history.
         attempts: Number of requests for the newest records.
+        is_unreadable: Whether the newest configuration is malformed, so that
+            an earlier one is in force.
     """
 
     def __init__(self, store: Store, on_state):
@@ -147,6 +150,7 @@
         self.values: dict[str, bytes] = {}
         self.offset: int | None = None
         self.attempts = 0
+        self.is_unreadable = False
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -196,25 +200,45 @@
             timeout_s = START_TIMEOUTS_S[self.attempts % len(START_TIMEOUTS_S)]
             self.attempts += 1
             batch = await self.store.newest(TOPIC, timeout_s=timeout_s)
+            keys = {record.key for record in batch.records}
             self.values = {
-                e.key: e.value for e in batch.records if e.value is not None
+                key: value
+                for key, value in self.values.items()
+                if key == CONFIG_KEY and key in keys
             }
+            self.is_unreadable = False
         else:
             batch = await self.store.read(TOPIC, self.offset, wait_s)
             if not batch.records:
                 return
-            for record in batch.records:
-                self._apply(record)
+        for record in batch.records:
+            self._apply(record)
         self.offset = batch.end
-        try:
-            state = decode(self.values, batch.end)
-        except bodies.BodyError as error:
-            logs.error("configuration_malformed", error=str(error))
+        if self.is_unreadable and CONFIG_KEY not in self.values:
+            # Other entries may still know the last readable configuration.
             return
+        state = decode(self.values, batch.end)
         self.on_state(state, encode_relay(self.values, batch.end))
 
     def _apply(self, record: Record) -> None:
+        """Applies a record; a malformed configuration changes nothing."""
+        if record.key == CONFIG_KEY:
+            self.is_unreadable = not _is_readable(record)
+            if self.is_unreadable:
+                return
         if record.value is None:
             self.values.pop(record.key, None)
         else:
             self.values[record.key] = record.value
+
+
+def _is_readable(record: Record) -> bool:
+    """Whether a record of the configuration deletes it or can be decoded."""
+    if record.value is None:
+        return True
+    try:
+        decode({record.key: record.value}, 0)
+    except bodies.BodyError as error:
+        logs.error("configuration_malformed", error=str(error))
+        return False
+    return True
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -91,12 +91,15 @@
         self.fake.put(operators.TOPIC, "config", fakes.CONFIG)
         self.store = Store(self.fake.address, collections.deque())
         self.states = []
-        self.feed = operators.OperatorFeed(
-            self.store, lambda state, text: self.states.append(state)
-        )
+        self.texts = []
+        self.feed = operators.OperatorFeed(self.store, self.on_state)
         self.feed.start()
         return self
 
+    def on_state(self, state, text):
+        self.states.append(state)
+        self.texts.append(text)
+
     async def __aexit__(self, *exception):
         await self.feed.close()
         self.store.close()
@@ -204,6 +207,47 @@
 
         self.run_scenario(scenario)
 
+    # Guards against a withdrawn zone that stays in use since the configuration
+    # that was published with it can't be read.
+    def test_other_records_hold_beside_a_malformed_configuration(self):
+        async def scenario(fixture):
+            before = fixture.states[-1]
+            fixture.fake.put(operators.TOPIC, "config", ["nonsense"])
+            fixture.fake.put(operators.TOPIC, "evacuate/a", {})
+            await until(lambda: fixture.states[-1].withdrawn == {"a"}, 1.0)
+            self.assertEqual(before.routes, fixture.states[-1].routes)
+            # Entries that get it from this one see the same.
+            relayed = operators.decode_relay(fixture.texts[-1])
+            self.assertEqual(fixture.states[-1], relayed)
+            # The same after the history was deleted.
+            await fixture.feed.close()
+            fixture.fake.put(operators.TOPIC, "evacuate/b", {})
+            fixture.fake.delete_history(operators.TOPIC)
+            fixture.feed.start()
+            await until(lambda: fixture.states[-1].withdrawn == {"a", "b"})
+            self.assertEqual(before.routes, fixture.states[-1].routes)
+
+        self.run_scenario(scenario)
+
+    def test_a_feed_without_a_readable_configuration_reports_nothing(self):
+        async def scenario(fixture):
+            fixture.fake.put(operators.TOPIC, "config", ["nonsense"])
+            states = []
+            feed = operators.OperatorFeed(
+                fixture.store, lambda state, text: states.append(state)
+            )
+            feed.start()
+            await until(lambda: feed.offset is not None)
+            fixture.fake.put(operators.TOPIC, "evacuate/a", {})
+            await until(lambda: feed.offset == 3)
+            self.assertEqual([], states)
+            fixture.fake.put(operators.TOPIC, "config", fakes.CONFIG)
+            await until(lambda: states)
+            self.assertEqual({"a"}, states[-1].withdrawn)
+            await feed.close()
+
+        self.run_scenario(scenario)
+
 
 class TestSilence(testtools.TestCase):
     """A confirmed configuration that is not in force in time."""
