--- a/egretthread/platform/entryprogram.py
+++ b/egretthread/platform/entryprogram.py
@@ -71,8 +71,9 @@
                 self.settings.metrics_address,
                 entrygauges.GAUGES,
             )
-            self.admin.metrics.refreshers.append(
-                functools.partial(entrygauges.set_shares, self.server.board)
+            self.admin.metrics.refreshers += (
+                functools.partial(entrygauges.set_shares, self.server.board),
+                self.feed.set_age,
             )
             self.admin.start()
 
--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from egretthread import background, logs
+from egretthread import background, clock, logs, metrics
 from egretthread.platform import bodies
 from egretthread.platform.store import Store
 from egretthread.scheduling.jobspec import (
@@ -140,6 +140,7 @@
         offset: Offset of the next record to read; None until the newest
             records have been read, and after a gap in the history.
         attempts: Number of requests for the newest records.
+        read_s: When a read last succeeded; at first, when the feed was made.
         is_unreadable: Whether the newest configuration is malformed, so that
             an earlier one is in force.
     """
@@ -150,6 +151,7 @@
         self.values: dict[str, bytes] = {}
         self.offset: int | None = None
         self.attempts = 0
+        self.read_s = clock.monotonic_s()
         self.is_unreadable = False
         self.task: asyncio.Task | None = None
 
@@ -165,6 +167,11 @@
             self.task.cancel()
             await asyncio.wait((self.task,))
 
+    def set_age(self, process_metrics: metrics.Metrics) -> None:
+        """Sets the time since the records were last read."""
+        age_s = clock.monotonic_s() - self.read_s
+        process_metrics.set("log_age_seconds", age_s)
+
     async def _follow(self) -> None:
         failures = 0
         while True:
@@ -189,6 +196,7 @@
             if failures:
                 logs.info("store_reachable_again", offset=self.offset)
             failures = 0
+            self.read_s = clock.monotonic_s()
 
     async def _read_once(self, wait_s: float) -> None:
         """Reads one batch and passes on the state if it brought records.
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -6,8 +6,10 @@
 
 import testtools
 
+from egretthread import metrics
 from egretthread.platform import bodies, operators
 from egretthread.platform.store import Store
+from egretthread.scheduling import storecall
 from tests.platform import fakes
 
 CONFIG = json.dumps(fakes.CONFIG).encode()
@@ -173,6 +175,21 @@
 
         self.run_scenario(scenario)
 
+    def test_the_age_of_the_last_read_is_measured(self):
+        async def scenario(fixture):
+            table = metrics.Metrics()
+
+            def age_s():
+                fixture.feed.set_age(table)
+                return table.values["log_age_seconds"][()]
+
+            fixture.fake.mode = "busy"
+            await until(lambda: age_s() > storecall.POLL_WAIT_S + 1.0)
+            fixture.fake.mode = ""
+            await until(lambda: age_s() < 0.1, 1.0)
+
+        self.run_scenario(scenario)
+
     def test_following_continues_after_an_outage(self):
         async def scenario(fixture):
             fixture.fake.mode = "busy"
