--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -12,6 +12,7 @@
     isolation,
     jobrecord,
     keptjobs,
+    pendingcounts,
     waitingload,
 )
 from egretthread.scheduling.caller import Caller
@@ -384,11 +385,8 @@
     def pending_kept_jobs(self, route: str) -> int:
         """Returns the number of kept jobs of a route that wait at any entry."""
         self._update_time()
-        pending = list(keptjobs.pending(self.board))
-        for hello, received_s in self.hellos.values():
-            if self.board.now_s - received_s < MAX_HELLO_AGE_S:
-                pending += hello.pending
-        return sum(each.jobs for each in pending if each.route == route)
+        hellos = [hello for hello, _ in self.hellos.values()]
+        return pendingcounts.total(self.board, route, hellos)
 
     def is_ready(self) -> bool:
         """Whether this entry is ready to serve callers."""
@@ -496,6 +494,9 @@
         if peer.node not in self.known_entry_nodes:
             self.known_entry_nodes[peer.node] = self.board.now_s
             peer.send(isolation.summary(self.board))
+        before, _ = self.hellos.get(hello.address, (None, 0.0))
+        if before is not None:
+            pendingcounts.on_hello(self.board, before, hello)
         self.hellos[hello.address] = (hello, self.board.now_s)
         forwardedjobs.on_hello(self.board, peer.node, hello.accepts_jobs)
         if hello.kept_jobs:
@@ -556,7 +557,7 @@
         return EntryHello(
             self.settings.peer_address,
             self.board.operator_state.offset,
-            tuple(self.board.kept.partitions),
+            pendingcounts.loaded_parts(self.board),
             keptjobs.pending(self.board),
             any(
                 partition.jobs
@@ -576,6 +577,7 @@
         while True:
             await asyncio.sleep(HELLO_INTERVAL_S)
             self._repeat_hello()
+            self._drop_old_hellos()
             self._update_others_have_jobs()
             self._replicate_records()
             self._remove_unreachable()
@@ -597,6 +599,17 @@
             if client.peer:
                 client.peer.send(message)
 
+    def _drop_old_hellos(self) -> None:
+        """Drops the hellos of entries that have been silent for too long."""
+        now_s = clock.monotonic_s()
+        for address, (hello, received_s) in tuple(self.hellos.items()):
+            if now_s - received_s >= MAX_HELLO_AGE_S:
+                del self.hellos[address]
+                gone = EntryHello(address, hello.operator_offset)
+                pendingcounts.on_hello(self.board, hello, gone)
+        hellos = [hello for hello, _ in self.hellos.values()]
+        pendingcounts.drop_outdated(self.board, hellos)
+
     def _update_others_have_jobs(self) -> None:
         """Updates whether other entries coordinate kept jobs."""
         now_s = clock.monotonic_s()
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -4,6 +4,7 @@
 import typing
 
 from egretthread.scheduling.jobrecord import JobState, Progress, Submission
+from egretthread.scheduling.runmessage import PendingJobs
 
 if typing.TYPE_CHECKING:
     from egretthread.scheduling.entryboard import Job
@@ -97,6 +98,19 @@
     settles: dict[tuple[str, str], tuple[int, ...]]
 
 
+@dataclasses.dataclass(frozen=True)
+class FormerCounts:
+    """Jobs that waited in partitions when their coordinator released them.
+
+    Attributes:
+        parts: Numbers of the partitions.
+        pending: Their jobs of which no task had started, by route.
+    """
+
+    parts: frozenset[int]
+    pending: tuple[PendingJobs, ...]
+
+
 @dataclasses.dataclass
 class KeptBoard:
     """Kept jobs and partitions that one entry coordinates.
@@ -111,6 +125,8 @@
         until_s: When its assignment expires unless it is renewed.
         dirty: Numbers of partitions with progress that has to be written.
         last_sweep_s: When records of expired jobs were last removed.
+        former_counts: Last counts of partitions that have not been loaded by
+            their next coordinator.
     """
 
     partition_count: int = 1
@@ -121,6 +137,7 @@
     until_s: float = 0.0
     dirty: set[int] = dataclasses.field(default_factory=set)
     last_sweep_s: float = 0.0
+    former_counts: list[FormerCounts] = dataclasses.field(default_factory=list)
 
     @property
     def may_exist(self) -> bool:
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -11,7 +11,13 @@
 from collections.abc import Iterable
 
 from egretthread import logs
-from egretthread.scheduling import crashbook, jobs, leaserule, shares
+from egretthread.scheduling import (
+    crashbook,
+    jobs,
+    leaserule,
+    pendingcounts,
+    shares,
+)
 from egretthread.scheduling.entryboard import (
     AgentView,
     Answer,
@@ -88,6 +94,7 @@
     partition = board.kept.partitions.pop(number, None)
     if partition is None:
         return
+    pendingcounts.on_released(board, partition)
     open_jobs = [
         kept_job for kept_job in partition.jobs.values() if kept_job.is_open
     ]
@@ -424,26 +431,12 @@
         return True, ""
     if kept_job.stored_state in FINAL_STATES:
         return True, kept_job.stored_state.value
-    is_running = kept_job.state in FINAL_STATES or _has_started(kept_job)
-    return True, (JobState.RUNNING if is_running else JobState.QUEUED).value
-
-
-def _has_started(kept_job: KeptJob) -> bool:
-    """Whether a task of a job has or may have started."""
-    return kept_job.job.may_have_started or any(
-        task.state is TaskState.DONE
-        for tasks in kept_job.job.tasks
-        for task in tasks
+    is_running = kept_job.state in FINAL_STATES or pendingcounts.has_started(
+        kept_job
     )
+    return True, (JobState.RUNNING if is_running else JobState.QUEUED).value
 
 
 def pending(board: EntryBoard) -> tuple[PendingJobs, ...]:
     """Returns the number of kept jobs that have not started, by route."""
-    counts: dict[str, int] = {}
-    for partition in board.kept.partitions.values():
-        for kept_job in partition.jobs.values():
-            if kept_job.state in FINAL_STATES or _has_started(kept_job):
-                continue
-            name = kept_job.submission.route.name
-            counts[name] = counts.get(name, 0) + 1
-    return tuple(PendingJobs(*count) for count in sorted(counts.items()))
+    return pendingcounts.count(board.kept.partitions.values())
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -372,7 +372,7 @@
     Attributes:
         address: `host:port` at which agents and other entries reach it.
         operator_offset: Offset of the operator state in force.
-        parts: Partitions of the job log that it coordinates.
+        parts: Partitions of the job log whose jobs it has loaded.
         pending: Kept jobs that it has not started, by route.
         kept_jobs: Whether it coordinates any kept job.
         accepts_jobs: Whether it takes jobs that other entries forward.
--- a/tests/scheduling/test_entryserver.py
+++ b/tests/scheduling/test_entryserver.py
@@ -17,6 +17,7 @@
     LiveRun,
     LiveRuns,
     OperatorRecord,
+    PendingJobs,
 )
 
 
@@ -95,6 +96,63 @@
         self.sent.append(outgoing)
 
 
+class TestPendingJobs(testtools.TestCase):
+    """Waiting jobs that are not counted while partitions are handed over."""
+
+    def entry(self, hellos):
+        entry = TestHellos.entry(self, others=2)
+        entry.add_entries = lambda addresses: None
+        for hello in hellos:
+            entry._on_messages(StubPeer(f"{hello.address}#1"), (hello,))
+        return entry
+
+    def hello(self, number, parts=(), jobs=0):
+        pending = (PendingJobs("orders", jobs),) if jobs else ()
+        return EntryHello(f"127.0.0.{number}:7600", 0, parts, pending)
+
+    # Guards against a count that falls as the first hello of a restarted entry
+    # replaces what its former process has told.
+    def test_a_restarted_entry_does_not_lower_the_count(self):
+        entry = self.entry([self.hello(2, (0, 1), 5), self.hello(3, (2,), 4)])
+        for after, expected in (
+            (self.hello(2), 9),
+            (self.hello(3), 9),
+            # Another entry has loaded the partitions; a job has started.
+            (self.hello(3, (0, 1, 2), 8), 8),
+            (self.hello(3, (0, 2), 6), 8),
+            (self.hello(2, (1,), 2), 8),
+        ):
+            entry._on_messages(StubPeer("e#2"), (after,))
+            self.assertEqual(expected, entry.pending_kept_jobs("orders"))
+            self.assertEqual(0, entry.pending_kept_jobs("others"))
+
+    # Guards against a count that falls once an entry has been silent, before
+    # its partitions have been loaded elsewhere.
+    def test_a_lost_entry_does_not_lower_the_count(self):
+        entry = self.entry([self.hello(2, (0, 1), 5)])
+        late_s = clock.monotonic_s() + entryserver.MAX_HELLO_AGE_S
+        self.patch(clock, "monotonic_s", lambda: late_s)
+        self.assertEqual(5, entry.pending_kept_jobs("orders"))
+        entry._drop_old_hellos()
+        self.assertEqual(5, entry.pending_kept_jobs("orders"))
+        hello = self.hello(3, (0, 1), 4)
+        entry._on_messages(StubPeer("e3#1"), (hello,))
+        self.assertEqual(4, entry.pending_kept_jobs("orders"))
+
+    # Guards against a count that is too low as an entry loses some partitions
+    # and loads others between two hellos.
+    def test_partitions_that_are_swapped_are_all_counted(self):
+        entry = self.entry([self.hello(2, (0,), 5), self.hello(3, (1,), 4)])
+        for after, lowest in (
+            (self.hello(2, (1,), 4), 9),
+            (self.hello(3, (0,), 5), 9),
+        ):
+            entry._on_messages(StubPeer("e#2"), (after,))
+            count = entry.pending_kept_jobs("orders")
+            self.assertGreaterEqual(count, lowest)
+        self.assertEqual(9, entry.pending_kept_jobs("orders"))
+
+
 class TestOperatorRecords(testtools.TestCase):
     # Guards against messages that are lost since they came with operators'
     # records that can't be decoded.
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -2,9 +2,10 @@
 
 import testtools
 
-from egretthread.scheduling import keptjobs
+from egretthread.scheduling import jobrecord, keptjobs, pendingcounts
 from egretthread.scheduling.jobspec import JobSpec, StepSpec
 from egretthread.scheduling.room import Room
+from egretthread.scheduling.runmessage import EntryHello
 from tests.scheduling import region, test_region
 
 
@@ -157,6 +158,21 @@
         (pending,) = keptjobs.pending(world.entries["e0"].board)
         self.assertEqual((region.ROUTE.name, 1), (pending.route, pending.jobs))
 
+    # Guards against a count that falls as a partition is assigned to another
+    # entry, which has not loaded it yet.
+    def test_waiting_jobs_of_a_released_partition_are_counted(self):
+        world = self.start_region(entries=1, agents=1, cpu=500)
+        world.submit_kept(kept_job("k"))
+        world.run(0.1)
+        board = world.entries["e0"].board
+        number = jobrecord.partition_of("k", board.kept.partition_count)
+        keptjobs.release(board, number, "assigned elsewhere")
+        route = region.ROUTE.name
+        self.assertEqual(1, pendingcounts.total(board, route, []))
+        loaded = EntryHello("e1:7600", 0, (number,))
+        self.assertEqual(0, pendingcounts.total(board, route, [loaded]))
+        self.assertEqual(0, pendingcounts.total(board, route, []))
+
     def test_records_of_ended_jobs_are_deleted_after_the_retention(self):
         world = self.start_region()
         world.submit_kept(kept_job("k"))
