--- a/egretthread_standins/soak/breaks.py
+++ b/egretthread_standins/soak/breaks.py
@@ -42,6 +42,11 @@
     return f"{event.who} ({fields['agent']}, run {fields['run']}{late})"
 
 
+def headline(broken: Break) -> str:
+    """Returns a break as one line."""
+    return f"{broken.rule} at {broken.at_s:.3f}: {broken.text}"
+
+
 def explain(broken: Break, events: list[Event]) -> list[str]:
     """Returns the events that led to a break, as lines.
 
@@ -50,7 +55,7 @@
     """
     begin_s, end_s = broken.at_s - NEAR_S, broken.at_s + 0.1
     part = zlib.crc32(broken.job.encode()) % sites.PARTS if broken.job else None
-    lines = [f"{broken.rule} at {broken.at_s:.3f}: {broken.text}"]
+    lines = [headline(broken)]
     for event in sorted(events, key=lambda event: event.at_s):
         is_near = event.who in DOERS and begin_s <= event.at_s <= end_s
         is_log = event.who == "store" and event.fields.get("part") == part
--- a/egretthread_standins/soak/runner.py
+++ b/egretthread_standins/soak/runner.py
@@ -30,6 +30,8 @@
 CALM_S = 6.0
 FINISH_S = 14.0
 FINISH_PAUSE_S = 0.3
+# Breaks of a rule with which the events that led to them are kept.
+EXPLAINED = 10
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,36 +70,56 @@
         )
     )
     begin_s = time.monotonic()
+    failed = []
     try:
         await site.start()
         await _play(settings, site)
+    except sites.Unavailable as error:
+        failed = [Break("FAULT", site.now_s(), f"could not start: {error}")]
     finally:
         await site.close()
-    broken = oracle.judge(site.events)
+    broken = oracle.judge(site.events) + failed
+    _report(settings, site, broken, time.monotonic() - begin_s)
+    if not broken:
+        shutil.rmtree(folder)
+    return broken
+
+
+def _report(
+    settings: SoakSettings,
+    site: sites.Site,
+    broken: list[Break],
+    took_s: float,
+) -> None:
+    """Prints the verdict and what led to the first break of each rule.
+
+    All breaks, and what led to the first ones of each rule, are written to the
+    run's folder.
+    """
+    folder = site.settings.folder
     counts = collections.Counter(event.what for event in site.events)
     rules = collections.Counter(each.rule for each in broken)
     lines = [
         f"seed {settings.seed}: {dict(rules) or 'no rule broken'}; disturbances"
         f" {counts['begin']}, configurations {counts['configuration']}, starts"
         f" {counts['start']}, submissions {counts['POST']}, queue answers"
-        f" {counts['GET queue']}; {time.monotonic() - begin_s:.0f} s"
+        f" {counts['GET queue']}; {took_s:.0f} s"
     ]
+    written = [breaks.headline(each) for each in broken]
     for rule in rules:
-        first = next(each for each in broken if each.rule == rule)
-        lines += breaks.explain(first, site.events)
+        found = [each for each in broken if each.rule == rule]
+        lines += breaks.explain(found[0], site.events)
+        for each in found[:EXPLAINED]:
+            written += breaks.explain(each, site.events)
     if broken:
-        lines.append(f"seed {settings.seed}: kept in {folder}")
-    print("\n".join(lines), flush=True)
-    (folder / "broken.txt").write_text(
-        "\n".join(
-            line
-            for each in broken
-            for line in breaks.explain(each, site.events)
+        without = ",".join(sorted(settings.without))
+        lines.append(
+            f"seed {settings.seed}: kept in {folder}; again: make soak"
+            f" SEED={settings.seed} SECONDS={settings.seconds:g}"
+            f" WITHOUT={without}"
         )
-    )
-    if not broken:
-        shutil.rmtree(folder)
-    return broken
+    print("\n".join(lines), flush=True)
+    (folder / "broken.txt").write_text("\n".join(written))
 
 
 async def _play(settings: SoakSettings, site: sites.Site) -> None:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -34,9 +34,15 @@
 
 
 def post(
-    at_s, status=200, kept=True, state="queued", steps=((1, ()),), job=JOB
+    at_s,
+    status=200,
+    kept=True,
+    state="queued",
+    steps=((1, ()),),
+    job=JOB,
+    **more,
 ):
-    fields = {"kept": kept, "state": state, "steps": steps}
+    fields = {"kept": kept, "state": state, "steps": steps, **more}
     return request(at_s, "POST", status, job=job, **fields)
 
 
