--- a/egretthread_standins/soak/__main__.py
+++ b/egretthread_standins/soak/__main__.py
@@ -7,14 +7,14 @@
 import signal
 import sys
 
-from egretthread_standins.soak import disturbances, runner
+from egretthread_standins.soak import callers, disturbances, runner
 
 EXIT_TERMINATED = 2
 
 
 def main() -> None:
     """Plays runs with one seed each; exits with 1 if a rule was broken."""
-    known = {*disturbances.ACTIONS, runner.KEPT_JOBS}
+    known = {*disturbances.ACTIONS, *callers.NAMES}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, help="first seed; drawn if missing")
     parser.add_argument("--runs", type=int, default=1)
--- a/tests/soak/test_scenario.py
+++ b/tests/soak/test_scenario.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from egretthread_standins.soak import disturbances, scenario
+from egretthread_standins.soak import callers, disturbances, scenario
 
 ENTRIES = ["entry-1", "entry-2", "entry-3"]
 AGENTS = ["agent-1", "agent-2"]
@@ -33,3 +33,11 @@
         for step in self.draw(3):
             if step.kind == "foreign-heartbeats":
                 self.assertLessEqual(set(step.targets), set(AGENTS))
+
+
+class SharesTest(unittest.TestCase):
+    def test_what_callers_do_can_be_left_out(self):
+        shares = callers.Shares()
+        self.assertGreater(shares.kept_jobs, 0.0)
+        left = shares.without(frozenset({"kept-jobs", "kill"}))
+        self.assertEqual(callers.Shares(kept_jobs=0.0), left)
