--- a/egretthread_standins/soak/runner.py
+++ b/egretthread_standins/soak/runner.py
@@ -20,8 +20,6 @@
 from egretthread_standins.soak.breaks import Break
 from egretthread_standins.soak.disturbances import Play
 
-# May be left out like a disturbance.
-KEPT_JOBS = "kept-jobs"
 SUBMITTERS = 24
 # The stand-ins share one event loop. If it is late by this much, the store and
 # the backend servers were slow.
@@ -30,6 +28,8 @@
 CALM_S = 6.0
 FINISH_S = 14.0
 FINISH_PAUSE_S = 0.3
+# Breaks of a rule with which the events that led to them are kept.
+EXPLAINED = 10
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,7 +41,8 @@
         seconds: How long disturbances go on.
         entries: Number of entries.
         agents: Number of agents.
-        without: Names of disturbances that are left out, or KEPT_JOBS.
+        without: Names of disturbances, or of what callers do, that are left
+            out.
         folder: Folder that gets a folder for the seed if a rule is broken.
     """
 
@@ -68,47 +69,67 @@
         )
     )
     begin_s = time.monotonic()
+    failed = []
     try:
         await site.start()
         await _play(settings, site)
+    except sites.Unavailable as error:
+        failed = [Break("FAULT", site.now_s(), f"could not start: {error}")]
     finally:
         await site.close()
-    broken = oracle.judge(site.events)
+    broken = oracle.judge(site.events) + failed
+    _report(settings, site, broken, time.monotonic() - begin_s)
+    if not broken:
+        shutil.rmtree(folder)
+    return broken
+
+
+def _report(
+    settings: SoakSettings,
+    site: sites.Site,
+    broken: list[Break],
+    took_s: float,
+) -> None:
+    """Prints the verdict and what led to the first break of each rule.
+
+    All breaks, and what led to the first ones of each rule, are written to the
+    run's folder.
+    """
+    folder = site.settings.folder
     counts = collections.Counter(event.what for event in site.events)
     rules = collections.Counter(each.rule for each in broken)
     lines = [
         f"seed {settings.seed}: {dict(rules) or 'no rule broken'}; disturbances"
         f" {counts['begin']}, configurations {counts['configuration']}, starts"
         f" {counts['start']}, submissions {counts['POST']}, queue answers"
-        f" {counts['GET queue']}; {time.monotonic() - begin_s:.0f} s"
+        f" {counts['GET queue']}; {took_s:.0f} s"
     ]
+    written = [breaks.headline(each) for each in broken]
     for rule in rules:
-        first = next(each for each in broken if each.rule == rule)
-        lines += breaks.explain(first, site.events)
+        found = [each for each in broken if each.rule == rule]
+        lines += breaks.explain(found[0], site.events)
+        for each in found[:EXPLAINED]:
+            written += breaks.explain(each, site.events)
     if broken:
-        lines.append(f"seed {settings.seed}: kept in {folder}")
-    print("\n".join(lines), flush=True)
-    (folder / "broken.txt").write_text(
-        "\n".join(
-            line
-            for each in broken
-            for line in breaks.explain(each, site.events)
+        without = ",".join(sorted(settings.without))
+        lines.append(
+            f"seed {settings.seed}: kept in {folder}; again: make soak"
+            f" SEED={settings.seed} SECONDS={settings.seconds:g}"
+            f" WITHOUT={without}"
         )
-    )
-    if not broken:
-        shutil.rmtree(folder)
-    return broken
+    print("\n".join(lines), flush=True)
+    (folder / "broken.txt").write_text("\n".join(written))
 
 
 async def _play(settings: SoakSettings, site: sites.Site) -> None:
     rng = random.Random(settings.seed)
-    kept_share = 0.0 if KEPT_JOBS in settings.without else callers.KEPT_SHARE
+    shares = callers.Shares().without(settings.without)
     submitters = [
-        callers.Submitter(site, rng.getrandbits(32), kept_share)
+        callers.Submitter(site, rng.getrandbits(32), shares)
         for _ in range(SUBMITTERS)
     ]
     watchers = [
-        callers.Watcher(site, entry, rng.getrandbits(32), is_new)
+        callers.Watcher(site, entry, rng.getrandbits(32), shares, is_new)
         for entry in site.names
         for is_new in (False, True)
     ]
