--- a/egretthread/scheduling/placing.py
+++ b/egretthread/scheduling/placing.py
@@ -70,7 +70,8 @@
         avoided_agents: Node ids of agents that are used only when they are the
             only candidates; a task that failed on one of them waits for
             capacity of another.
-        reserved_share: Share of an agent's capacity that must stay free.
+        reserved_share: Share of an agent's capacity that must stay free, unless
+            the task leaves less of an idle backend server.
         remote_factor: Factor on the run time on another rack than that of the
             task's data.
     """
@@ -84,7 +85,9 @@
         if not candidate.free.holds(spec.room):
             continue
         left_cpu = candidate.free.cpu - spec.room.cpu
-        if left_cpu < reserved_share * candidate.capacity.cpu:
+        idle_left_cpu = candidate.capacity.cpu - spec.room.cpu
+        reserved_cpu = reserved_share * candidate.capacity.cpu
+        if left_cpu < min(reserved_cpu, idle_left_cpu):
             continue
         run_time_factor = remote_factor if is_remote(candidate, spec) else 1.0
         cost = _cost_s(candidate, expected_s * run_time_factor)
--- a/tests/scheduling/test_placing.py
+++ b/tests/scheduling/test_placing.py
@@ -88,6 +88,16 @@
         self.assertEqual([None], place([candidate("a", cpu=5000)], 1, (), 0.1))
         self.assertEqual(["a"], place([candidate("a", cpu=6300)], 1, (), 0.1))
 
+    # Guards against a task that waits for good beside idle backend servers,
+    # since it takes more of one than the reserve leaves.
+    def test_a_task_larger_than_the_unreserved_share_uses_an_idle_server(self):
+        spec = dataclasses.replace(SPEC, room=Room(30_400, 64, 0))
+        for cpu, expected in ((32_000, "a"), (31_999, None)):
+            chosen = placing.choose(
+                [candidate("a", cpu=cpu)], spec, 0.1, set(), 0.1
+            )
+            self.assertEqual(expected, chosen.node if chosen else None)
+
 
 class TestChooseQueue(testtools.TestCase):
     def test_an_urgent_task_is_queued_at_the_least_loaded_server(self):
