--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -7,12 +7,15 @@
     runorders,
     runs,
     servercrash,
+    serveridentity,
     serverpoll,
 )
 from egretthread.scheduling.agentboard import (
     AgentBoard,
+    Candidate,
     Coordinator,
     RunPhase,
+    ServerLeave,
     ServerRecord,
     StartCall,
     StopCall,
@@ -85,6 +88,8 @@
         leaserule.coordinator_lease_end_s(heartbeat.echo_ms),
     )
     _send_operator_record(board, coordinator, heartbeat)
+    if heartbeat.services:
+        _on_services(board, heartbeat)
     if heartbeat.operator_offset >= board.operator_offset:
         if heartbeat.withdrawn != board.is_withdrawn:
             logs.info(
@@ -96,6 +101,28 @@
         board.is_withdrawn = heartbeat.withdrawn
 
 
+def _on_services(board: AgentBoard, heartbeat: EntryBeat) -> None:
+    """Adopts the services that a configuration names, unless it is outdated."""
+    if heartbeat.operator_offset < board.services_offset:
+        return
+    is_first = not board.services
+    board.services_offset = heartbeat.operator_offset
+    board.services = frozenset(heartbeat.services)
+    server = board.server
+    if (
+        is_first
+        and server is not None
+        and server.service not in board.services
+        and not board.runs
+    ):
+        # It was adopted before it could be checked, and keeps out the server
+        # that is here if that started earlier.
+        logs.warning(
+            "server_unnamed", server=server.server, service=server.service
+        )
+        _remove_server(board, "unnamed service")
+
+
 def _send_operator_record(
     board: AgentBoard, coordinator: Coordinator, heartbeat: EntryBeat
 ) -> None:
@@ -156,35 +183,94 @@
 def on_heartbeat(
     board: AgentBoard, record: ServerRecord, clock_ms: int
 ) -> None:
-    """Processes a heartbeat of the backend server."""
+    """Processes a heartbeat of the backend server.
+
+    Raises:
+        serveridentity.ForeignServerError: It is of another writer.
+    """
+    serveridentity.check_heartbeat(board, record)
     known = board.server
-    if known is not None and _is_outdated(record, known):
+    if known is not None and _is_outdated(board, record, known):
         logs.info("heartbeat_outdated", server=record.server)
         return
     if _has_left(board, record):
         logs.info("heartbeat_after_leave", server=record.server)
         return
-    if known is None or _is_new_incarnation(record, known):
-        _replace_server(board, record, clock_ms)
-    elif record.capacity != known.capacity or record.labels != known.labels:
-        _on_facts_changed(board, record)
+    clock_offset_ms = clock_ms - board.clock_ms
+    if known is not None and serveridentity.is_same(record, known):
+        if _facts(record) != _facts(known):
+            _on_facts_changed(board, record)
+        _adopt(board, record)
+    elif _may_be_replaced(board):
+        _replace_server(board, record, clock_offset_ms)
+    else:
+        logs.warning(
+            "server_contested",
+            server=record.server,
+            born=record.started_unix_ms,
+            known=known.server,
+            known_born=known.started_unix_ms,
+            runs=len(board.runs),
+        )
+        board.candidate = Candidate(record, clock_offset_ms, board.now_s)
+
+
+def _may_be_replaced(board: AgentBoard) -> bool:
+    """Whether the known backend server has ended, or was never confirmed.
+
+    A heartbeat of another incarnation does not prove it: it may be of another
+    writer, or have been delayed.
+    """
+    if board.server is None:
+        return True
+    has_ended = not board.is_confirmed or board.state is ServerState.ABSENT
+    return has_ended and not board.runs_by_task
+
+
+def _adopt(board: AgentBoard, record: ServerRecord) -> None:
+    """Adopts the state in a heartbeat of the present incarnation."""
     board.room_limit = None
     board.server = record
     if record.is_draining:
-        _begin_drain(board)
+        _begin_drain(board, "heartbeat")
     elif board.state in (ServerState.ABSENT, ServerState.DRAINING):
         _set_state(board, ServerState.READY, "heartbeat")
 
 
-def on_leave(board: AgentBoard, server: str) -> None:
-    """Drops the backend server, which leaves, and its runs."""
-    if board.server is not None and board.server.server == server:
-        logs.info("server_left", server=server, runs=len(board.runs))
-        runs.drop_all(board, RunEnd.STOPPED)
-        board.left_server = board.server
-        board.server = None
-        _reset_sent_facts(board)
-        _set_state(board, ServerState.ABSENT, "left")
+def on_leave(board: AgentBoard, leave: ServerLeave) -> None:
+    """Stops the runs at the backend server, and removes it after them.
+
+    The server announces its end, but goes on until its leave is acknowledged.
+
+    Raises:
+        serveridentity.ForeignServerError: It is of another writer.
+    """
+    serveridentity.check_leave(board, leave)
+    if board.server is None or board.server.server != leave.server:
+        return
+    logs.info("server_left", server=leave.server, runs=len(board.runs))
+    board.left_server = board.server
+    _begin_drain(board, "leave")
+    for run in tuple(board.runs.values()):
+        runs.begin_stop(board, run, RunEnd.STOPPED)
+    _remove_left_server(board)
+
+
+def _remove_left_server(board: AgentBoard) -> None:
+    """Removes a backend server that leaves once all its runs have ended."""
+    if (
+        board.server is not None
+        and board.server is board.left_server
+        and not board.runs_by_task
+    ):
+        _remove_server(board, "left")
+
+
+def _remove_server(board: AgentBoard, reason: str) -> None:
+    board.server = None
+    board.is_confirmed = False
+    _reset_sent_facts(board)
+    _set_state(board, ServerState.ABSENT, reason)
 
 
 def on_call_result(board, call: StartCall | StopCall, result) -> None:
@@ -217,6 +303,10 @@
 
 def after_event(board: AgentBoard) -> None:
     """Starts queued runs that fit now, and sends the pending reports."""
+    _remove_left_server(board)
+    candidate = board.candidate
+    if candidate is not None and _may_be_replaced(board):
+        _replace_server(board, candidate.record, candidate.clock_offset_ms)
     runorders.start_queued(board)
     for node, reports in board.reports.items():
         coordinator = board.coordinators.get(node)
@@ -328,14 +418,20 @@
     return free_cpu < LOW_CPU_SHARE * board.server.capacity.cpu
 
 
-def _is_outdated(record: ServerRecord, known: ServerRecord) -> bool:
+def _is_outdated(
+    board: AgentBoard, record: ServerRecord, known: ServerRecord
+) -> bool:
     if (
-        record.started_unix_ms
+        board.is_confirmed
+        and record.started_unix_ms
         and known.started_unix_ms
         and record.started_unix_ms != known.started_unix_ms
     ):
         return record.started_unix_ms < known.started_unix_ms
-    same = record.server == known.server
+    same = (record.server, record.started_unix_ms) == (
+        known.server,
+        known.started_unix_ms,
+    )
     return same and record.sequence < known.sequence
 
 
@@ -345,21 +441,24 @@
     An incarnation ends when it has left, so such a heartbeat was delayed.
     """
     left = board.left_server
-    if left is None or not record.started_unix_ms or not left.started_unix_ms:
+    if left is None:
+        return False
+    if left is board.server and serveridentity.is_same(record, left):
+        return True
+    if not record.started_unix_ms or not left.started_unix_ms:
         return False
     if record.started_unix_ms == left.started_unix_ms:
         return record.server == left.server
     return record.started_unix_ms < left.started_unix_ms
 
 
-def _is_new_incarnation(record: ServerRecord, known: ServerRecord) -> bool:
-    return (record.server, record.started_unix_ms) != (
-        known.server,
-        known.started_unix_ms,
-    )
+def _facts(record: ServerRecord) -> tuple:
+    return record.service, record.zone, record.labels, record.capacity
 
 
-def _replace_server(board: AgentBoard, record: ServerRecord, clock_ms) -> None:
+def _replace_server(
+    board: AgentBoard, record: ServerRecord, clock_offset_ms: int
+) -> None:
     logs.info(
         "server_found",
         server=record.server,
@@ -383,15 +482,18 @@
         runs.drop_all(board, RunEnd.STOPPED)
     board.blocked_runs.clear()
     heldends.clear(board)
-    board.clock_offset_ms = clock_ms - board.clock_ms
+    board.clock_offset_ms = clock_offset_ms
     board.server_lease_end_s = 0.0
     board.knows_runs = False
     board.health.clear()
     board.speed.clear()
     board.server = record
+    board.is_confirmed = False
+    board.candidate = None
     _reset_sent_facts(board)
     if not board.is_shutting_down:
         _set_state(board, ServerState.READY, "new server")
+    _adopt(board, record)
 
 
 def _on_facts_changed(board: AgentBoard, record: ServerRecord) -> None:
@@ -414,9 +516,9 @@
             send_heartbeat(board, coordinator)
 
 
-def _begin_drain(board: AgentBoard) -> None:
+def _begin_drain(board: AgentBoard, reason: str) -> None:
     if board.state is not ServerState.DRAINING:
-        _set_state(board, ServerState.DRAINING, "heartbeat")
+        _set_state(board, ServerState.DRAINING, reason)
         runorders.refuse_queued(board)
 
 
@@ -476,6 +578,8 @@
         return is_present
     if board.server is not None and is_present and not board.knows_runs:
         return True
+    if board.candidate is not None:
+        return is_present
     return board.is_renewal_blocked or any(
         run.phase is not RunPhase.QUEUED for run in board.runs.values()
     )
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -61,20 +61,25 @@
     )
 
 
-def set_time(board: EntryBoard, now_s: float, unix_s: float) -> None:
+def set_time(board: EntryBoard, now_s: float, unix_s: float) -> bool:
     """Sets the time of the event that is handled next.
 
     Args:
         board: The blackboard.
         now_s: Time on the monotonic clock.
         unix_s: Time on the wall clock.
+
+    Returns:
+        Whether the process was paused before this event.
     """
     board.now_s = now_s
     board.unix_s = unix_s
-    if now_s - board.last_tick_s > PAUSE_S:
-        logs.warning("process_paused", paused_s=now_s - board.last_tick_s)
-        board.resume_at_s = now_s + RESUME_DELAY_S
-        board.last_tick_s = now_s
+    if now_s - board.last_tick_s <= PAUSE_S:
+        return False
+    logs.warning("process_paused", paused_s=now_s - board.last_tick_s)
+    board.resume_at_s = now_s + RESUME_DELAY_S
+    board.last_tick_s = now_s
+    return True
 
 
 def is_ready(board: EntryBoard) -> bool:
@@ -133,7 +138,10 @@
             routes=len(state.routes),
             withdrawn=",".join(sorted(state.withdrawn)),
         )
-    if state.withdrawn != previous.withdrawn:
+    if (
+        state.withdrawn != previous.withdrawn
+        or state.services != previous.services
+    ):
         for view in board.agents.values():
             if view.is_connected:
                 agentviews.send_heartbeat_reply(board, view)
@@ -263,9 +271,9 @@
     for earlier in board.agents.values():
         if earlier.node != node and nodeid.node_name(earlier.node) == name:
             # An earlier process of the same agent. The backend server drops its
-            # runs when their lease expires.
-            closed_s = earlier.closed_at_s or board.now_s
-            fence_s = leaserule.fence_after_restart_s(closed_s)
+            # runs when their lease expires, which that process may have renewed
+            # until this one started, also without a link.
+            fence_s = leaserule.fence_after_restart_s(board.now_s)
             earlier.fence_s = min(earlier.fence_s, fence_s)
             earlier.is_connected = False
     view = board.agents.setdefault(node, AgentView(node))
@@ -275,6 +283,7 @@
     view.in_flight.clear()
     view.unconfirmed = frozenset(view.tasks)
     view.sent_entries = ()
+    view.sent_services = ()
     view.sent_record_offset = 0
 
 
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from egretthread import background, clock, link, logs, nodeid, routes
+from egretthread import background, clock, link, logs, nodeid, routes, util
 from egretthread.listeners import Listeners
 from egretthread.scheduling import (
     dispatch,
@@ -25,6 +25,7 @@
     EntryHello,
     JobQuestion,
     JobReply,
+    LiveRuns,
     OperatorRecord,
     ServerCrash,
 )
@@ -60,6 +61,19 @@
 UNREADY_S = 2.5
 
 
+@dataclasses.dataclass(frozen=True, eq=False)
+class Waiter:
+    """A caller that waits for the answer to a job.
+
+    Attributes:
+        caller: The caller.
+        answer: Future of the answer.
+    """
+
+    caller: Caller
+    answer: asyncio.Future
+
+
 class EntryServer:
     """One running entry.
 
@@ -73,7 +87,8 @@
         entry_links: Open links to other entries by node id.
         entry_clients: Links to other entries by address.
         unreachable_since_s: When a link to an entry was lost, by its address.
-        waiters: Futures of the callers that wait for an answer, by job id.
+        waiters: The callers that wait for an answer, by job id.
+        open_requests: Number of requests of callers that are not answered yet.
         encoded_state: Operator state in force, encoded for other entries.
         decode_state: Decodes an operator state that another entry has sent.
         is_drained: Whether jobs are no longer accepted.
@@ -118,7 +133,8 @@
         self.entry_links = routes.Routes()
         self.entry_clients: dict[str, link.LinkClient] = {}
         self.unreachable_since_s: dict[str, float] = {}
-        self.waiters: dict[str, list[asyncio.Future]] = {}
+        self.waiters: dict[str, list[Waiter]] = {}
+        self.open_requests = 0
         self.encoded_state = ""
         self.decode_state = decode_state
         self.is_drained = False
@@ -142,7 +158,7 @@
             self._spawn(background.keep_running(loop))
 
     async def drain(self) -> None:
-        """Answers all open jobs within shutdown_s and then refuses new ones.
+        """Answers all requests within shutdown_s and then refuses new jobs.
 
         Jobs that arrive meanwhile are accepted if they can end in time.
         """
@@ -152,7 +168,7 @@
         end_s = clock.monotonic_s() + grace_s
         await asyncio.sleep(min(UNREADY_S, grace_s))
         while (
-            self.waiters or self.board.forwarding.received
+            self.open_requests or self.board.forwarding.received
         ) and clock.monotonic_s() < end_s:
             await asyncio.sleep(TICK_S)
         self.is_drained = True
@@ -180,7 +196,10 @@
         """
         end_s = self.board.started_s + waitingload.STARTUP_S
         while not self.board.operator_state.is_configured:
-            if clock.monotonic_s() >= end_s or caller.has_left():
+            now_s = clock.monotonic_s()
+            if now_s >= end_s or caller.left_s(now_s) <= 0:
+                return False
+            if caller.has_left():
                 return False
             await asyncio.sleep(TICK_S)
         return True
@@ -204,24 +223,41 @@
             logs.info("caller_left", job=spec.job, route=route.name)
             waiter.set_result(Answer(spec.job, Outcome.REFUSED, "caller left"))
             return waiter
-        self.waiters.setdefault(spec.job, []).append(waiter)
-        refusal = entryengine.submit(
-            self.board, spec, route, caller.wait_limit_s
-        )
+        self.waiters.setdefault(spec.job, []).append(Waiter(caller, waiter))
+        left_s = caller.left_s(self.board.now_s)
+        refusal = entryengine.submit(self.board, spec, route, left_s)
         if refusal is not None:
             self.board.answers.append(refusal)
         self._process_output()
         return waiter
 
-    def remove_waiter(self, job: str, waiter: asyncio.Future) -> None:
+    def remove_waiter(self, job: str, answer: asyncio.Future) -> None:
         """Removes a caller that left; cancels the job after the last one."""
         waiters = self.waiters.get(job, [])
-        if waiter in waiters:
-            waiters.remove(waiter)
+        waiters[:] = [each for each in waiters if each.answer is not answer]
         if not waiters:
             self.waiters.pop(job, None)
             self.cancel(job, "caller left")
 
+    def _remove_left(self) -> None:
+        """Removes the callers that left while the process was paused.
+
+        The ends of their connections have not been read yet, and their jobs
+        may have been submitted to other entries since.
+        """
+        left = [
+            (job, waiter)
+            for job, waiters in self.waiters.items()
+            for waiter in waiters
+            if waiter.caller.has_left()
+        ]
+        for job, waiter in left:
+            if not waiter.answer.done():
+                waiter.answer.set_result(
+                    Answer(job, Outcome.CANCELLED, "caller left")
+                )
+            self.remove_waiter(job, waiter.answer)
+
     def cancel(self, job: str, reason: str) -> None:
         """Cancels a job."""
         self._update_time()
@@ -256,6 +292,10 @@
             keptjobs.release(self.board, partition.number, reason)
         self._process_output()
 
+    def begin_epoch(self, partition: Partition) -> None:
+        """Begins a new epoch of a partition before it is loaded."""
+        keptjobs.begin_epoch(self.board, partition)
+
     def load_partition(
         self,
         partition: Partition,
@@ -267,7 +307,7 @@
         keptjobs.on_loaded(
             self.board,
             partition.number,
-            partition.generation,
+            partition.epoch,
             submissions,
             progress,
         )
@@ -279,7 +319,7 @@
         """Adds a job whose submission was read from the log."""
         self._update_time()
         keptjobs.on_submitted(
-            self.board, partition.number, partition.generation, submission
+            self.board, partition.number, partition.epoch, submission
         )
         dispatch.dispatch_waiting(self.board)
         self._process_output()
@@ -288,7 +328,7 @@
         """Cancels a job whose cancellation was read from the log."""
         self._update_time()
         keptjobs.on_cancelled(
-            self.board, partition.number, partition.generation, job
+            self.board, partition.number, partition.epoch, job
         )
         self._process_output()
 
@@ -395,7 +435,11 @@
 
     def _update_time(self) -> None:
         """Sets the time of the event that is handled next."""
-        entryengine.set_time(self.board, clock.monotonic_s(), clock.unix_s())
+        was_paused = entryengine.set_time(
+            self.board, clock.monotonic_s(), clock.unix_s()
+        )
+        if was_paused:
+            self._remove_left()
 
     def _process_output(self) -> None:
         """Sends the queued messages and answers."""
@@ -405,8 +449,8 @@
         answers, self.board.answers = self.board.answers, []
         for answer in answers:
             for waiter in self.waiters.pop(answer.job, ()):
-                if not waiter.done():
-                    waiter.set_result(answer)
+                if not waiter.answer.done():
+                    waiter.answer.set_result(answer)
         relays, self.board.relays = self.board.relays, []
         for crash in relays:
             self._send_to_entries(crash)
@@ -437,6 +481,11 @@
                 and peer.role == "entry"
             ):
                 forwardedjobs.on_message(self.board, peer.node, incoming)
+            elif isinstance(
+                incoming, LiveRuns
+            ) and not self.agent_links.is_newest(peer):
+                # It tells nothing of runs ordered since, over either link.
+                logs.info("live_runs_outdated", agent=peer.node)
             else:
                 entryengine.on_message(self.board, peer.node, incoming)
         self._process_output()
@@ -465,8 +514,18 @@
     def _on_operator_record(self, peer, record: OperatorRecord) -> None:
         if record.offset <= self.board.operator_state.offset:
             return
+        try:
+            state = self.decode_state(record.text)
+        except util.EgretthreadError as error:
+            logs.error(
+                "operators_relay_malformed",
+                offset=record.offset,
+                peer=peer.node,
+                error=error,
+            )
+            return
         logs.info("operators_relayed", offset=record.offset, peer=peer.node)
-        self.apply_operators(self.decode_state(record.text), record.text)
+        self.apply_operators(state, record.text)
 
     def _on_open(self, peer: link.Peer) -> None:
         if peer.role != "agent":
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -5,11 +5,13 @@
 
 from egretthread import clock, logs
 from egretthread.scheduling import jobrecord
+from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.jobrecord import JobState, Progress, Submission
 from egretthread.scheduling.keptboard import Partition, ProgressBatch
 from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.storecall import (
+    POLL_WAIT_S,
     AppendOrderError,
     FencedError,
     HistoryGoneError,
@@ -19,6 +21,7 @@
     StoreRefusedError,
     StoreUnavailableError,
     Writer,
+    retry_delay_s,
 )
 
 # Topic of submissions and cancellations by job, which the coordinator of a
@@ -35,15 +38,14 @@
 JOIN_INTERVAL_S = 0.6
 # A coordinator stops this much earlier than the store may reassign a partition.
 TTL_MARGIN_S = 0.2
-# Maximum duration of a long poll for the submissions of a partition.
-POLL_S = 3.0
-# Backoff after a failed call; doubles up to MAX_RETRY_S.
+# Delay before an append or a call to join is repeated after a failure.
 RETRY_S = 0.1
-MAX_RETRY_S = 1.0
 # Share of the store's write rate that the job logs of all entries may use.
 WRITE_SHARE = 0.7
 # Maximum number of records of a partition that wait to be appended.
 MAX_PENDING = 2000
+# Part of the time that a caller waits, reserved for sending the response.
+RESPONSE_MARGIN_S = 0.1
 # Maximum number of records in one append.
 MAX_APPEND_RECORDS = 200
 
@@ -73,10 +75,9 @@
         writes_per_s: Write rate that the store accepts from all processes.
         generation: Last generation of the group that the store has returned.
         pending: Records to be appended, by partition.
+        open_writes: Futures of the records that are not stored yet.
         appending: Partitions with an append in progress.
         writing: Partitions whose progress is being written.
-        append_numbers: Sequence number of the last append of progress, by
-            partition.
         tasks: Background tasks, which are cancelled when the log is closed.
         join_task: The background task that keeps the membership in the group.
     """
@@ -90,9 +91,9 @@
         self.writes_per_s = settings.store_writes_per_s
         self.generation = 0
         self.pending: dict[int, list[_PendingRecord]] = {}
+        self.open_writes: set[asyncio.Future] = set()
         self.appending: set[int] = set()
         self.writing: set[int] = set()
-        self.append_numbers: dict[int, int] = {}
         self.tasks: set[asyncio.Task] = set()
         self.join_task: asyncio.Task | None = None
         server.board.kept.partition_count = self.partition_count
@@ -121,6 +122,14 @@
         except StoreUnavailableError as error:
             logs.info("group_not_left", error=error.message)
 
+    def give_up(self) -> None:
+        """Fails the writes that are not stored, as the entry exits."""
+        for pending in self.open_writes:
+            error = StoreUnavailableError(
+                "the entry is shutting down", "repeat the request"
+            )
+            _fail(pending, error)
+
     def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
@@ -132,22 +141,35 @@
         if not task.cancelled() and task.exception():
             logs.error("job_log_failed", error=repr(task.exception()))
 
-    async def submit(self, submission: Submission) -> None:
+    async def submit(self, submission: Submission, caller: Caller) -> None:
         """Stores a submission and returns once it is stored.
 
+        Args:
+            submission: The submission.
+            caller: The caller that waits for it.
+
         Raises:
             StoreRefusedError: The submission is not stored and will not be.
+            StoreUnavailableError: It may be stored, or may be later.
+            TimeoutError: The same.
         """
         value = jobrecord.encode_submission(submission)
-        await self._append(Record(submission.spec.job, value))
+        await self._append(Record(submission.spec.job, value), caller)
 
-    async def cancel(self, job: str) -> None:
+    async def cancel(self, job: str, caller: Caller) -> None:
         """Stores a cancellation of a job and returns once it is stored.
 
+        Args:
+            job: The job.
+            caller: The caller that waits for it.
+
         Raises:
             StoreRefusedError: The cancellation is not stored and will not be.
+            StoreUnavailableError: It may be stored, or may be later.
+            TimeoutError: The same.
         """
-        await self._append(Record(job + jobrecord.CANCEL_SUFFIX, b"1"))
+        record = Record(job + jobrecord.CANCEL_SUFFIX, b"1")
+        await self._append(record, caller)
 
     async def state(self, job: str) -> str:
         """Returns the stored state of a job; empty when there is no such job.
@@ -163,8 +185,14 @@
             return JobState.QUEUED.value
         return ""
 
-    async def _append(self, record: Record) -> None:
+    async def _append(self, record: Record, caller: Caller) -> None:
         """Queues a record to be appended and returns once it is stored."""
+        left_s = caller.left_s(clock.monotonic_s()) - RESPONSE_MARGIN_S
+        if left_s <= 0 or caller.has_left():
+            raise StoreRefusedError(
+                "the caller no longer waits",
+                "repeat the request, with a longer wait limit",
+            )
         job = record.key.removesuffix(jobrecord.CANCEL_SUFFIX)
         partition = jobrecord.partition_of(job, self.partition_count)
         queue = self.pending.setdefault(partition, [])
@@ -174,11 +202,14 @@
                 "submit the job again later",
             )
         stored = asyncio.get_running_loop().create_future()
+        self.open_writes.add(stored)
+        stored.add_done_callback(self.open_writes.discard)
         queue.append(_PendingRecord(record, stored))
         if partition not in self.appending:
             self.appending.add(partition)
             self._spawn(self._append_loop(partition))
-        await stored
+        async with asyncio.timeout(left_s):
+            await stored
 
     async def _append_loop(self, partition: int) -> None:
         """Appends the pending records of a partition in batches."""
@@ -258,19 +289,27 @@
                 sent_s + TTL_S - TTL_MARGIN_S,
             )
             for partition in new_partitions:
-                self._spawn(self._coordinate(partition))
+                self._spawn(self._hold(partition))
             await asyncio.sleep(JOIN_INTERVAL_S)
 
+    async def _hold(self, partition: Partition) -> None:
+        """Coordinates a partition; an error releases it to be taken anew."""
+        try:
+            await self._coordinate(partition)
+        finally:
+            self.server.release_partition(partition, "no longer coordinated")
+
     async def _coordinate(self, partition: Partition) -> None:
         """Loads the jobs of a partition, then follows new records."""
-        backoff_s = RETRY_S
+        failures = 0
         offset = None
         while self.server.is_coordinator(partition):
             try:
                 if offset is None:
                     offset = await self._load(partition)
                 else:
-                    offset = await self._follow(partition, offset)
+                    wait_s = 0.0 if failures else POLL_WAIT_S
+                    offset = await self._follow(partition, offset, wait_s)
             except FencedError as error:
                 self.server.release_partition(partition, error.message)
                 return
@@ -281,21 +320,24 @@
                     offset=offset,
                 )
                 offset = None
-            except StoreUnavailableError as error:
+            except (StoreUnavailableError, AppendOrderError) as error:
                 logs.info("jobs_not_read", part=partition.number, error=error)
-                await asyncio.sleep(backoff_s)
-                backoff_s = min(MAX_RETRY_S, 2 * backoff_s)
+                failures += 1
+                await asyncio.sleep(retry_delay_s(failures, error))
                 continue
-            backoff_s = RETRY_S
+            failures = 0
 
     async def _load(self, partition: Partition) -> int:
         """Loads the newest records; returns the offset to follow from."""
         if not partition.is_loaded:
-            # This append makes the store fence off all earlier coordinators.
+            # This append makes the store fence off all earlier coordinators,
+            # and what this one has sent before it lost the partition. Each
+            # attempt has an epoch of its own: an earlier one may be applied
+            # late.
+            self.server.begin_epoch(partition)
             await self.store.append(
-                PROGRESS, partition.number, (), Writer(partition.generation, 0)
+                PROGRESS, partition.number, (), Writer(partition.epoch, 0)
             )
-            self.append_numbers[partition.number] = 0
         progress = await self.store.newest(PROGRESS, partition.number)
         batch = await self.store.newest(JOBS, partition.number)
         self.server.load_partition(
@@ -310,9 +352,17 @@
         self._apply_cancellations(partition, batch.records)
         return batch.end
 
-    async def _follow(self, partition: Partition, offset: int) -> int:
-        """Waits for new records; returns the offset to follow from."""
-        batch = await self.store.read(JOBS, offset, POLL_S, partition.number)
+    async def _follow(
+        self, partition: Partition, offset: int, wait_s: float
+    ) -> int:
+        """Applies new records; returns the offset to follow from.
+
+        Args:
+            partition: The partition.
+            offset: Offset of the next record to read.
+            wait_s: How long to wait for a record if there is none yet.
+        """
+        batch = await self.store.read(JOBS, offset, wait_s, partition.number)
         for record in batch.records:
             submission = _decode_submission(record)
             if submission is not None:
@@ -347,9 +397,8 @@
 
     async def _write(self, batch: ProgressBatch) -> None:
         """Writes a batch, with retries, unless the partition is released."""
-        writer = Writer(
-            batch.generation, self.append_numbers[batch.partition] + 1
-        )
+        partition = self.server.board.kept.partitions[batch.partition]
+        writer = Writer(batch.epoch, partition.last_append + 1)
         dropped_ids = [
             j for j, value in batch.progress.items() if value is None
         ]
@@ -357,8 +406,7 @@
             Record(job, value and jobrecord.encode_progress(value))
             for job, value in batch.progress.items()
         ]
-        partition = self.server.board.kept.partitions.get(batch.partition)
-        while partition is not None and self.server.is_coordinator(partition):
+        while self.server.is_coordinator(partition):
             try:
                 if dropped_ids:
                     # The submissions are deleted first. Without its progress a
@@ -376,7 +424,7 @@
             except AppendOrderError as error:
                 logs.warning("progress_renumbered", expected=error.expected)
                 if error.expected != writer.number + 1:
-                    writer = Writer(batch.generation, error.expected)
+                    writer = Writer(batch.epoch, error.expected)
                     continue
                 # An earlier attempt was applied although it was not answered.
             except StoreUnavailableError as error:
@@ -388,7 +436,7 @@
                 )
                 await asyncio.sleep(RETRY_S)
                 continue
-            self.append_numbers[batch.partition] = writer.number
+            partition.last_append = writer.number
             self.server.on_written(batch)
             return
 
--- a/egretthread_standins/soak/__main__.py
+++ b/egretthread_standins/soak/__main__.py
@@ -4,13 +4,17 @@
 import asyncio
 import pathlib
 import random
+import signal
 import sys
 
 from egretthread_standins.soak import disturbances, runner
 
+EXIT_TERMINATED = 2
+
 
 def main() -> None:
     """Plays runs with one seed each; exits with 1 if a rule was broken."""
+    known = {*disturbances.ACTIONS, runner.KEPT_JOBS}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, help="first seed; drawn if missing")
     parser.add_argument("--runs", type=int, default=1)
@@ -20,19 +24,21 @@
     parser.add_argument(
         "--without",
         default="",
-        help="disturbances left out, separated by commas, of "
-        + ", ".join(sorted(disturbances.ACTIONS)),
+        help="what is left out, separated by commas, of "
+        + ", ".join(sorted(known)),
     )
     parser.add_argument(
         "--folder", type=pathlib.Path, default=pathlib.Path("build/soak")
     )
     arguments = parser.parse_args()
     without = frozenset(filter(None, arguments.without.split(",")))
-    if without - disturbances.ACTIONS.keys():
+    if without - known:
         parser.error(f"--without: unknown disturbances {without}")
     first = arguments.seed
     if first is None:
         first = random.randrange(1_000_000)
+    # Ends the programs that were started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     failed = []
     for seed in range(first, first + arguments.runs):
         settings = runner.SoakSettings(
--- a/egretthread_standins/soak/callers.py
+++ b/egretthread_standins/soak/callers.py
@@ -13,9 +13,11 @@
 LEAVER_SHARE = 0.2
 TWO_STEPS_SHARE = 0.35
 CANCEL_SHARE = 0.1
+REPEAT_SHARE = 0.1
 ATTEMPTS = 3
-WATCH_S = 0.15
-WATCHED = 4
+WATCH_S = 0.25
+WATCHED = 3
+SUBMIT_SHARE = 0.1
 UNKNOWN_SHARE = 0.03
 # Statuses after which a job may be submitted again.
 UNKNOWN = (0, 502, 504)
@@ -81,13 +83,32 @@
     return 1.5 if draw < 0.05 else 0.05 + 0.5 * draw
 
 
+def describe(job: str, entry: str, table: dict) -> dict:
+    """Returns the fields of events about a submission."""
+    return {
+        "job": job,
+        "entry": entry,
+        "kept": not table.get("best_effort", False),
+        "steps": [
+            (step["count"], step.get("after", [])) for step in table["steps"]
+        ],
+    }
+
+
 class Submitter(Caller):
-    """Submits one job after the other until it is told to stop."""
+    """Submits one job after the other until it is told to stop.
 
-    def __init__(self, site: sites.Site, seed: int):
+    Attributes:
+        kept_share: Share of the jobs that are kept.
+        stopped: Whether it has been told to stop.
+    """
+
+    def __init__(
+        self, site: sites.Site, seed: int, kept_share: float = KEPT_SHARE
+    ):
         super().__init__(site, seed)
+        self.kept_share = kept_share
         self.stopped = False
-        self.open_jobs: set[str] = set()
 
     async def run(self) -> None:
         """Submits jobs."""
@@ -100,7 +121,7 @@
         table = sites.job(
             rng.choice((1, 2, 2, 4)),
             300,
-            kept=rng.random() < KEPT_SHARE,
+            kept=rng.random() < self.kept_share,
         )
         table["task_spec"] = f"match {job}"
         if rng.random() < TWO_STEPS_SHARE:
@@ -122,29 +143,8 @@
             if is_leaver and attempt == 0:
                 patience_s = rng.uniform(0.02, patience_s)
             entry = entries[attempt % len(entries)]
-            sent_s, status, body = await self.request(
-                entry,
-                "POST",
-                sites.PREFIX + job,
-                patience_s,
-                table,
-                deadline_ms,
-            )
-            self.site.log(
-                "caller",
-                "POST",
-                job=job,
-                entry=entry,
-                sent=sent_s,
-                status=status,
-                state=body.get("state", ""),
-                kept=kept,
-                attempt=attempt,
-                left=is_leaver and attempt == 0 and status == 0,
-                steps=[
-                    (step["count"], step.get("after", []))
-                    for step in table["steps"]
-                ],
+            status = await self._post(
+                job, table, entry, patience_s, deadline_ms, attempt
             )
             if status not in UNKNOWN:
                 break
@@ -154,9 +154,43 @@
             await asyncio.sleep(delay_s)
         if kept and status == 200:
             await self._follow(job, entries)
+            if rng.random() < REPEAT_SHARE:
+                await self._post(job, table, entries[0], 1.7, 1500, ATTEMPTS)
         if rng.random() < UNKNOWN_SHARE:
             await self.ask(f"{rng.getrandbits(64):016x}", rng.choice(entries))
 
+    async def _post(
+        self,
+        job: str,
+        table: dict,
+        entry: str,
+        patience_s: float,
+        deadline_ms: int,
+        attempt: int,
+    ) -> int:
+        """Submits a job once and returns the status of the answer."""
+        fields = describe(job, entry, table)
+        self.site.log("caller", "submits", **fields)
+        sent_s, status, body = await self.request(
+            entry,
+            "POST",
+            sites.PREFIX + job,
+            patience_s,
+            table,
+            deadline_ms,
+        )
+        self.site.log(
+            "caller",
+            "POST",
+            sent=sent_s,
+            status=status,
+            state=body.get("state", ""),
+            attempt=attempt,
+            patience=patience_s,
+            **fields,
+        )
+        return status
+
     async def _follow(self, job: str, entries: list[str]) -> None:
         """Asks for the state of a kept job and cancels some."""
         rng = self.rng
@@ -219,23 +253,45 @@
                 after = set(event.fields["prefixes"])
                 changed += sorted(before ^ after)
                 before = after
-        return [*dict.fromkeys(changed[-WATCHED:]), sites.PREFIX, "/never/"]
+        others = (sites.PREFIX, "/never/")
+        return [*dict.fromkeys(changed[-WATCHED:]), self.rng.choice(others)]
 
     async def _ask(self, prefix: str) -> None:
+        job, table, method = "", None, "GET"
+        if prefix != sites.PREFIX and self.rng.random() < SUBMIT_SHARE:
+            job, method = f"{self.rng.getrandbits(64):016x}", "POST"
+            table = sites.job(1, 100, kept=False)
+            table["task_spec"] = f"match {job}"
+            self.site.log(
+                "caller", "submits", **describe(job, self.entry, table)
+            )
         pid = self.site.processes[self.entry].pid
         sent_s, status, body = await self.request(
-            self.entry, "GET", prefix, 1.7, is_new=self.is_new
+            self.entry, method, prefix + job, 1.7, table, is_new=self.is_new
         )
+        fields = {
+            "prefix": prefix,
+            "sent": sent_s,
+            "status": status,
+            "connection": "new" if self.is_new else "kept-open",
+            "pid": pid,
+        }
         if pid != self.site.processes[self.entry].pid:
-            return
-        self.site.log(
-            "caller",
-            "GET queue",
-            prefix=prefix,
-            entry=self.entry,
-            pid=pid,
-            sent=sent_s,
-            status=status,
-            pending=body.get("pending_jobs", -1),
-            connection="new" if self.is_new else "kept-open",
-        )
+            # It may have been answered by either process.
+            fields["pid"] = 0
+        if job:
+            self.site.log(
+                "caller",
+                "POST",
+                state=body.get("state", ""),
+                **fields,
+                **describe(job, self.entry, table),
+            )
+        else:
+            self.site.log(
+                "caller",
+                "GET queue",
+                entry=self.entry,
+                pending=body.get("pending_jobs", -1),
+                **fields,
+            )
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -25,6 +25,8 @@
 from tests.scheduling.fakeserver import FakeServer
 
 PARTITIONS = 12
+# Appends of a partition whose repetition is recognised.
+REMEMBERED_APPENDS = 5
 # Records in one page of the newest records of a partition.
 PAGE_RECORDS = 3
 CONFIG = {
@@ -67,16 +69,19 @@
             `silent` neither executes nor answers them; `lost` executes them
             and does not answer; `garbage` answers with a body that is none.
         garbage_count: Number of such answers.
+        append_delay_s: Time until an append that was executed is answered.
         records: Records by topic and partition.
         first: Offset of the first record that has not been deleted.
-        epochs: Epoch and sequence number of the last fenced append.
+        epochs: Epoch and sequence numbers of the last fenced appends.
         members: Time at which each member of the group last joined.
         generation: Number of changes of the group's membership.
+        streams: Connections on which a request has arrived.
     """
 
     def __init__(self):
         self.mode = ""
         self.garbage_count = 0
+        self.append_delay_s = 0.0
         self.records = collections.defaultdict(list)
         self.first = collections.defaultdict(int)
         self.epochs = {}
@@ -84,6 +89,7 @@
         self.generation = 0
         self.changed = asyncio.Event()
         self.calls = collections.Counter()
+        self.streams = set()
         self.http, self.address = listen(
             [
                 (r"/log-(append|read|newest)", StoreHandler, {"store": self}),
@@ -105,6 +111,18 @@
         """Deletes all records except the newest one of each key."""
         self.first[topic, partition] = len(self.records[topic, partition])
 
+    async def fill(self, client):
+        """Makes a client keep many idle connections."""
+        calls = [client.newest("other") for _ in range(30)]
+        reads = [client.read("other", 0, 0.1) for _ in range(30)]
+        await asyncio.gather(*calls, *reads)
+
+    def mute(self):
+        """Makes the open connections silent for good; new ones work."""
+        for stream in self.streams:
+            stream.write = lambda data: asyncio.Future()
+        self.streams.clear()
+
     def newest(self, topic, partition=0):
         found = {}
         for offset, record in enumerate(self.records[topic, partition]):
@@ -113,20 +131,24 @@
                 found[record.key] = (offset, record.value)
         return found
 
-    def check_order(self, topic, partition, epoch, number, is_empty):
+    def check_order(self, topic, partition, epoch, number):
         """Checks the epoch and sequence number of an append.
 
         Returns:
-            The body of a refusal, "done" for a duplicate, or None.
+            The body of a refusal, "done" for a repeat of one of the last
+            appends of the epoch, or None.
         """
-        last = self.epochs.get((topic, partition), (0, 0))
-        if epoch < last[0]:
+        last_epoch, numbers = self.epochs.get((topic, partition), (0, [0]))
+        if epoch < last_epoch:
             return {"reason": "fenced"}
-        if epoch == last[0] and number == last[1] and not is_empty:
+        if epoch > last_epoch:
+            numbers = []
+        elif number in numbers:
             return "done"
-        if epoch == last[0] and number != last[1] + 1:
-            return {"reason": "seq", "sequence": last[1] + 1}
-        self.epochs[topic, partition] = (epoch, number)
+        elif number != numbers[-1] + 1:
+            return {"reason": "seq", "sequence": numbers[-1] + 1}
+        remembered = [*numbers, number][-REMEMBERED_APPENDS:]
+        self.epochs[topic, partition] = (epoch, remembered)
         return None
 
     def partitions_of(self, member):
@@ -149,6 +171,7 @@
 
     async def prepare(self):
         self.store.calls[self.request.path] += 1
+        self.store.streams.add(self.request.connection.stream)
         if self.store.mode == "garbage":
             self.store.garbage_count += 1
             self.finish((b"[]", b"{", b"{}")[self.store.garbage_count % 3])
@@ -204,6 +227,7 @@
                 {"items": page, "has_more": has_more, "end_offset": end}
             )
             return
+        self.store.calls["read", *key] += 1
         offset = int(self.get_argument("from"))
         wait_s = int(self.get_argument("wait_ms", "0")) / 1000
         if offset < self.store.first[key]:
@@ -233,7 +257,7 @@
         if epoch:
             number = int(self.get_argument("sequence"))
             refusal = self.store.check_order(
-                topic, partition, int(epoch), number, not body
+                topic, partition, int(epoch), number
             )
             if isinstance(refusal, dict):
                 self.set_status(409)
@@ -243,6 +267,7 @@
                 body = b""
         for record in decode_batch(READ_HEADER.pack(0, 0) + body, 0).records:
             self.store.write(topic, record, partition)
+        await asyncio.sleep(self.store.append_delay_s)
         await self.answer({"offset": 0, "end_offset": 0})
 
 
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -7,11 +7,15 @@
 
 from egretthread import metrics
 from egretthread.platform import entryprogram
-from egretthread.scheduling import joblog
-from tests.platform import test_path
+from egretthread.scheduling import entryserver, joblog, jobrecord
+from egretthread.scheduling.storecall import Record
+from tests.platform import fakes, test_path
 from tests.platform.test_operators import until
 
 KEPT = {**test_path.JOB, "best_effort": False}
+# Time after a cancellation, and after a disruption, within which no task of the
+# job is started any more.
+CANCEL_S = 3.0
 
 
 class TestJobLog(testtools.TestCase):
@@ -110,6 +114,45 @@
 
         self.run_scenario(scenario)
 
+    # Guards against a coordinator that loses its partitions and stops its runs
+    # since one silent connection after the other delays its calls to the group.
+    def test_silent_connections_do_not_stop_runs(self):
+        async def scenario(cluster):
+            cluster.backend.server.work_s = lambda name: 20.0
+            await cluster.submit(1, KEPT)
+            await until(lambda: len(cluster.backend.server.runs) == 4)
+            await cluster.store.fill(cluster.entry.store)
+            cluster.store.mute()
+            await asyncio.sleep(joblog.TTL_S + 1.0)
+            self.assertEqual(4, len(cluster.backend.server.runs))
+            self.assertEqual([], cluster.backend.server.history)
+
+        self.run_scenario(scenario)
+
+    # Guards against a cancellation that is acknowledged by another entry and
+    # read too late, as the connections to the store have gone silent.
+    def test_a_cancellation_is_applied_after_all_connections_went_silent(self):
+        async def scenario(cluster):
+            store = cluster.store
+            cluster.backend.server.work_s = lambda name: 20.0
+            job = f"{1:016x}"
+            await cluster.submit(1, KEPT)
+            await until(lambda: cluster.backend.server.runs)
+            number = jobrecord.partition_of(job, fakes.PARTITIONS)
+            poll = "read", joblog.JOBS, number
+            await cluster.store.fill(cluster.entry.store)
+            count = store.calls[poll]
+            await until(lambda: store.calls[poll] > count)
+            store.mute()
+            silent_s = asyncio.get_running_loop().time()
+            key = job + jobrecord.CANCEL_SUFFIX
+            store.write(joblog.JOBS, Record(key, b"1"), number)
+            await until(lambda: not cluster.backend.server.runs, 20.0)
+            took_s = asyncio.get_running_loop().time() - silent_s
+            self.assertLess(took_s, CANCEL_S)
+
+        self.run_scenario(scenario)
+
     def test_a_cancelled_job_is_stopped(self):
         async def scenario(cluster):
             cluster.backend.server.work_s = lambda name: 8.0
@@ -126,6 +169,117 @@
 
         self.run_scenario(scenario)
 
+    def ids(self, count):
+        """Returns numbers of jobs that belong to the same partition."""
+        numbers = [
+            number
+            for number in range(1, 1000)
+            if jobrecord.partition_of(f"{number:016x}", fakes.PARTITIONS) == 0
+        ]
+        return numbers[:count]
+
+    async def complete(self, cluster, number):
+        self.assertEqual(200, (await cluster.submit(number, KEPT))[0])
+        await self.wait_for(cluster, number, "completed")
+
+    async def lose_partitions(self, cluster):
+        """Keeps the store out until the entry has lost its partitions."""
+        generation = cluster.store.generation
+        kept = cluster.entry.server.board.kept
+        cluster.store.mode = "busy"
+        await until(lambda: not kept.partitions)
+        cluster.store.mode = ""
+        await until(lambda: kept.partitions)
+        self.assertEqual(generation, cluster.store.generation)
+
+    async def restart_entry(self, cluster):
+        await cluster.entry.close()
+        cluster.entry = entryprogram.Entry(cluster.entry.settings)
+        await cluster.entry.start()
+
+    # Guards against TWICE: appends after a loss of the partition repeated the
+    # numbers of those before it, and the store took them for repetitions.
+    def test_progress_is_stored_after_a_loss_in_the_same_generation(self):
+        async def scenario(cluster):
+            before, after = self.ids(2)
+            await self.complete(cluster, before)
+            await self.lose_partitions(cluster)
+            await self.complete(cluster, after)
+            await self.restart_entry(cluster)
+            for number in (before, after):
+                await self.wait_for(cluster, number, "completed")
+            await asyncio.sleep(3.0)
+            self.assertEqual(8, self.run_count(cluster))
+
+        self.run_scenario(scenario)
+
+    # Guards against LOST: an append refused for its number left the partition
+    # assigned and never loaded.
+    def test_a_partition_is_loaded_after_a_loss_in_the_same_generation(self):
+        async def scenario(cluster):
+            *before, after = self.ids(2 * fakes.REMEMBERED_APPENDS)
+            for number in before:
+                await self.complete(cluster, number)
+            await self.lose_partitions(cluster)
+            await self.complete(cluster, after)
+
+        self.run_scenario(scenario)
+
+    # Guards against TWICE: records that were read before a loss of the
+    # partition were added after it, without the progress of their jobs.
+    def test_records_read_before_a_loss_are_not_added_after_it(self):
+        async def scenario(cluster):
+            (number,) = self.ids(1)
+            await self.complete(cluster, number)
+            server = cluster.entry.server
+            partition = server.board.kept.partitions[0]
+            submission = partition.jobs[f"{number:016x}"].submission
+            # The partition is assigned again some time before it is loaded.
+            cluster.store.append_delay_s = 0.5
+            server.release_partition(partition, "test")
+            await until(lambda: 0 in server.board.kept.partitions)
+            server.add_submission(partition, submission)
+            self.assertEqual({}, server.board.kept.partitions[0].jobs)
+            cluster.store.append_delay_s = 0.0
+            await self.wait_for(cluster, number, "completed")
+            self.assertEqual(4, self.run_count(cluster))
+
+        self.run_scenario(scenario)
+
+    # Guards against LOST: a shutdown closed the connections of callers whose
+    # jobs were being stored.
+    def test_a_shutdown_waits_until_jobs_are_stored(self):
+        self.patch(entryserver, "UNREADY_S", 0.2)
+
+        async def scenario(cluster):
+            cluster.store.append_delay_s = 0.7
+            stored = asyncio.create_task(cluster.submit(1, KEPT))
+            await until(lambda: cluster.entry.log.appending)
+            await cluster.entry.close()
+            self.assertEqual(200, (await stored)[0])
+            cluster.store.append_delay_s = 0.0
+            await cluster.entry.start()
+
+        self.run_scenario(scenario)
+
+    # Guards against LOST: the same, when the store does not answer in time.
+    def test_a_shutdown_answers_for_jobs_that_are_not_stored(self):
+        self.patch(entryserver, "UNREADY_S", 0.2)
+
+        async def scenario(cluster):
+            cluster.store.mode = "silent"
+            host, _, port = cluster.callers.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(test_path.request(1, KEPT, deadline_ms=9000))
+            await until(lambda: cluster.entry.log.appending)
+            await cluster.entry.close()
+            self.assertIn(b"504", await reader.readline())
+            writer.close()
+            cluster.store.mode = ""
+            await cluster.entry.start()
+
+        self.run_scenario(scenario)
+
     def test_malformed_records_are_ignored(self):
         async def scenario(cluster):
             await cluster.submit(1, KEPT)
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -11,6 +11,9 @@
 from tests.platform import fakes
 
 CONFIG = json.dumps(fakes.CONFIG).encode()
+# Time after a disruption of the store within which a configuration that was
+# published before its end has to be in force.
+CONTACT_S = 3.0
 
 
 class TestDecode(testtools.TestCase):
@@ -22,6 +25,18 @@
         self.assertEqual(1.5, route.timeout_s)
         self.assertEqual(10_000, state.limits.max_body_bytes)
 
+    def test_services_of_the_configuration_and_of_its_routes_are_named(self):
+        table = {**fakes.CONFIG, "services": [{"name": "spare"}]}
+        state = operators.decode({"config": json.dumps(table).encode()}, 5)
+        self.assertEqual(("match", "spare"), state.services)
+
+    def test_services_that_can_not_be_read_are_not_known(self):
+        for services in ({}, "match", [3], [{}], [{"name": ""}], [None]):
+            table = {**fakes.CONFIG, "services": services}
+            state = operators.decode({"config": json.dumps(table).encode()}, 5)
+            self.assertEqual((), state.services)
+            self.assertEqual(1, len(state.routes))
+
     def test_withdrawn_zones_need_no_configuration(self):
         state = operators.decode({"evacuate/a": b"{}"}, 1)
         self.assertFalse(state.is_configured)
@@ -47,6 +62,20 @@
             operators.decode(values, 9), operators.decode_relay(text)
         )
 
+    def test_a_malformed_relay_is_an_error(self):
+        for text in (
+            "",
+            "[]",
+            '{"offset": 3}',
+            '{"offset": 3, "values": []}',
+            '{"offset": 3, "values": {"config": 5}}',
+            '{"offset": 3, "values": {"config": "x"}}',
+            '{"offset": "3", "values": {}}',
+            operators.encode_relay({"config": b"{"}, 3),
+        ):
+            with self.assertRaises(bodies.BodyError):
+                operators.decode_relay(text)
+
 
 async def until(condition, limit_s=5.0):
     async with asyncio.timeout(limit_s):
@@ -174,3 +203,66 @@
             self.assertEqual({before.version}, versions)
 
         self.run_scenario(scenario)
+
+
+class TestSilence(testtools.TestCase):
+    """A confirmed configuration that is not in force in time."""
+
+    def delay_after(self, disrupt):
+        """Returns how long a configuration takes after a disruption.
+
+        Args:
+            disrupt: Coroutine function that disrupts the store of a fixture
+                and returns at the end of the disruption.
+        """
+
+        async def scenario():
+            async with FeedFixture() as fixture:
+                await until(lambda: fixture.states)
+                await fixture.fake.fill(fixture.store)
+                loop = asyncio.get_running_loop()
+                await disrupt(fixture.fake)
+                end_s = loop.time()
+                fixture.fake.put(
+                    operators.TOPIC, "config", {**fakes.CONFIG, "version": 8}
+                )
+                await until(lambda: fixture.states[-1].version == 8, 20.0)
+                return loop.time() - end_s
+
+        return asyncio.run(scenario())
+
+    async def next_read(self, fake):
+        """Waits until the next read arrives at the store."""
+        count = fake.calls["/log-read"]
+        await until(lambda: fake.calls["/log-read"] > count)
+
+    # Guards against a read that is waited on for longer than the time in which
+    # a configuration has to be in force.
+    def test_a_configuration_is_in_force_after_all_connections_went_silent(
+        self,
+    ):
+        async def disrupt(fake):
+            await self.next_read(fake)
+            fake.mute()
+
+        self.assertLess(self.delay_after(disrupt), CONTACT_S)
+
+    # Guards against a long poll of a store that is out, and a long wait after
+    # it, which delay a configuration once the store is back.
+    def test_a_configuration_is_in_force_after_a_silent_store_is_back(self):
+        async def disrupt(fake):
+            fake.mode = "silent"
+            for _ in range(4):
+                await self.next_read(fake)
+            fake.mode = ""
+
+        self.assertLess(self.delay_after(disrupt), CONTACT_S)
+
+    # Guards against a second silence that is noticed later than the first.
+    def test_a_configuration_is_in_force_after_repeated_silence(self):
+        async def disrupt(fake):
+            for _ in range(2):
+                await self.next_read(fake)
+                fake.mute()
+
+        self.assertLess(self.delay_after(disrupt), CONTACT_S)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -76,10 +76,24 @@
     async def send_heartbeat(self):
         """Sends a heartbeat on behalf of the backend server."""
         server = self.backend.server
+        return await self.fetch(
+            self.heartbeats,
+            f"/Instances.Heartbeat/{server.id}",
+            "POST",
+            self.heartbeat(),
+        )
+
+    def heartbeat(self, service="match"):
+        """Returns the next heartbeat of the backend server."""
+        server = self.backend.server
         record = server.heartbeat(time.monotonic())
-        table = {
-            "service": record.service,
+        return {
+            "service": service,
+            "address": self.backend.address,
             "zone": record.zone,
+            "version": "v1",
+            "slots": 8,
+            "cold_remaining_ms": 0,
             "state": "draining" if record.is_draining else "ready",
             "labels": list(record.labels),
             "capacity": {
@@ -90,12 +104,6 @@
             "sequence": record.sequence,
             "born": record.started_unix_ms,
         }
-        return await self.fetch(
-            self.heartbeats,
-            f"/Instances.Heartbeat/{server.id}",
-            "POST",
-            table,
-        )
 
     async def fetch(self, address, path, method="GET", table=None, host=""):
         body = None if table is None else json.dumps(table)
@@ -250,6 +258,28 @@
 
         self.run_scenario(scenario)
 
+    # A refused heartbeat or leave was acknowledged, or told no reason.
+    def test_a_refusal_names_its_reason_and_the_remedy(self):
+        async def scenario(cluster):
+            server = cluster.backend.server
+            await until(lambda: cluster.agent.server.board.services)
+            for path, table, kind in (
+                (f"Heartbeat/{server.id}", [1], "bad_body"),
+                (f"Leave/{server.id}", [1], "bad_body"),
+                ("Heartbeat/i-9", cluster.heartbeat("other"), "foreign_server"),
+                ("Leave/i-9", {}, "foreign_server"),
+            ):
+                code, body, _ = await cluster.fetch(
+                    cluster.heartbeats, f"/Instances.{path}", "POST", table
+                )
+                self.assertEqual(400, code)
+                refusal = json.loads(body)
+                self.assertEqual(kind, refusal["kind"])
+                self.assertTrue(refusal["error"] and refusal["remedy"])
+            self.assertEqual(200, (await cluster.submit(11))[0])
+
+        self.run_scenario(scenario)
+
     def test_a_malformed_heartbeat_is_refused_and_changes_nothing(self):
         async def scenario(cluster):
             code, _, _ = await cluster.fetch(
@@ -332,6 +362,107 @@
 
         self.run_scenario(scenario)
 
+    # Guards against TWICE: an entry woke from a pause and dispatched waiting
+    # jobs before it had read that their callers had left meanwhile.
+    def test_callers_that_left_during_a_pause_are_noticed_before_all_else(self):
+        async def scenario(cluster):
+            cluster.backend.server.work_s = lambda task: 30.0
+            server = cluster.entry.server
+            running, left, joined = (f"{n:016x}" for n in (1, 2, 3))
+            connections = [self.connect(cluster) for _ in range(4)]
+            for connection in connections:
+                self.addCleanup(connection.close)
+            wide = {**JOB, "steps": [{**JOB["steps"][0], "count": 8}]}
+            connections[0].sendall(request(1, wide))
+            await until(lambda: len(cluster.backend.server.runs) == 8)
+            for connection, number in zip(
+                connections[1:], (2, 3, 3), strict=True
+            ):
+                connection.sendall(request(number))
+            await until(lambda: len(server.waiters.get(joined, ())) == 2)
+            await until(lambda: left in server.waiters)
+            connections[1].close()
+            connections[2].close()
+            time.sleep(0.6)
+            server.is_ready()
+            self.assertEqual({running, joined}, set(server.board.jobs))
+            self.assertEqual(1, len(server.waiters[joined]))
+
+        self.run_scenario(scenario)
+
+
+class TestWaitLimits(testtools.TestCase):
+    run_scenario = TestPath.run_scenario
+    connect = TestLeftCallers.connect
+
+    def send(self, cluster, payload):
+        """Sends a request; returns when it was sent, and the connection."""
+        connection = self.connect(cluster)
+        self.addCleanup(connection.close)
+        connection.sendall(payload)
+        connection.setblocking(False)
+        return clock.monotonic_s(), connection
+
+    async def status_line(self, connection):
+        data = await asyncio.get_running_loop().sock_recv(connection, 100)
+        return data.partition(b"\r\n")[0]
+
+    # Guards against TWICE: the wait limit of a request was counted anew once
+    # it was no longer held, when its caller had submitted the job elsewhere.
+    def test_a_wait_limit_includes_the_time_that_the_request_was_held(self):
+        async def scenario(cluster):
+            board = cluster.entry.server.board
+            state, board.operator_state = board.operator_state, OperatorState()
+            board.started_s = clock.monotonic_s()
+            sent_s, _ = self.send(cluster, request(1, deadline_ms=900))
+            _, late = self.send(cluster, request(2, deadline_ms=200))
+            line = await self.status_line(late)
+            self.assertIn(b"503", line)
+            self.assertLess(clock.monotonic_s(), sent_s + 0.9)
+            await asyncio.sleep(max(0.0, sent_s + 0.4 - clock.monotonic_s()))
+            board.operator_state = state
+            await until(lambda: board.jobs)
+            (job,) = board.jobs.values()
+            self.assertLess(job.deadline_s, sent_s + 1.0)
+
+        self.run_scenario(scenario)
+
+    # Guards against TWICE: a frozen entry counted the wait limit of a request
+    # from when it woke.
+    def test_a_wait_limit_includes_the_time_until_the_request_was_read(self):
+        async def scenario(cluster):
+            board = cluster.entry.server.board
+            sent_s, _ = self.send(cluster, request(1, deadline_ms=1200))
+            _, late = self.send(cluster, request(2, deadline_ms=300))
+            time.sleep(0.6)
+            self.assertIn(b"503", await self.status_line(late))
+            await until(lambda: board.jobs)
+            (job,) = board.jobs.values()
+            self.assertLess(job.deadline_s, sent_s + 1.3)
+
+        self.run_scenario(scenario)
+
+    # Guards against running jobs that nobody asks for any longer.
+    def test_a_kept_job_of_a_caller_that_no_longer_waits_is_not_stored(self):
+        async def scenario(cluster):
+            kept = {**JOB, "best_effort": False}
+            connection = self.connect(cluster)
+            connection.sendall(request(1, kept))
+            connection.close()
+            _, late = self.send(cluster, request(2, kept, deadline_ms=300))
+            time.sleep(0.6)
+            self.assertIn(b"503", await self.status_line(late))
+            self.assertEqual(200, (await cluster.submit(3, kept))[0])
+            ids = {
+                record.key
+                for (topic, _), records in cluster.store.records.items()
+                for record in records
+                if topic == "jobs"
+            }
+            self.assertEqual({f"{3:016x}"}, ids)
+
+        self.run_scenario(scenario)
+
 
 class TestReasons(testtools.TestCase):
     def test_every_reason_of_a_refusal_has_a_verdict(self):
