--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -32,6 +32,9 @@
 MIN_PASS_INTERVAL_S = 0.004
 # Upper bound of the random factor on the cost of an agent.
 MAX_JITTER = 1.2
+# Time for which a waiting task leaves idle the agents on which it has failed,
+# while others have no capacity for it.
+AVOID_S = 2.0
 # How long a run that finds its agent full is queued there for another run to
 # end. Then its entry, which is a round trip away, looks for another agent.
 QUEUE_WAIT_S = 0.01
@@ -286,13 +289,14 @@
         else waitingload.RESERVED_SHARE
     )
     expected_s = task.job.expected_s[task.step]
+    avoided_agents = _avoided_agents(board, task)
     agent = None
     if treatment.is_suspect:
         agent = placing.choose(
             isolation.spread(board, eligible, task),
             task.spec,
             expected_s,
-            task.avoided_agents,
+            avoided_agents,
             0.0,
             board.remote_factor,
         )
@@ -300,7 +304,7 @@
         eligible,
         task.spec,
         expected_s,
-        task.avoided_agents,
+        avoided_agents,
         reserved_share,
         board.remote_factor,
     )
@@ -312,6 +316,13 @@
     return agent, URGENT_QUEUE_WAIT_S
 
 
+def _avoided_agents(board: EntryBoard, task: Task) -> set[str]:
+    """Returns the agents that a task is not dispatched to yet."""
+    if board.now_s - task.waiting_since_s > AVOID_S:
+        return set()
+    return task.avoided_agents
+
+
 def _should_wait_for_rack(
     board: EntryBoard,
     eligible: list[Candidate],
--- a/egretthread/scheduling/placing.py
+++ b/egretthread/scheduling/placing.py
@@ -67,9 +67,9 @@
         candidates: The agents.
         spec: The task's step.
         expected_s: Expected run time on a backend server of speed 1.
-        avoided_agents: Node ids of agents that are used only when they are the
-            only candidates; a task that failed on one of them waits for
-            capacity of another.
+        avoided_agents: Node ids of agents that are used only when no other
+            candidate is large enough; a task that failed on one of them waits
+            for capacity of another.
         reserved_share: Share of an agent's capacity that must stay free, unless
             the task leaves less of an idle backend server.
         remote_factor: Factor on the run time on another rack than that of the
@@ -79,7 +79,12 @@
     best_cost = None
     candidates = tuple(candidates)
     if avoided_agents:
-        preferred = [c for c in candidates if c.node not in avoided_agents]
+        preferred = [
+            candidate
+            for candidate in candidates
+            if candidate.node not in avoided_agents
+            and candidate.capacity.holds(spec.room)
+        ]
         candidates = preferred or candidates
     for candidate in candidates:
         if not candidate.free.holds(spec.room):
