--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -382,19 +382,40 @@
             if spec.required_label in board.agents[candidate.node].facts.labels
         ]
     if spec.max_per_server:
-        counts = collections.Counter(
-            sibling.agent
-            for sibling in task.job.tasks[task.step]
-            if sibling.state not in (TaskState.BLOCKED, TaskState.WAITING)
-        )
-        candidates = [
-            candidate
-            for candidate in candidates
-            if counts[candidate.node] < spec.max_per_server
-        ]
+        candidates = _filter_by_count(candidates, task)
     return candidates
 
 
+def _filter_by_count(
+    candidates: list[Candidate], task: Task
+) -> list[Candidate]:
+    """Returns the agents that may run one more task of a step.
+
+    Tasks that are done count only while there is another agent without them.
+    """
+    siblings = [
+        sibling
+        for sibling in task.job.tasks[task.step]
+        if sibling.state not in (TaskState.BLOCKED, TaskState.WAITING)
+    ]
+    all_counts = collections.Counter(s.agent for s in siblings)
+    live_counts = collections.Counter(
+        s.agent for s in siblings if s.state is not TaskState.DONE
+    )
+    limit = task.spec.max_per_server
+    unused = [
+        candidate
+        for candidate in candidates
+        if all_counts[candidate.node] < limit
+        and candidate.capacity.holds(task.spec.room)
+    ]
+    return unused or [
+        candidate
+        for candidate in candidates
+        if live_counts[candidate.node] < limit
+    ]
+
+
 def _send_orders(
     board: EntryBoard,
     view: AgentView,
--- a/tests/scheduling/test_idleservers.py
+++ b/tests/scheduling/test_idleservers.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
+import hypothesis
 import testtools
+from hypothesis import strategies
 
 from egretthread.scheduling import dispatch, entryengine, jobs
 from egretthread.scheduling.entryboard import TaskState
@@ -148,10 +150,67 @@
     ]
 
 
+SERVERS = strategies.builds(
+    Server,
+    strategies.sampled_from((2000, 8000, 32_000)),
+    strategies.sampled_from((0.0, 0.0, 0.5, 1.0)),
+    strategies.sampled_from("ab"),
+)
+
+
+@strategies.composite
+def draw_load(draw, server_count):
+    numbers = strategies.integers(0, server_count - 1)
+    count = draw(strategies.integers(1, 4))
+    step = StepSpec(
+        count,
+        Room(draw(strategies.sampled_from((500, 1900, 7600, 32_000))), 64, 0),
+        0.1,
+        required_label=draw(strategies.sampled_from(("", "", "a", "b"))),
+        max_per_server=draw(strategies.sampled_from((0, 0, 1, 2))),
+    )
+    return Load(
+        draw(strategies.integers(0, 2)),
+        step,
+        draw(strategies.frozensets(numbers, max_size=2)),
+        tuple(draw(strategies.lists(numbers, max_size=count - 1))),
+    )
+
+
+@strategies.composite
+def draw_case(draw):
+    servers = draw(strategies.lists(SERVERS, min_size=1, max_size=5))
+    loads = draw(
+        strategies.lists(draw_load(len(servers)), min_size=1, max_size=4)
+    )
+    return servers, loads
+
+
 class TestIdleServers(testtools.TestCase):
+    # Guards against LOST: work that a sound, idle server can take didn't start.
+    @hypothesis.given(draw_case())
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    def test_no_task_waits_beside_an_idle_server_that_may_run_it(self, case):
+        self.assertEqual([], left_beside_idle(*case))
+
     # Guards against LOST: a failed run barred the only server that is large
     # enough, since others were left that are too small.
     def test_a_failed_run_does_not_bar_the_only_server_with_capacity(self):
         load = Load(0, StepSpec(1, Room(7600, 64, 0), 0.1), frozenset({0}))
         servers = [Server(8000), Server(2000), Server(8000, used_share=0.5)]
         self.assertEqual([], left_beside_idle(servers, [load]))
+
+    # Guards against LOST: a job of as many tasks as servers never ended after a
+    # server was lost, as tasks that are done still counted for theirs.
+    def test_tasks_that_are_done_do_not_bar_the_only_server_left(self):
+        step = StepSpec(2, Room(500, 64, 0), 0.1, max_per_server=1)
+        load = Load(0, step, done_on=(0,))
+        self.assertEqual([], left_beside_idle([Server(8000)], [load]))
+
+    def test_a_server_without_done_tasks_of_the_step_is_preferred(self):
+        step = StepSpec(2, Room(500, 64, 0), 0.1, max_per_server=1)
+        servers = [Server(32_000), Server(8000)]
+        board = new_board(servers, {0})
+        open_jobs(board, [Load(0, step, done_on=(0,))])
+        dispatch.dispatch_waiting(board)
+        self.assertEqual([0, 1], [len(v.tasks) for v in board.agents.values()])
