--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -154,6 +154,7 @@
         if is_listed or not _is_over(run, call):
             remaining.append(run)
     board.knows_runs = False
+    heldends.clear(board)
     runorders.mark_server_lost(board, "incarnation changed", remaining)
 
 
--- a/tests/scheduling/test_heldends.py
+++ b/tests/scheduling/test_heldends.py
@@ -33,9 +33,9 @@
             EndedRun(3, TaskName("k", 0, 2), 1, ServerEnd.FAILED),
         )
 
-    def poll(self, *ended):
+    def poll(self, *ended, started_unix_ms=1):
         call = serverpoll.next_poll(self.board)
-        result = PollResult(Verdict.OK, 1000, 1, (), ended)
+        result = PollResult(Verdict.OK, 1000, started_unix_ms, (), ended)
         agentengine.on_poll_result(self.board, call, result)
 
     def settle(self, taken=(), void_ends=(), server=SERVER):
@@ -53,6 +53,13 @@
         self.settle(taken=(1, 3), server="i-0")
         self.assertEqual(0, self.board.last_seen)
 
+    # The first ends after a restart were discarded before they had been read.
+    def test_a_restarted_server_is_not_told_of_ends_before(self):
+        self.settle(taken=(1, 3))
+        self.assertEqual(3, serverpoll.next_poll(self.board).last_seen)
+        self.poll(started_unix_ms=2)
+        self.assertEqual(0, serverpoll.next_poll(self.board).last_seen)
+
     def send_heartbeat(self, entry, kept_jobs):
         heartbeat = EntryBeat(
             self.board.clock_ms, 1, False, True, (), kept_jobs
