--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -134,6 +134,11 @@
     sequence: int
     reported: frozenset[str] = frozenset()
 
+    @property
+    def incarnation(self) -> str:
+        """Name of the incarnation, which may have the id of an earlier one."""
+        return f"{self.server}@{self.started_unix_ms}"
+
 
 @dataclasses.dataclass(frozen=True)
 class ServerLeave:
--- a/egretthread/scheduling/heldends.py
+++ b/egretthread/scheduling/heldends.py
@@ -121,14 +121,14 @@
 
 def _send(board: AgentBoard, node: str, ends: tuple[HeldEnd, ...]) -> None:
     if board.server is not None:
-        board.outbox.append((node, HeldEnds(board.server.server, ends)))
+        board.outbox.append((node, HeldEnds(board.server.incarnation, ends)))
 
 
 def on_settle_ends(
     board: AgentBoard, coordinator: Coordinator, settled: SettleEnds
 ) -> None:
     """Releases the ends that an entry has written, and marks the void ones."""
-    if board.server is None or board.server.server != settled.server:
+    if board.server is None or board.server.incarnation != settled.server:
         return
     for sequence in settled.taken:
         if sequence not in board.void_ends:
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -333,7 +333,7 @@
     """Agent to entry: ends that the coordinators of their jobs must settle.
 
     Attributes:
-        server: Id of the backend server's incarnation.
+        server: Name of the backend server's incarnation: its id and start.
         rows: The ends.
     """
 
@@ -346,7 +346,7 @@
     """Entry to agent: ends that the backend server may discard.
 
     Attributes:
-        server: Id of the backend server's incarnation.
+        server: Name of the backend server's incarnation: its id and start.
         taken: Sequence numbers of ends that are on the store, or not needed.
         void: Sequence numbers of ends whose tasks were started again since; the
             lease must expire before the backend server discards them.
--- a/tests/scheduling/test_heldends.py
+++ b/tests/scheduling/test_heldends.py
@@ -1,11 +1,13 @@
 """Tests of the ends of runs that an agent holds."""
 
+import dataclasses
+
 import testtools
 
 from egretthread.scheduling import agentengine, heldends, serverpoll
 from egretthread.scheduling.agentboard import ServerRecord, TaskName
 from egretthread.scheduling.room import Room
-from egretthread.scheduling.runmessage import EntryBeat, SettleEnds
+from egretthread.scheduling.runmessage import EntryBeat, HeldEnds, SettleEnds
 from egretthread.scheduling.servercall import (
     EndedRun,
     PollResult,
@@ -13,7 +15,7 @@
     Verdict,
 )
 
-SERVER = "i-1"
+SERVER = "i-1@1"
 
 
 class TestHeldEnds(testtools.TestCase):
@@ -23,7 +25,7 @@
         super().setUp()
         self.board = agentengine.new_board("a#2", 2, 100.0)
         record = ServerRecord(
-            SERVER, 1, "match", "a", (), Room(8000, 64, 0), False, 0.0, 1
+            "i-1", 1, "match", "a", (), Room(8000, 64, 0), False, 0.0, 1
         )
         agentengine.on_heartbeat(self.board, record, 1000)
         agentengine.on_link_open(self.board, "e#1")
@@ -50,8 +52,30 @@
         self.assertEqual(3, self.board.last_seen)
 
     def test_ends_of_another_incarnation_are_not_settled(self):
-        self.settle(taken=(1, 3), server="i-0")
-        self.assertEqual(0, self.board.last_seen)
+        for server in ("i-0@1", "i-1@0", "i-1@2", "i-1"):
+            self.settle(taken=(1, 3), server=server)
+            self.assertEqual(0, self.board.last_seen)
+
+    # LOST: ends after a restart under the same id were taken for earlier ones.
+    def test_ends_after_a_restart_have_names_of_their_own(self):
+        agentengine.on_tick(self.board)
+        self.poll(started_unix_ms=2)
+        record = dataclasses.replace(
+            self.board.server, started_unix_ms=2, sequence=1
+        )
+        agentengine.on_heartbeat(self.board, record, 10)
+        end = EndedRun(1, TaskName("k", 0, 5), 1, ServerEnd.DONE)
+        self.poll(end, started_unix_ms=2)
+        self.board.now_s += 2 * heldends.RESEND_S
+        agentengine.on_tick(self.board)
+        sent = [m for _, m in self.board.outbox if isinstance(m, HeldEnds)]
+        names = {(m.server, row.sequence): row for m in sent for row in m.rows}
+        self.assertEqual(0, names["i-1@1", 1].index)
+        self.assertEqual(5, names["i-1@2", 1].index)
+        self.settle(taken=(1,))
+        self.assertEqual({1}, self.board.held_ends.keys())
+        self.settle(taken=(1,), server="i-1@2")
+        self.assertEqual({}, self.board.held_ends)
 
     # The first ends after a restart were discarded before they had been read.
     def test_a_restarted_server_is_not_told_of_ends_before(self):
