--- a/egretthread/platform/directory.py
+++ b/egretthread/platform/directory.py
@@ -1,8 +1,10 @@
 """Registry of the entries' addresses in a keyed topic of the store."""
 
 import asyncio
+import reprlib
+from collections.abc import Iterable
 
-from egretthread import logs
+from egretthread import logs, settings
 from egretthread.platform.store import Store
 from egretthread.scheduling.storecall import Record, StoreUnavailableError
 
@@ -19,8 +21,28 @@
     except StoreUnavailableError as error:
         logs.warning("entry_lookup_failed", error=error.message)
         return ()
-    values = [record.value for record in batch.records if record.value]
-    return tuple(value.decode(errors="replace") for value in values)
+    return _addresses(batch.records)
+
+
+def _addresses(records: Iterable[Record]) -> tuple[str, ...]:
+    """Returns the addresses in records, without those of another writer."""
+    addresses = []
+    for record in records:
+        if not record.value:
+            continue
+        try:
+            address = record.value.decode()
+            settings.split_address(address)
+        except ValueError as error:
+            logs.warning(
+                "entry_malformed",
+                key=reprlib.repr(record.key),
+                error=reprlib.repr(str(error)),
+                remedy="write host:port with an IP address, or delete the key",
+            )
+        else:
+            addresses.append(address)
+    return tuple(addresses)
 
 
 class Announcer:
@@ -64,5 +86,4 @@
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(MAX_RETRY_S, 2 * backoff_s)
         logs.info("entry_registered", address=self.address)
-        values = [known.value for known in batch.records if known.value]
-        self.add_entries([value.decode(errors="replace") for value in values])
+        self.add_entries(_addresses(batch.records))
