--- a/egretthread/scheduling/serveridentity.py
+++ b/egretthread/scheduling/serveridentity.py
@@ -49,7 +49,7 @@
         ForeignServerError: It is of another writer.
     """
     known = board.server
-    if known is None:
+    if known is None or not board.is_confirmed:
         return
     left = board.left_server
     if leave.server != known.server:
--- a/tests/platform/test_foreignheartbeats.py
+++ b/tests/platform/test_foreignheartbeats.py
@@ -387,6 +387,16 @@
             self.assertEqual(BORN, board.server.started_unix_ms)
             self.assertIs(ServerState.READY, board.state)
 
+    # The leave of the true server was refused while a wrong one was believed.
+    def test_a_server_that_was_never_confirmed_refuses_no_leave(self):
+        agent = AgentFixture()
+        board = agent.board = agentengine.new_board("a#1", 5, 100.0)
+        agent.receive("i-2", {**TRUE, "born": 1})
+        agentengine.on_leave(board, ServerLeave(SERVER, BORN, "match"))
+        self.assertEqual("i-2", board.server.server)
+        agentengine.on_leave(board, ServerLeave("i-2"))
+        self.assertIsNone(board.server)
+
     def test_an_entry_that_names_no_services_is_served(self):
         agent = AgentFixture(services=())
         agent.start_runs()
