--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -58,6 +58,10 @@
     wait_ms = POLL_WAIT_MS
     if not board.is_renewal_blocked:
         until_ms = runorders.renew_lease(board)
+    if not board.is_confirmed:
+        # Its clock is only known from a heartbeat. An earlier process of the
+        # agent may have renewed the lease, so that it is still assumed to last.
+        until_ms = 0
     if any(run.phase is RunPhase.STOPPING for run in board.runs.values()):
         wait_ms = STOP_POLL_WAIT_MS
     if not board.knows_runs or board.candidate is not None:
--- a/tests/scheduling/test_serverpoll.py
+++ b/tests/scheduling/test_serverpoll.py
@@ -1,8 +1,10 @@
 """Tests of the polls of an agent at its backend server."""
 
+import dataclasses
+
 import testtools
 
-from egretthread.scheduling import agentengine, serverpoll
+from egretthread.scheduling import agentengine, leaserule, serverpoll
 from egretthread.scheduling.agentboard import (
     Run,
     RunPhase,
@@ -39,6 +41,20 @@
             (name, 4, "i-1"), (stop.name, stop.number, stop.server)
         )
 
+    # A heartbeat with a wrong clock made the lease longer than it is believed.
+    def test_the_clock_in_a_heartbeat_ends_no_lease(self):
+        record = dataclasses.replace(self.board.server, started_unix_ms=2)
+        self.poll(started_unix_ms=2)
+        agentengine.on_heartbeat(self.board, record, 10**9)
+        self.assertEqual(0, serverpoll.next_poll(self.board).until_ms)
+        self.assertEqual(
+            self.board.now_s + leaserule.max_server_lease_s(),
+            self.board.server_lease_end_s,
+        )
+        self.poll(started_unix_ms=2)
+        until_ms = serverpoll.next_poll(self.board).until_ms
+        self.assertEqual(1000 + leaserule.SERVER_LEASE_S * 1000, until_ms)
+
     def test_another_incarnation_is_another_server(self):
         self.poll(started_unix_ms=2)
         self.assertEqual("absent", self.board.state)
