--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -58,6 +58,10 @@
     wait_ms = POLL_WAIT_MS
     if not board.is_renewal_blocked:
         until_ms = runorders.renew_lease(board)
+    if not board.is_confirmed:
+        # Its clock is only known from a heartbeat. An earlier process of the
+        # agent may have renewed the lease, so that it is still assumed to last.
+        until_ms = 0
     if any(run.phase is RunPhase.STOPPING for run in board.runs.values()):
         wait_ms = STOP_POLL_WAIT_MS
     if not board.knows_runs or board.candidate is not None:
@@ -154,6 +158,7 @@
         if is_listed or not _is_over(run, call):
             remaining.append(run)
     board.knows_runs = False
+    heldends.clear(board)
     runorders.mark_server_lost(board, "incarnation changed", remaining)
 
 
