--- a/egretthread_standins/platformsite/backendserver.py
+++ b/egretthread_standins/platformsite/backendserver.py
@@ -168,8 +168,7 @@
         task.add_done_callback(self.tasks.discard)
 
     def _log(self, what: str, at_s: float | None = None, **fields) -> None:
-        ago_s = 0.0 if at_s is None else time.monotonic() - at_s
-        self.log(self.id, what, ago_s=ago_s, born=self.born, **fields)
+        self.log(self.id, what, at_s, born=self.born, **fields)
 
     async def _beat(self) -> None:
         while True:
--- a/egretthread_standins/platformsite/site.py
+++ b/egretthread_standins/platformsite/site.py
@@ -159,9 +159,20 @@
         """Seconds since the start of the site."""
         return time.monotonic() - self.begin_s
 
-    def log(self, who: str, what: str, ago_s: float = 0.0, **fields) -> None:
-        """Records an event that happened `ago_s` seconds ago."""
-        event = Event(self.now_s() - ago_s, who, what, fields)
+    def log(
+        self, who: str, what: str, at_s: float | None = None, **fields
+    ) -> None:
+        """Records an event.
+
+        Args:
+            who: Who saw it.
+            what: What it was.
+            at_s: When it was on the monotonic clock; now if it is missing.
+            **fields: Its details.
+        """
+        if at_s is None:
+            at_s = time.monotonic()
+        event = Event(at_s - self.begin_s, who, what, fields)
         self.events.append(event)
         details = " ".join(f"{key}={value}" for key, value in fields.items())
         self.record.write(f"{event.at_s:8.3f} {who} {what} {details}\n")
--- a/egretthread_standins/soak/runner.py
+++ b/egretthread_standins/soak/runner.py
@@ -203,5 +203,6 @@
                 "kind": "stand-ins-late",
                 "targets": (disturbances.STORE,),
             }
-            site.log("disturbance", "begin", ago_s=late_s, **report)
+            begin_s = time.monotonic() - late_s
+            site.log("disturbance", "begin", begin_s, **report)
             site.log("disturbance", "over", **report)
--- a/tests/platformsite/test_backendserver.py
+++ b/tests/platformsite/test_backendserver.py
@@ -13,11 +13,11 @@
 
 class BackendServerTest(unittest.TestCase):
     def play(self, scenario, work_s=5.0):
-        """Returns the kinds of the events of a scenario, with their ages."""
+        """Returns the kinds of the events of a scenario, with their times."""
         events = []
 
-        def log(who, what, ago_s, **fields):
-            events.append((what, fields.get("how", ""), ago_s))
+        def log(who, what, at_s, **fields):
+            events.append((what, fields.get("how", ""), at_s))
 
         async def run():
             server = BackendServer(
@@ -40,13 +40,16 @@
 
     def test_a_lease_lapses_in_time_though_the_loop_is_busy(self):
         async def scenario(server, call):
-            await call("/run-start", until_ms=server.clock_ms + 100)
+            until_ms = server.clock_ms + 100
+            until.append(server.start_s + until_ms / 1000)
+            await call("/run-start", until_ms=until_ms)
             time.sleep(0.4)
             await asyncio.sleep(0.01)
 
-        events = self.play(scenario)
-        self.assertEqual(("end", "lapsed"), events[1][:2])
-        self.assertGreater(events[1][2], 0.2)
+        until = []
+        start, end, *_ = self.play(scenario)
+        self.assertEqual(("end", "lapsed", until[0]), end)
+        self.assertLess(start[2], until[0])
 
     def test_an_end_is_noted_unless_its_lease_lapsed_before(self):
         async def scenario(server, call):
