--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -129,7 +129,7 @@
     ]
     if not queued or board.server is None or board.is_renewal_blocked:
         return
-    if not board.knows_runs:
+    if not board.knows_runs or board.candidate is not None:
         return
     queued.sort(key=lambda run: (run.priority, run.accepted_s))
     free = board.capacity - board.used
--- a/tests/platform/test_foreignheartbeats.py
+++ b/tests/platform/test_foreignheartbeats.py
@@ -173,7 +173,8 @@
         call = call or serverpoll.next_poll(self.board)
         agentengine.on_poll_result(self.board, call, result)
 
-    def start_runs(self):
+    def order_runs(self, attempts=(1, 2)):
+        """Receives an order of runs of different tasks."""
         order = StartRuns(
             "j",
             "x",
@@ -184,10 +185,13 @@
             0,
             self.board.clock_ms,
             10,
-            (RunOrder(0, 0, 1), RunOrder(0, 1, 2)),
+            tuple(RunOrder(0, attempt, attempt) for attempt in attempts),
         )
         agentengine.on_message(self.board, ENTRY, order)
         agentengine.after_event(self.board)
+
+    def start_runs(self):
+        self.order_runs()
         for call in self.board.calls:
             result = CallResult(Verdict.OK, 1000)
             agentengine.on_call_result(self.board, call, result)
@@ -319,6 +323,16 @@
             self.assertFalse(any_reports(board))
         self.assert_next_true_heartbeat_works()
 
+    # Guards against TWICE: starts for the known server were carried out by
+    # another incarnation under its id, and given up with the known one.
+    def test_nothing_starts_while_it_is_open_which_server_is_here(self):
+        self.agent.receive(SERVER, {**TRUE, "born": BORN + 1, "sequence": 1})
+        self.agent.order_runs((3, 4))
+        self.assertEqual([], self.agent.board.calls)
+        self.agent.poll()
+        agentengine.after_event(self.agent.board)
+        self.assertEqual(2, len(self.agent.board.calls))
+
     def test_an_answer_from_before_a_heartbeat_does_not_refute_it(self):
         board = self.agent.board
         call = serverpoll.next_poll(board)
