--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -296,6 +296,7 @@
             incarnation.
         acked_last_seen: Sequence number up to which ends were acknowledged to
             the backend server, which then discards them.
+        answered_s: When a poll was last answered by this incarnation.
         held_ends: Processed ends that must not be acknowledged yet, by sequence
             number.
         void_ends: Sequence numbers of held ends that may be acknowledged once
@@ -347,6 +348,7 @@
     knows_runs: bool = False
     last_processed: int = 0
     acked_last_seen: int = 0
+    answered_s: float = 0.0
     held_ends: dict[int, HeldEnd] = dataclasses.field(default_factory=dict)
     void_ends: set[int] = dataclasses.field(default_factory=set)
     held_ends_sent_s: float = 0.0
--- a/egretthread/scheduling/heldends.py
+++ b/egretthread/scheduling/heldends.py
@@ -153,5 +153,6 @@
 def clear(board: AgentBoard) -> None:
     """Removes all ends after the backend server's incarnation has ended."""
     board.last_processed = board.acked_last_seen = 0
+    board.answered_s = 0.0
     board.held_ends.clear()
     board.void_ends.clear()
--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -46,6 +46,10 @@
 # Change of the believed speed, as a factor, that is logged.
 LOGGED_SPEED_FACTOR = 1.3
 
+# Time since the last answer within which a backend server can't have ended and
+# started again.
+SAME_LIFE_S = 0.25
+
 RUN_ENDS = {
     ServerEnd.DONE: RunEnd.DONE,
     ServerEnd.FAILED: RunEnd.FAILED,
@@ -66,10 +70,13 @@
         wait_ms = STOP_POLL_WAIT_MS
     if not board.knows_runs or board.candidate is not None:
         wait_ms = FIRST_POLL_WAIT_MS
+    # Calls name the id alone, and a new incarnation under the same id must not
+    # discard ends that have the numbers of earlier ones.
+    is_same_life = board.now_s - board.answered_s <= SAME_LIFE_S
     return PollCall(
         board.server.server if board.server else "",
         board.token,
-        board.last_seen,
+        board.last_seen if is_same_life else 0,
         until_ms,
         wait_ms,
         board.now_s,
@@ -108,6 +115,7 @@
         return
     servercrash.withdraw(board)
     board.is_confirmed = True
+    board.answered_s = board.now_s
     candidate = board.candidate
     if candidate is not None and call.sent_s >= candidate.received_s:
         logs.info(
--- a/tests/scheduling/test_heldends.py
+++ b/tests/scheduling/test_heldends.py
@@ -84,6 +84,16 @@
         self.poll(started_unix_ms=2)
         self.assertEqual(0, serverpoll.next_poll(self.board).last_seen)
 
+    # Guards against TWICE: the poll that found a restarted server made it
+    # discard its first ends, so that tasks that were done started again.
+    def test_a_poll_after_a_pause_acknowledges_nothing(self):
+        self.settle(taken=(1, 3))
+        self.poll()
+        self.board.now_s += 1.0
+        self.assertEqual(0, serverpoll.next_poll(self.board).last_seen)
+        self.poll()
+        self.assertEqual(3, serverpoll.next_poll(self.board).last_seen)
+
     def send_heartbeat(self, entry, kept_jobs):
         heartbeat = EntryBeat(
             self.board.clock_ms, 1, False, True, (), kept_jobs
