--- a/egretthread/backendpool.py
+++ b/egretthread/backendpool.py
@@ -36,6 +36,8 @@
         url: The parsed base URL.
         max_body_bytes: Maximum length of a response's body.
         max_idle_s: Time after which an idle connection is not reused.
+        closes_idle: Whether a request without an answer closes the idle
+            connections, which may have gone silent together.
         idle: The idle connections, the most recently used last.
         semaphore: Limits the number of requests in progress.
     """
@@ -46,10 +48,12 @@
         max_connections: int,
         max_body_bytes: int,
         max_idle_s: float = MAX_IDLE_S,
+        closes_idle: bool = False,
     ):
         self.url = urllib.parse.urlsplit(url)
         self.max_body_bytes = max_body_bytes
         self.max_idle_s = max_idle_s
+        self.closes_idle = closes_idle
         self.idle: list[IdleConnection] = []
         self.semaphore = asyncio.Semaphore(max_connections)
         self.tls = None
@@ -119,9 +123,7 @@
                 is_written = True
                 return await self.read(connection)
         except TimeoutError:
-            if is_written:
-                # Connections may have gone silent together, and each idle one
-                # would cost another timeout.
+            if is_written and self.closes_idle:
                 self.close()
             raise
 
--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -73,10 +73,18 @@
         self.samples = samples
         url = f"http://{address}"
         self.pool = backendpool.ConnectionPool(
-            url, MAX_CONNECTIONS, MAX_BODY_BYTES, MAX_IDLE_S
+            url,
+            MAX_CONNECTIONS,
+            MAX_BODY_BYTES,
+            MAX_IDLE_S,
+            closes_idle=True,
         )
         self.poll_pool = backendpool.ConnectionPool(
-            url, MAX_POLL_CONNECTIONS, MAX_BODY_BYTES, MAX_IDLE_S
+            url,
+            MAX_POLL_CONNECTIONS,
+            MAX_BODY_BYTES,
+            MAX_IDLE_S,
+            closes_idle=True,
         )
 
     def close(self) -> None:
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -176,7 +176,7 @@
             server = ScriptedServer(*([(reply,)] * 4), (), (reply,))
             port = await server.start()
             pool = backendpool.ConnectionPool(
-                f"http://127.0.0.1:{port}", 4, MAX_BODY_BYTES
+                f"http://127.0.0.1:{port}", 4, MAX_BODY_BYTES, closes_idle=True
             )
 
             def request(timeout_s=TEST_TIMEOUT_S):
@@ -196,6 +196,28 @@
 
         self.assertEqual(5, asyncio.run(scenario()))
 
+    # Guards against new connections to a server that left one order unanswered.
+    def test_other_connections_to_a_slow_server_stay_open(self):
+        async def scenario():
+            reply = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+            server = ScriptedServer((reply,), (reply,), ())
+            port = await server.start()
+            pool = backendpool.ConnectionPool(
+                f"http://127.0.0.1:{port}", 2, MAX_BODY_BYTES
+            )
+            await asyncio.gather(
+                *(pool.request("/x", b"{}", TEST_TIMEOUT_S) for _ in range(2))
+            )
+            with self.assertRaises(TimeoutError):
+                await pool.request("/x", b"{}", 0.1)
+            idle = len(pool.idle)
+            pool.close()
+            server.server.close()
+            await asyncio.sleep(0.1)
+            return idle
+
+        self.assertEqual(1, asyncio.run(scenario()))
+
     def test_an_unreachable_server_refuses(self):
         async def scenario():
             server = ScriptedServer()
