--- a/egretthread/scheduling/serveridentity.py
+++ b/egretthread/scheduling/serveridentity.py
@@ -38,7 +38,8 @@
         # A new incarnation may be of a kind that reports other amounts.
         fields = known.reported if is_known else IDENTITY_FIELDS
         _check_fields(record, known, fields)
-        if board.services:
+        # A wrong first heartbeat must not keep the true server out.
+        if board.services or board.is_confirmed:
             _check_facts(board, record, known, is_known)
 
 
--- a/tests/platform/test_foreignheartbeats.py
+++ b/tests/platform/test_foreignheartbeats.py
@@ -411,6 +411,13 @@
         agentengine.on_leave(board, ServerLeave("i-2"))
         self.assertIsNone(board.server)
 
+    # A heartbeat with the known id changed the service of a sound server.
+    def test_a_confirmed_server_keeps_its_service(self):
+        agent = AgentFixture(services=())
+        with self.assertRaises(ForeignServerError):
+            agent.receive(SERVER, {**TRUE, "service": "x", "sequence": 5})
+        self.assertEqual("match", agent.board.server.service)
+
     def test_an_entry_that_names_no_services_is_served(self):
         agent = AgentFixture(services=())
         agent.start_runs()
