--- a/egretthread/platform/bodies.py
+++ b/egretthread/platform/bodies.py
@@ -84,15 +84,15 @@
     return value
 
 
-def name(table: dict, key: str) -> str:
+def label(table: dict, name: str) -> str:
     """Returns a required field that holds a text that is not empty.
 
     Raises:
         BodyError: The field is missing, has another type or is empty.
     """
-    value = field(table, key, str)
+    value = field(table, name, str)
     if not value:
-        raise BodyError(f"{key} is empty", f"set {key} to its name")
+        raise BodyError(f"{name} is empty", f"set {name} to its name")
     return value
 
 
--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -173,8 +173,10 @@
         self.job = ""
         self.waiter: asyncio.Future | None = None
         self.server.open_requests += 1
-        unread_s = listener.unread_s(self.request.connection.stream)
-        self.received_s = clock.monotonic_s() - unread_s
+        last_data_age_s = listener.last_data_age_s(
+            self.request.connection.stream
+        )
+        self.received_s = clock.monotonic_s() - last_data_age_s
 
     def on_finish(self) -> None:
         """Counts the request as answered."""
--- a/egretthread/platform/listener.py
+++ b/egretthread/platform/listener.py
@@ -32,7 +32,7 @@
     return http
 
 
-def unread_s(stream: tornado.iostream.IOStream) -> float:
+def last_data_age_s(stream: tornado.iostream.IOStream) -> float:
     """Returns how long ago data last arrived on a connection, in seconds.
 
     It is 0 where the kernel does not tell.
--- a/egretthread/platform/operators.py
+++ b/egretthread/platform/operators.py
@@ -87,7 +87,7 @@
     """
     try:
         names = {
-            bodies.name(service, "name")
+            bodies.label(service, "name")
             for service in bodies.objects(table, "services", [])
         }
     except bodies.BodyError as error:
--- a/egretthread/platform/servers.py
+++ b/egretthread/platform/servers.py
@@ -84,7 +84,7 @@
             f"state is {reprlib.repr(state)}", f"set state to one of {STATES}"
         )
     # Not used here, but a heartbeat without them is not of a backend server.
-    bodies.name(table, "address")
+    bodies.label(table, "address")
     bodies.field(table, "version", str)
     bodies.count(table, "slots")
     bodies.amount(table, "cold_remaining_ms")
@@ -99,8 +99,8 @@
     record = ServerRecord(
         server=server,
         started_unix_ms=started_unix_ms,
-        service=bodies.name(table, "service"),
-        zone=bodies.name(table, "zone"),
+        service=bodies.label(table, "service"),
+        zone=bodies.label(table, "zone"),
         labels=bodies.strings(table, "labels"),
         capacity=bodies.room(capacity),
         is_draining=state == "draining",
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -223,8 +223,8 @@
     """
     if board.server is None:
         return True
-    has_ended = not board.is_confirmed or board.state is ServerState.ABSENT
-    return has_ended and not board.runs_by_task
+    is_unproved = not board.is_confirmed or board.state is ServerState.ABSENT
+    return is_unproved and not board.runs_by_task
 
 
 def _adopt(board: AgentBoard, record: ServerRecord) -> None:
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -306,22 +306,22 @@
 
 
 def mark_server_lost(
-    board: AgentBoard, reason: str, remaining: Sequence[Run] = ()
+    board: AgentBoard, reason: str, may_be_alive: Sequence[Run] = ()
 ) -> None:
     """Drops all runs, since the incarnation that executed them has ended.
 
     Args:
         board: The blackboard.
         reason: How its end was noticed.
-        remaining: Runs that its successor may execute, and that are stopped.
+        may_be_alive: Runs that its successor may execute, and that are stopped.
     """
     server = board.server.server if board.server else ""
     logs.warning(
         "server_lost", reason=reason, server=server, runs=len(board.runs)
     )
     servercrash.record(board, is_certain=True)
-    runs.drop_all(board, RunEnd.STOPPED, remaining)
-    for run in remaining:
+    runs.drop_all(board, RunEnd.STOPPED, may_be_alive)
+    for run in may_be_alive:
         runs.begin_stop(board, run, RunEnd.STOPPED)
     board.blocked_runs.clear()
     board.is_confirmed = False
--- a/egretthread/scheduling/runs.py
+++ b/egretthread/scheduling/runs.py
@@ -88,17 +88,17 @@
 
 
 def drop_all(
-    board: AgentBoard, end: RunEnd, remaining: Sequence[Run] = ()
+    board: AgentBoard, end: RunEnd, may_be_alive: Sequence[Run] = ()
 ) -> None:
     """Removes all runs, which have ended together with their backend server.
 
     Args:
         board: The blackboard.
         end: How the runs ended that were at the backend server.
-        remaining: Runs that have not ended.
+        may_be_alive: Runs that have not ended.
     """
     for run in tuple(board.runs.values()):
-        if run in remaining:
+        if run in may_be_alive:
             continue
         run_end = RunEnd.REFUSED if run.phase is RunPhase.QUEUED else end
         finish(board, run, run_end)
--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -156,7 +156,7 @@
     that were meant for the incarnation before it. These runs are stopped first.
     """
     listed = {(running.name, running.number) for running in result.running}
-    remaining = []
+    may_be_alive = []
     for run in board.runs.values():
         if run.phase is RunPhase.QUEUED:
             continue
@@ -164,10 +164,10 @@
         if is_listed:
             run.stop_confirmed_s = 0.0
         if is_listed or not _is_over(run, call):
-            remaining.append(run)
+            may_be_alive.append(run)
     board.knows_runs = False
     heldends.clear(board)
-    runorders.mark_server_lost(board, "incarnation changed", remaining)
+    runorders.mark_server_lost(board, "incarnation changed", may_be_alive)
 
 
 def _is_over(run: Run, call: PollCall) -> bool:
