Take no append that was refused for its number as stored

Tasks whose end was acknowledged start again when the entries are restarted (TWICE).

Cause: when the store refused an append of progress and expected the number after it, the coordinator concluded that an earlier attempt had been applied without an answer, and acknowledged the ends. But the store answers a repeated append like the first one; one that it refuses is never stored. With a store that gives no number to an append without records, and goes on with the numbers of the epoch before, the first append of an epoch is refused like this if the last one of the former epoch had number 1.

An append refused with another expected number was repeated with that number, in the same epoch. An attempt that the store carried out late could then take the number of a later append, which the store would answer as a repeated one.

Now the coordinator begins a new epoch and repeats the records in its first append. Numbers go on over the epochs of one assignment.

The fake store of the tests answers a repeated append with the first answer, with offsets, and can leave appends without records out of the numbers.

--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -294,7 +294,7 @@
         self._process_output()
 
     def begin_epoch(self, partition: Partition) -> None:
-        """Begins a new epoch of a partition before it is loaded."""
+        """Begins a new epoch of the appends to a partition."""
         keptjobs.begin_epoch(self.board, partition)
 
     def load_partition(
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -404,7 +404,6 @@
     async def _write(self, batch: ProgressBatch) -> None:
         """Writes a batch, with retries, unless the partition is released."""
         partition = self.server.board.kept.partitions[batch.partition]
-        writer = Writer(batch.epoch, partition.last_append + 1)
         dropped_ids = [
             j for j, value in batch.progress.items() if value is None
         ]
@@ -413,6 +412,7 @@
             for job, value in batch.progress.items()
         ]
         while self.server.is_coordinator(partition):
+            writer = Writer(partition.epoch, partition.last_append + 1)
             try:
                 if dropped_ids:
                     # The submissions are deleted first. Without its progress a
@@ -428,11 +428,12 @@
                 self.server.release_partition(partition, error.message)
                 return
             except AppendOrderError as error:
-                logs.warning("progress_renumbered", expected=error.expected)
-                if error.expected != writer.number + 1:
-                    writer = Writer(batch.epoch, error.expected)
-                    continue
-                # An earlier attempt was applied although it was not answered.
+                logs.warning(
+                    "progress_out_of_order",
+                    part=batch.partition,
+                    sent=writer.number,
+                    expected=error.expected,
+                )
             except StoreUnavailableError as error:
                 logs.info(
                     "progress_not_written",
@@ -442,9 +443,15 @@
                 )
                 await asyncio.sleep(RETRY_S)
                 continue
-            partition.last_append = writer.number
-            self.server.on_written(batch)
-            return
+            else:
+                partition.last_append = writer.number
+                self.server.on_written(batch)
+                return
+            # A new epoch may begin with any number, and nothing that was sent
+            # before is applied in it.
+            await asyncio.sleep(RETRY_S)
+            self.server.begin_epoch(partition)
+            batch = dataclasses.replace(batch, epoch=partition.epoch)
 
 
 def _fail(future: asyncio.Future, error: Exception) -> None:
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -59,7 +59,7 @@
         epoch: Epoch of its appends of progress. It orders the coordinators of
             the partition, and is new after each loss of the partition.
         ready_s: When all runs ordered by earlier coordinators have ended.
-        last_append: Number of the last append of progress in this epoch.
+        last_append: Number of the last append of progress.
         is_loaded: Whether its jobs have been read from the store.
         is_open: Whether the tasks of its jobs may be dispatched.
         jobs: Its jobs by id.
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -109,11 +109,10 @@
 
 
 def begin_epoch(board: EntryBoard, partition: Partition) -> None:
-    """Begins a new epoch of a partition that has not been loaded."""
+    """Begins a new epoch of a partition; earlier appends are not applied."""
     partition.epoch = board.kept.new_epoch(
         partition.number, partition.generation
     )
-    partition.last_append = 0
 
 
 def on_loaded(
--- a/egretthread/scheduling/storecall.py
+++ b/egretthread/scheduling/storecall.py
@@ -43,6 +43,9 @@
 class AppendOrderError(StoreError):
     """The sequence number of an append is not the one that the store expects.
 
+    The records of this append are not stored: the store answers a repeated
+    append like the first one.
+
     Attributes:
         expected: The sequence number that the store expects.
     """
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -70,9 +70,13 @@
             and does not answer; `garbage` answers with a body that is none.
         garbage_count: Number of such answers.
         append_delay_s: Time until an append that was executed is answered.
+        counts_empty_appends: Whether an append without records takes a
+            sequence number; otherwise it only begins the epoch, and numbers
+            continue from those of the epoch before.
         records: Records by topic and partition.
         first: Offset of the first record that has not been deleted.
-        epochs: Epoch and sequence numbers of the last fenced appends.
+        appends: Epoch of the last fenced append, and the answers to the last
+            ones by epoch and sequence number.
         members: Time at which each member of the group last joined.
         generation: Number of changes of the group's membership.
         streams: Connections on which a request has arrived.
@@ -82,9 +86,10 @@
         self.mode = ""
         self.garbage_count = 0
         self.append_delay_s = 0.0
+        self.counts_empty_appends = True
         self.records = collections.defaultdict(list)
         self.first = collections.defaultdict(int)
-        self.epochs = {}
+        self.appends = {}
         self.members = {}
         self.generation = 0
         self.changed = asyncio.Event()
@@ -131,25 +136,42 @@
                 found[record.key] = (offset, record.value)
         return found
 
-    def check_order(self, topic, partition, epoch, number):
-        """Checks the epoch and sequence number of an append.
+    def append(self, topic, partition, records, writer=None):
+        """Appends records unless they are repeated or refused.
+
+        Args:
+            topic: The topic.
+            partition: The partition.
+            records: The records.
+            writer: Epoch and sequence number; None for an append without.
 
         Returns:
-            The body of a refusal, "done" for a repeat of one of the last
-            appends of the epoch, or None.
+            The status and the body of the answer.
         """
-        last_epoch, numbers = self.epochs.get((topic, partition), (0, [0]))
-        if epoch < last_epoch:
-            return {"reason": "fenced"}
-        if epoch > last_epoch:
-            numbers = []
-        elif number in numbers:
-            return "done"
-        elif number != numbers[-1] + 1:
-            return {"reason": "seq", "sequence": numbers[-1] + 1}
-        remembered = [*numbers, number][-REMEMBERED_APPENDS:]
-        self.epochs[topic, partition] = (epoch, remembered)
-        return None
+        key = topic, partition
+        begin = len(self.records[key])
+        answer = {"offset": begin, "end_offset": begin + len(records)}
+        if writer is not None:
+            last_epoch, answers = self.appends.get(key, (0, {}))
+            epoch, number = writer
+            if epoch < last_epoch:
+                return 409, {"reason": "fenced"}
+            if writer in answers:
+                return 200, answers[writer]
+            if not records and not self.counts_empty_appends:
+                self.appends[key] = epoch, answers
+                return 200, answer
+            if answers and epoch == last_epoch:
+                _, last = next(reversed(answers))
+                if number != last + 1:
+                    return 409, {"reason": "seq", "sequence": last + 1}
+            answers[writer] = answer
+            while len(answers) > REMEMBERED_APPENDS:
+                del answers[next(iter(answers))]
+            self.appends[key] = epoch, answers
+        for record in records:
+            self.write(topic, record, partition)
+        return 200, answer
 
     def partitions_of(self, member):
         """Returns the partitions assigned to a member."""
@@ -250,25 +272,19 @@
         self.finish(header + rows)
 
     async def post(self, verb):
-        body = self.request.body
         topic = self.get_argument("topic").removeprefix(KEYED_PREFIX)
         partition = int(self.get_argument("part"))
         epoch = self.get_argument("epoch", "")
-        if epoch:
-            number = int(self.get_argument("sequence"))
-            refusal = self.store.check_order(
-                topic, partition, int(epoch), number
-            )
-            if isinstance(refusal, dict):
-                self.set_status(409)
-                self.finish(refusal)
-                return
-            if refusal == "done":
-                body = b""
-        for record in decode_batch(READ_HEADER.pack(0, 0) + body, 0).records:
-            self.store.write(topic, record, partition)
+        body = READ_HEADER.pack(0, 0) + self.request.body
+        code, answer = self.store.append(
+            topic,
+            partition,
+            decode_batch(body, 0).records,
+            (int(epoch), int(self.get_argument("sequence"))) if epoch else None,
+        )
+        self.set_status(code)
         await asyncio.sleep(self.store.append_delay_s)
-        await self.answer({"offset": 0, "end_offset": 0})
+        await self.answer(answer)
 
 
 class FakeBackendServer:
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -13,6 +13,8 @@
 from tests.platform.test_operators import until
 
 KEPT = {**test_path.JOB, "best_effort": False}
+# A job whose progress is written once.
+SINGLE = {**KEPT, "steps": [{**test_path.JOB["steps"][0], "count": 1}]}
 # Time after a cancellation, and after a disruption, within which no task of the
 # job is started any more.
 CANCEL_S = 3.0
@@ -178,8 +180,8 @@
         ]
         return numbers[:count]
 
-    async def complete(self, cluster, number):
-        self.assertEqual(200, (await cluster.submit(number, KEPT))[0])
+    async def complete(self, cluster, number, job=KEPT):
+        self.assertEqual(200, (await cluster.submit(number, job))[0])
         await self.wait_for(cluster, number, "completed")
 
     async def lose_partitions(self, cluster):
@@ -225,6 +227,30 @@
 
         self.run_scenario(scenario)
 
+    async def check_stored(self, cluster, *numbers):
+        """Checks that a new process of the entry runs nothing again."""
+        count = self.run_count(cluster)
+        await self.restart_entry(cluster)
+        for number in numbers:
+            await self.wait_for(cluster, number, "completed")
+        await asyncio.sleep(3.0)
+        self.assertEqual(count, self.run_count(cluster))
+
+    # Guards against TWICE: an append refused for its number was taken as stored
+    # if the store expected the next number.
+    def test_progress_is_stored_after_an_append_was_refused_for_its_number(
+        self,
+    ):
+        async def scenario(cluster):
+            cluster.store.counts_empty_appends = False
+            before, after = self.ids(2)
+            await self.complete(cluster, before, SINGLE)
+            await self.lose_partitions(cluster)
+            await self.complete(cluster, after, SINGLE)
+            await self.check_stored(cluster, before, after)
+
+        self.run_scenario(scenario)
+
     # Guards against TWICE: records that were read before a loss of the
     # partition were added after it, without the progress of their jobs.
     def test_records_read_before_a_loss_are_not_added_after_it(self):
