Check that the store's answer to an append is to these records

Tasks whose end was acknowledged would start again when the entries are restarted (TWICE).

Cause: any answer of 200 to an append of progress counted as stored. The store answers an append that it takes for a repeated one like the first one and stores nothing. Whether it does so was a matter of the numbers alone: a fault in them, as the epoch that was used twice, showed only after the next restart.

Now the offsets in the answer must begin at or after the end of the progress that the coordinator knows, and be as many as the records. As only the coordinator appends, an answer to an earlier append can't fulfil both. Otherwise progress_answer_repeated is logged, and the records are appended again in a new epoch.

--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -12,6 +12,7 @@
 from egretthread import backendpool, clock, logs
 from egretthread.httpconnection import Response
 from egretthread.scheduling.storecall import (
+    Appended,
     AppendOrderError,
     Assignment,
     Batch,
@@ -216,7 +217,7 @@
         partition: int,
         records: Sequence[Record],
         writer: Writer | None = None,
-    ) -> None:
+    ) -> Appended | None:
         """Appends records atomically to a partition of a keyed topic.
 
         Args:
@@ -227,6 +228,10 @@
             writer: Epoch and sequence number of the append; None to append
                 without fencing.
 
+        Returns:
+            The offsets of the records; None without records. A repeated epoch
+            and sequence number returns those of the first append with them.
+
         Raises:
             StoreRefusedError: Nothing was written.
             StoreUnavailableError: The records may have been written.
@@ -239,7 +244,12 @@
             query["epoch"] = writer.epoch
             query["sequence"] = writer.number
         body = b"".join(encode_record(record) for record in records)
-        await self.call("POST", "/log-append", query, body)
+        response = await self.call("POST", "/log-append", query, body)
+        if not records:
+            return None
+        with _decoding("/log-append"):
+            table = orjson.loads(response.body)
+            return Appended(int(table["offset"]), int(table["end_offset"]))
 
     async def join(
         self, group: str, member: str, topic: str, ttl_s: float, generation: int
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -12,6 +12,7 @@
 from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.storecall import (
     POLL_WAIT_S,
+    Appended,
     AppendOrderError,
     FencedError,
     HistoryGoneError,
@@ -345,6 +346,7 @@
                 PROGRESS, partition.number, (), Writer(partition.epoch, 0)
             )
         progress = await self.store.newest(PROGRESS, partition.number)
+        partition.progress_end = max(partition.progress_end, progress.end)
         batch = await self.store.newest(JOBS, partition.number)
         self.server.load_partition(
             partition,
@@ -421,7 +423,7 @@
                         JOBS, batch.partition, _deletions(dropped_ids)
                     )
                     dropped_ids = []
-                await self.store.append(
+                appended = await self.store.append(
                     PROGRESS, batch.partition, records, writer
                 )
             except FencedError as error:
@@ -445,8 +447,17 @@
                 continue
             else:
                 partition.last_append = writer.number
-                self.server.on_written(batch)
-                return
+                if _is_stored(appended, len(records), partition):
+                    partition.progress_end = appended.end
+                    self.server.on_written(batch)
+                    return
+                logs.error(
+                    "progress_answer_repeated",
+                    part=batch.partition,
+                    number=writer.number,
+                    first=appended.first,
+                    expected=partition.progress_end,
+                )
             # A new epoch may begin with any number, and nothing that was sent
             # before is applied in it.
             await asyncio.sleep(RETRY_S)
@@ -460,6 +471,23 @@
         future.set_exception(error)
 
 
+def _is_stored(appended: Appended, count: int, partition: Partition) -> bool:
+    """Whether an answer is to an append of new records of a partition.
+
+    The store answers an append that it takes for a repeated one like the first
+    one, and stores nothing.
+
+    Args:
+        appended: The answer.
+        count: Number of records that were sent.
+        partition: The partition, before the append.
+    """
+    return (
+        appended.first >= partition.progress_end
+        and appended.end == appended.first + count
+    )
+
+
 def _decode_submission(record: Record) -> Submission | None:
     """Returns the submission in a record; None for other or malformed ones."""
     if not record.value or record.key.endswith(jobrecord.CANCEL_SUFFIX):
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -60,6 +60,8 @@
             the partition, and is new after each loss of the partition.
         ready_s: When all runs ordered by earlier coordinators have ended.
         last_append: Number of the last append of progress.
+        progress_end: Offset after the newest progress that is known here. Only
+            the coordinator appends, so its next append begins there or later.
         is_loaded: Whether its jobs have been read from the store.
         is_open: Whether the tasks of its jobs may be dispatched.
         jobs: Its jobs by id.
@@ -72,6 +74,7 @@
     epoch: int
     ready_s: float
     last_append: int = 0
+    progress_end: int = 0
     is_loaded: bool = False
     is_open: bool = False
     jobs: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
--- a/egretthread/scheduling/storecall.py
+++ b/egretthread/scheduling/storecall.py
@@ -103,6 +103,19 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Appended:
+    """Where the store has put the records of an append.
+
+    Attributes:
+        first: Offset of the first record.
+        end: Offset after the last record.
+    """
+
+    first: int
+    end: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Assignment:
     """Partitions that are assigned to a member of a group.
@@ -149,8 +162,8 @@
         partition: int,
         records: Sequence[Record],
         writer: Writer | None = None,
-    ) -> None:
-        """Appends records to a partition atomically."""
+    ) -> Appended | None:
+        """Appends records to a partition atomically; None without records."""
 
     async def join(
         self, group: str, member: str, topic: str, ttl_s: float, generation: int
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -73,6 +73,8 @@
         counts_empty_appends: Whether an append without records takes a
             sequence number; otherwise it only begins the epoch, and numbers
             continue from those of the epoch before.
+        repeated_answers: Number of next fenced appends that are answered like
+            the one before, and not executed.
         records: Records by topic and partition.
         first: Offset of the first record that has not been deleted.
         appends: Epoch of the last fenced append, and the answers to the last
@@ -87,6 +89,7 @@
         self.garbage_count = 0
         self.append_delay_s = 0.0
         self.counts_empty_appends = True
+        self.repeated_answers = 0
         self.records = collections.defaultdict(list)
         self.first = collections.defaultdict(int)
         self.appends = {}
@@ -165,6 +168,9 @@
                 _, last = next(reversed(answers))
                 if number != last + 1:
                     return 409, {"reason": "seq", "sequence": last + 1}
+            if records and self.repeated_answers:
+                self.repeated_answers -= 1
+                return 200, next(reversed(answers.values()))
             answers[writer] = answer
             while len(answers) > REMEMBERED_APPENDS:
                 del answers[next(iter(answers))]
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -251,6 +251,18 @@
 
         self.run_scenario(scenario)
 
+    # Guards against TWICE: progress was taken as stored when the store
+    # answered an append like an earlier one.
+    def test_the_answer_to_an_earlier_append_does_not_count(self):
+        async def scenario(cluster):
+            before, after = self.ids(2)
+            await self.complete(cluster, before, SINGLE)
+            cluster.store.repeated_answers = 1
+            await self.complete(cluster, after, SINGLE)
+            await self.check_stored(cluster, before, after)
+
+        self.run_scenario(scenario)
+
     # Guards against TWICE: records that were read before a loss of the
     # partition were added after it, without the progress of their jobs.
     def test_records_read_before_a_loss_are_not_added_after_it(self):
