Acknowledge no end for a job that may not have been read yet

What callers saw: tasks that were done start again some seconds later (TWICE), when all partitions are reassigned at once and the store is silent for the new coordinator.

Cause: a coordinator that was offered an end for a job that it does not know acknowledged it at once, as that of a job which is not kept. A partition can be reassigned without its former coordinator knowing: it reads new submissions and dispatches them until its next call to join, up to 0.6 s later. If the new coordinator has not read such a submission when the task is done, the server forgets the end, the former coordinator's progress is refused for its epoch, and the job starts from the beginning.

A submission is stored before its tasks start. So an end for an unknown job is acknowledged only after a read of the whole partition that was sent after the end was first offered; agents offer it again every 0.3 s. Reads end at least every 1.5 s.

--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -416,7 +416,7 @@
     Raises:
         struct.error: The body is too short to be a response.
     """
-    READ_HEADER.unpack_from(body)
+    log_end, _ = READ_HEADER.unpack_from(body)
     position = READ_HEADER.size
     records = []
     while position + RECORD_LENGTH.size <= len(body):
@@ -425,7 +425,8 @@
         content = body[position : position + length]
         position += length
         records.append(_decode_record(content))
-    return Batch(tuple(records), offset + len(records))
+    end = offset + len(records)
+    return Batch(tuple(records), end, end < log_end)
 
 
 def _decode_record(content: bytes) -> Record:
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -325,6 +325,10 @@
         dispatch.dispatch_waiting(self.board)
         self._process_output()
 
+    def record_read(self, partition: Partition, read_s: float) -> None:
+        """Records that all submissions stored before a time were read."""
+        keptjobs.on_read(self.board, partition.number, partition.epoch, read_s)
+
     def apply_cancellation(self, partition: Partition, job: str) -> None:
         """Cancels a job whose cancellation was read from the log."""
         self._update_time()
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -347,6 +347,7 @@
             )
         progress = await self.store.newest(PROGRESS, partition.number)
         partition.progress_end = max(partition.progress_end, progress.end)
+        sent_s = clock.monotonic_s()
         batch = await self.store.newest(JOBS, partition.number)
         self.server.load_partition(
             partition,
@@ -358,6 +359,7 @@
             dict(filter(None, map(_decode_progress, progress.records))),
         )
         self._apply_cancellations(partition, batch.records)
+        self.server.record_read(partition, sent_s)
         return batch.end
 
     async def _follow(
@@ -370,12 +372,15 @@
             offset: Offset of the next record to read.
             wait_s: How long to wait for a record if there is none yet.
         """
+        sent_s = clock.monotonic_s()
         batch = await self.store.read(JOBS, offset, wait_s, partition.number)
         for record in batch.records:
             submission = _decode_submission(record)
             if submission is not None:
                 self.server.add_submission(partition, submission)
         self._apply_cancellations(partition, batch.records)
+        if not batch.has_more:
+            self.server.record_read(partition, sent_s)
         return batch.end
 
     def _apply_cancellations(
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -64,6 +64,10 @@
             the coordinator appends, so its next append begins there or later.
         is_loaded: Whether its jobs have been read from the store.
         is_open: Whether the tasks of its jobs may be dispatched.
+        read_s: All submissions that were stored before that time are known.
+        unknown_ends: Ends that were offered for jobs that are not known, as
+            pairs of the backend server's incarnation and the sequence number
+            of the end, with the time of their first offer.
         jobs: Its jobs by id.
         dirty: Jobs whose progress has to be written, by id.
         dropped: Ids of jobs whose records have to be deleted.
@@ -77,6 +81,10 @@
     progress_end: int = 0
     is_loaded: bool = False
     is_open: bool = False
+    read_s: float = 0.0
+    unknown_ends: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
     jobs: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
     dirty: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
     dropped: set[str] = dataclasses.field(default_factory=set)
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -50,6 +50,9 @@
 # Maximum number of jobs in a batch of progress. A record has some hundred
 # bytes, and the store accepts 2 MB at once.
 MAX_BATCH_JOBS = 1000
+# Time after which an end for an unknown job is forgotten unless it was settled.
+# Agents offer it again every 0.3 s, and partitions are read every 1.5 s.
+UNKNOWN_END_S = 10.0
 # Time between two removals of jobs that ended more than STATUS_S ago.
 SWEEP_INTERVAL_S = 1.0
 
@@ -149,6 +152,13 @@
         _add(board, partition, submission, None)
 
 
+def on_read(board: EntryBoard, number: int, epoch: int, read_s: float) -> None:
+    """Records that all submissions stored before a time have been read."""
+    partition = _find_partition(board, number, epoch)
+    if partition is not None:
+        partition.read_s = max(partition.read_s, read_s)
+
+
 def on_cancelled(board: EntryBoard, number: int, epoch: int, job: str) -> None:
     """Cancels an open job whose cancellation was read from the log."""
     partition = _find_partition(board, number, epoch)
@@ -232,6 +242,7 @@
     """Drops settled jobs that ended over STATUS_S ago, and their records."""
     cutoff_unix_s = board.unix_s - STATUS_S
     for partition in board.kept.partitions.values():
+        _forget_unknown_ends(partition, board.now_s - UNKNOWN_END_S)
         for kept_job in tuple(partition.jobs.values()):
             is_settled = (
                 kept_job.stored_state in FINAL_STATES and not kept_job.unsettled
@@ -242,6 +253,13 @@
                 board.kept.dirty.add(partition.number)
 
 
+def _forget_unknown_ends(partition: Partition, before_s: float) -> None:
+    """Forgets ends for unknown jobs that were first offered before a time."""
+    for key, offered_s in tuple(partition.unknown_ends.items()):
+        if offered_s < before_s:
+            del partition.unknown_ends[key]
+
+
 def on_held_ends(board: EntryBoard, view: AgentView, held: HeldEnds) -> None:
     """Records the ends that an agent holds for the jobs coordinated here.
 
@@ -258,11 +276,12 @@
             # Another entry coordinates the job or will soon do so.
             continue
         kept_job = partition.jobs.get(end.job)
+        key = (held.server, end.sequence)
         if kept_job is None:
-            # The job is not a kept one, or its record has been dropped.
-            settled.append(end.sequence)
+            if _is_not_kept(board, partition, key):
+                settled.append(end.sequence)
             continue
-        key = (held.server, end.sequence)
+        partition.unknown_ends.pop(key, None)
         if key in kept_job.recorded_ends:
             if key in kept_job.unsettled:
                 kept_job.unsettled[key] = view.node
@@ -279,6 +298,21 @@
         board.outbox.append((view.node, settle))
 
 
+def _is_not_kept(
+    board: EntryBoard, partition: Partition, key: tuple[str, int]
+) -> bool:
+    """Whether the unknown job of an end is not kept, or has been dropped.
+
+    The submission of a kept job is stored before its runs start. The former
+    coordinator may have read it, and started the job, before this one does.
+    """
+    offered_s = partition.unknown_ends.setdefault(key, board.now_s)
+    if partition.read_s <= offered_s:
+        return False
+    del partition.unknown_ends[key]
+    return True
+
+
 def _record_run_end(
     board: EntryBoard, view: AgentView, kept_job: KeptJob, end: HeldEnd
 ) -> bool:
--- a/egretthread/scheduling/storecall.py
+++ b/egretthread/scheduling/storecall.py
@@ -136,10 +136,12 @@
     Attributes:
         records: The records, in order.
         end: Offset after the last of them.
+        has_more: Whether the store had more records when it answered.
     """
 
     records: tuple[Record, ...]
     end: int
+    has_more: bool = False
 
 
 class JobStore(typing.Protocol):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,6 +18,14 @@
         self.assertEqual(records, batch.records)
         self.assertEqual(9, batch.end)
 
+    # A read is limited in size.
+    def test_records_beyond_a_batch_are_reported(self):
+        rows = store.encode_record(Record("a", b"one"))
+        for end, has_more in ((7, False), (8, True)):
+            header = store.READ_HEADER.pack(end, 0)
+            batch = store.decode_batch(header + rows, 6)
+            self.assertEqual((7, has_more), (batch.end, batch.has_more))
+
     def test_a_truncated_record_does_not_raise(self):
         rows = store.encode_record(Record("a", b"one"))[:-5]
         batch = store.decode_batch(store.READ_HEADER.pack(1, 0) + rows, 0)
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -539,6 +539,14 @@
         for partition in board.kept.partitions.values():
             if not partition.is_loaded:
                 self.at(STORE_DELAY_S, self.load, process, partition)
+            elif self.log.reaches(process.name, self.now_s):
+                # Submissions are read STORE_DELAY_S after they were stored.
+                keptjobs.on_read(
+                    board,
+                    partition.number,
+                    partition.epoch,
+                    self.now_s - STORE_DELAY_S,
+                )
 
     def load(self, process, partition):
         """Reads a partition for its new coordinator."""
@@ -571,6 +579,7 @@
         # Records that were written since the read are read next.
         for submission in self.log.read(partition.number)[0]:
             keptjobs.on_submitted(board, *key, submission)
+        keptjobs.on_read(board, *key, self.now_s)
 
     def write(self, process, number):
         """Writes the progress of a partition, one batch at a time."""
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -5,7 +5,13 @@
 from egretthread.scheduling import jobrecord, keptjobs, pendingcounts
 from egretthread.scheduling.jobspec import JobSpec, StepSpec
 from egretthread.scheduling.room import Room
-from egretthread.scheduling.runmessage import EntryHello
+from egretthread.scheduling.runmessage import (
+    EntryHello,
+    HeldEnd,
+    HeldEnds,
+    RunEnd,
+    SettleEnds,
+)
 from tests.scheduling import region, test_region
 
 
@@ -182,6 +188,72 @@
         self.check(world)
 
 
+class TestUnreadJobs(testtools.TestCase):
+    """A coordinator is offered the end of a job that it has not read yet."""
+
+    def setUp(self):
+        super().setUp()
+        self.world = region.Region(entries=1, agents=1)
+        self.world.run(6.0)
+        self.board = self.world.entries["e0"].board
+        self.number = jobrecord.partition_of(
+            "k", self.board.kept.partition_count
+        )
+        self.partition = self.board.kept.partitions[self.number]
+
+    def offer(self):
+        """Offers the end; returns the answers to the agent."""
+        end = HeldEnd("k", 0, 0, 1, "e1#1", 7, RunEnd.DONE, 100)
+        (view,) = self.board.agents.values()
+        keptjobs.on_held_ends(self.board, view, HeldEnds("i-0@1", (end,)))
+        answers = [
+            message
+            for _, message in self.board.outbox
+            if isinstance(message, SettleEnds)
+        ]
+        self.board.outbox.clear()
+        return answers
+
+    def read(self, read_s):
+        epoch = self.partition.epoch
+        keptjobs.on_read(self.board, self.number, epoch, read_s)
+
+    # Guards against TWICE: the end of a job that the former coordinator had
+    # started was acknowledged as that of an unknown job, and the job ran again
+    # once its submission was read.
+    def test_an_end_is_kept_until_its_job_has_been_read(self):
+        self.assertEqual([], self.offer())
+        self.read(self.board.now_s - 0.1)
+        self.assertEqual([], self.offer())
+        submission = jobrecord.Submission(
+            kept_job("k", count=1), region.ROUTE, 0.0
+        )
+        keptjobs.on_submitted(
+            self.board, self.number, self.partition.epoch, submission
+        )
+        self.assertEqual([], self.offer())
+        batch = keptjobs.take_batch(self.board, self.number)
+        self.assertEqual(
+            jobrecord.JobState.COMPLETED, batch.progress["k"].state
+        )
+        keptjobs.on_written(self.board, batch)
+        answers = [answer.taken for answer in self.offer()]
+        self.assertEqual([(1,), (1,)], answers)
+        self.assertEqual({}, self.partition.unknown_ends)
+
+    def test_an_end_of_a_job_that_is_not_kept_is_acknowledged(self):
+        self.assertEqual([], self.offer())
+        self.read(self.board.now_s + 0.1)
+        (answer,) = self.offer()
+        self.assertEqual((1,), answer.taken)
+        self.assertEqual({}, self.partition.unknown_ends)
+
+    def test_an_end_that_is_not_offered_again_is_forgotten(self):
+        self.offer()
+        self.world.run(keptjobs.UNKNOWN_END_S + 2.0)
+        self.assertEqual({}, self.partition.unknown_ends)
+
+
 class TestKeptHistories(testtools.TestCase):
     def test_random_histories_hold_the_invariants(self):
         for seed in range(40):
