Count jobs as pending until their orders were received

What callers saw: `pending_jobs` of a queue is 0 or too low while accepted jobs have not begun, for up to 1.7 s and more (MIXED), when an agent is stopped or killed.

Cause: a job counted as begun once one of its tasks had been ordered at an agent, for good. An agent that is stopped or killed before it receives the order starts nothing.

Evidence: the new test test_jobs_ordered_at_a_stopped_agent_are_counted failed before (no job counted).

Now a job counts as begun when a task of it is done or has failed, or its agent is heard of 50 ms after the order. A job whose agent is lost right after that may count as begun although it isn't.

--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -23,6 +23,7 @@
         state: RUNNING while it is open, else its final state.
         job: The job with its tasks.
         is_open: Whether its tasks may be dispatched.
+        has_begun: Whether a run of it is known to have started.
         ended_unix_s: When it ended; 0 while it is open.
         stored_state: The last state that was written to the store.
         recorded_ends: Ends of runs that have been recorded, as pairs of the
@@ -36,6 +37,7 @@
     job: "Job"
     state: JobState = JobState.RUNNING
     is_open: bool = False
+    has_begun: bool = False
     ended_unix_s: float = 0.0
     stored_state: JobState = JobState.RUNNING
     recorded_ends: set[tuple[str, int]] = dataclasses.field(default_factory=set)
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -470,5 +470,5 @@
 
 
 def pending(board: EntryBoard) -> tuple[PendingJobs, ...]:
-    """Returns the number of kept jobs that have not started, by route."""
-    return pendingcounts.count(board.kept.partitions.values())
+    """Returns the number of kept jobs that have not begun, by route."""
+    return pendingcounts.count(board, board.kept.partitions.values())
--- a/egretthread/scheduling/pendingcounts.py
+++ b/egretthread/scheduling/pendingcounts.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Collection, Iterable
 
-from egretthread.scheduling.entryboard import EntryBoard, TaskState
+from egretthread.scheduling.entryboard import EntryBoard, Task, TaskState
 from egretthread.scheduling.jobrecord import FINAL_STATES
 from egretthread.scheduling.keptboard import (
     FormerCounts,
@@ -17,6 +17,8 @@
 
 # Maximum number of former counts that are kept.
 MAX_FORMER = 500
+# An agent that is heard of so long after an order has received the order.
+ORDER_DELIVERY_S = 0.05
 
 
 def has_started(kept_job: KeptJob) -> bool:
@@ -28,12 +30,41 @@
     )
 
 
-def count(partitions: Iterable[Partition]) -> tuple[PendingJobs, ...]:
-    """Returns the number of jobs that have not started, by route."""
+def _has_begun(board: EntryBoard, kept_job: KeptJob) -> bool:
+    """Whether a run of a job is known to have started.
+
+    An order to an agent that is stopped or lost may never be carried out.
+    """
+    if not kept_job.has_begun:
+        kept_job.has_begun = any(
+            task.state is TaskState.DONE
+            or task.failures > 0
+            or _is_received(board, task)
+            for tasks in kept_job.job.tasks
+            for task in tasks
+        )
+    return kept_job.has_begun
+
+
+def _is_received(board: EntryBoard, task: Task) -> bool:
+    """Whether a task is ordered at an agent that was heard of since."""
+    view = board.agents.get(task.agent)
+    received_s = task.job.last_dispatch_s + ORDER_DELIVERY_S
+    return (
+        task.state is TaskState.ORDERED
+        and view is not None
+        and view.last_received_s > received_s
+    )
+
+
+def count(
+    board: EntryBoard, partitions: Iterable[Partition]
+) -> tuple[PendingJobs, ...]:
+    """Returns the number of jobs that have not begun, by route."""
     counts: dict[str, int] = {}
     for partition in partitions:
         for kept_job in partition.jobs.values():
-            if kept_job.state in FINAL_STATES or has_started(kept_job):
+            if kept_job.state in FINAL_STATES or _has_begun(board, kept_job):
                 continue
             name = kept_job.submission.route.name
             counts[name] = counts.get(name, 0) + 1
@@ -52,7 +83,8 @@
 def on_released(board: EntryBoard, partition: Partition) -> None:
     """Keeps the counts of a partition that this entry releases."""
     if partition.is_loaded:
-        _keep(board, frozenset({partition.number}), count((partition,)))
+        pending = count(board, (partition,))
+        _keep(board, frozenset({partition.number}), pending)
 
 
 def on_hello(board: EntryBoard, before: EntryHello, after: EntryHello) -> None:
@@ -114,7 +146,7 @@
         hellos: Recent hellos of the other entries.
     """
     drop_outdated(board, hellos)
-    counts = [count(board.kept.partitions.values())]
+    counts = [count(board, board.kept.partitions.values())]
     counts += (hello.pending for hello in hellos)
     counts += (former.pending for former in board.kept.former_counts)
     return sum(
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -164,6 +164,30 @@
         (pending,) = keptjobs.pending(world.entries["e0"].board)
         self.assertEqual((region.ROUTE.name, 1), (pending.route, pending.jobs))
 
+    # Guards against MIXED: a job counted as begun once it was ordered, also at
+    # an agent that was stopped or killed before it received the order.
+    def test_jobs_ordered_at_a_stopped_agent_are_counted(self):
+        for stop in ("freeze", "kill"):
+            world = self.start_region(entries=1, agents=1)
+            (agent,) = world.agents.values()
+            board = world.entries["e0"].board
+            getattr(world, stop)(agent, 2.0)
+            world.submit_kept(kept_job("k"))
+            for _ in range(10):
+                world.run(0.15)
+                (pending,) = keptjobs.pending(board)
+                self.assertEqual(1, pending.jobs)
+            world.run(6.0)
+            self.assertEqual((), keptjobs.pending(board))
+            self.check(world, k="completed")
+
+    def test_a_job_at_work_is_not_counted(self):
+        world = self.start_region(work_s=lambda name: 5.0)
+        world.submit_kept(kept_job("k", estimated_s=5.0))
+        world.run(0.5)
+        entry = coordinator(world, "k")
+        self.assertEqual((), keptjobs.pending(entry.board))
+
     # Guards against a count that falls as a partition is assigned to another
     # entry, which has not loaded it yet.
     def test_waiting_jobs_of_a_released_partition_are_counted(self):
