--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -111,10 +111,54 @@
             "board.now_s >= board.kept.until_s:",
             "    if False:",
         ),
+        (
+            "acknowledge ends of jobs that have not been read",
+            "keptjobs.py",
+            "    if partition.read_s <= offered_s:\n        return False\n",
+            "",
+        ),
+        (
+            "count jobs as begun once they are ordered",
+            "pendingcounts.py",
+            "        and view.last_received_s > received_s\n",
+            "",
+        ),
+    )
+)
+# Mutations of the appends to the log of kept jobs.
+LOG_MUTATIONS = tuple(
+    Mutation(
+        name,
+        f"scheduling/{path}",
+        old,
+        new,
+        ("tests/platform/test_keptpath.py",),
+        "",
+    )
+    for name, path, old, new in (
+        (
+            "use an epoch again after a loss in the same generation",
+            "keptboard.py",
+            "max(first, self.epochs.get(number, -1) + 1)",
+            "first",
+        ),
+        (
+            "take any answer to an append as stored",
+            "joblog.py",
+            "if _is_stored(appended, len(records), partition):",
+            "if True:",
+        ),
+        (
+            "repeat a refused append in the same epoch",
+            "joblog.py",
+            "            self.server.begin_epoch(partition)\n            batch",
+            "            batch",
+        ),
     )
 )
 MUTATIONS = (
     *SCHEDULING_MUTATIONS,
+    *LOG_MUTATIONS,
     Mutation(
         "skip the registration",
         "controllers/claims.py",
