Log stops that an entry ordered, and those that were not answered

The record of the run that outlived its stop can't tell whether the entry's lease had ended or the entry had ordered the stop. run_lapsed tells the first, runs_stop_ordered the second; stop_unanswered tells how long the lease at the backend server still lasts while the stop is retried. No logic is changed.

--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -110,6 +110,12 @@
     board: AgentBoard, coordinator: Coordinator, order: StopRuns
 ) -> None:
     """Stops runs that their coordinator no longer needs."""
+    logs.info(
+        "runs_stop_ordered",
+        job=order.job,
+        runs=len(order.attempts),
+        entry=coordinator.node,
+    )
     for attempt in order.attempts:
         run = board.runs.get((coordinator.node, attempt))
         if run is not None:
@@ -390,6 +396,15 @@
             run.phase is RunPhase.STOPPING and not run.stop_confirmed_s
         )
         if is_unconfirmed and board.now_s - run.last_change_s > STOP_RETRY_S:
+            if run.tries == 1:
+                logs.info(
+                    "stop_unanswered",
+                    job=run.name.job,
+                    attempt=run.attempt,
+                    entry=run.entry,
+                    has_lease=has_lease(board, run),
+                    server_lease_s=board.server_lease_end_s - board.now_s,
+                )
             runs.send_stop(board, run)
     if board.blocked_runs and board.now_s - board.blocked_sent_s > STOP_RETRY_S:
         board.blocked_sent_s = board.now_s
