Renew no lease for runs that were to be stopped before

All three tasks of a job started again 0.7 s after the agent had begun to stop their first runs; one of these ran for 0.17 s beside the new one.

Cause: coordinators, and callers that submit a lost job again, count on the runs of an unreachable agent to end with their lease at the backend server, whether or not the stops arrive. But the lease covers all runs of a server, and each poll renewed it while stops were not answered, so that such a run went on for as long as its stop was lost. Starts that were retried renewed it even while it was deliberately left to expire.

Why this works: the lease is renewed up to 0.4 s after the lease of a coordinator with runs there, or 0.8 s after the decision to stop one, and no further until these runs are listed as ended. That is before the fence passes (0.71 s) and before callers submit again (0.5 s at the least). Stops are retried after 0.06 instead of 0.15 s, so that several fit in, and the other runs of a server end only if all of them are lost.

--- a/egretthread/scheduling/leaserule.py
+++ b/egretthread/scheduling/leaserule.py
@@ -18,9 +18,15 @@
 # Lease of the runs at the backend server, which drops them when it is not
 # renewed.
 SERVER_LEASE_S = 0.5
+# How long after the end of its coordinator's lease a run may go on while it is
+# being stopped. The lease at the backend server is not renewed beyond that.
+# Callers submit a lost job again, and its fence passes, only later.
+LAPSED_STOP_LIMIT_S = 0.4
+# The same after the decision to stop a run whose coordinator has a lease.
+STOP_LIMIT_S = 0.8
 # Maximum share by which a backend server's clock runs slow.
 CLOCK_DRIFT = 0.02
-# Maximum time in which an agent notices the end of a lease and stops a run.
+# Maximum time in which an agent notices the end of a lease.
 STOP_MARGIN_S = 0.2
 
 
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -4,7 +4,12 @@
 from collections.abc import Sequence
 
 from egretthread import logs
-from egretthread.scheduling import leaserule, runs, servercrash
+from egretthread.scheduling import (
+    leaserule,
+    runs,
+    servercrash,
+    serverlease,
+)
 from egretthread.scheduling.agentboard import (
     AgentBoard,
     Coordinator,
@@ -32,8 +37,9 @@
 # within a few ms. A start call that is retried is carried out only once.
 START_TIMEOUTS_S = (0.04, 0.08, 0.15)
 START_TRIES = len(START_TIMEOUTS_S)
-# Interval between attempts to stop a run.
-STOP_RETRY_S = 0.15
+# Interval between attempts to stop a run. Several fit into the time for which
+# its lease is still renewed.
+STOP_RETRY_S = 0.06
 # A fencing token that is too low is raised by this much. Tokens are start times
 # in Unix ms, and clocks jump back by less than this.
 TOKEN_STEP = 10_000
@@ -133,7 +139,7 @@
         for run in board.runs.values()
         if run.phase is RunPhase.QUEUED and has_lease(board, run)
     ]
-    if not queued or board.server is None or board.is_renewal_blocked:
+    if not queued or board.server is None or not serverlease.may_start(board):
         return
     if not board.knows_runs or board.candidate is not None:
         return
@@ -181,8 +187,8 @@
 
 
 def _retry_start(board: AgentBoard, run: Run) -> None:
-    """Retries the start of a run unless its entry may have given it up."""
-    if has_lease(board, run):
+    """Retries the start of a run unless its lease may not last."""
+    if has_lease(board, run) and serverlease.may_start(board):
         send_start(board, run)
     else:
         runs.begin_stop(board, run, RunEnd.STOPPED)
@@ -199,7 +205,7 @@
             run,
             run.number,
             board.server.server,
-            renew_lease(board),
+            serverlease.renew(board),
             board.token,
             START_TIMEOUTS_S[min(run.tries, START_TRIES) - 1],
             board.server.started_unix_ms,
@@ -207,15 +213,6 @@
     )
 
 
-def renew_lease(board: AgentBoard) -> int:
-    """Renews the lease; returns its end on the backend server's clock."""
-    board.server_lease_end_s = max(
-        board.server_lease_end_s, board.now_s + leaserule.max_server_lease_s()
-    )
-    until_ms = board.clock_ms + board.clock_offset_ms
-    return until_ms + int(leaserule.SERVER_LEASE_S * 1000)
-
-
 def on_start_result(
     board: AgentBoard, call: StartCall, result: CallResult
 ) -> None:
@@ -416,8 +413,7 @@
 
 def has_lease(board: AgentBoard, run: Run) -> bool:
     """Whether the lease of a run's entry is current."""
-    coordinator = board.coordinators.get(run.entry)
-    return coordinator is not None and board.now_s < coordinator.lease_end_s
+    return board.now_s < serverlease.coordinator_lease_end_s(board, run)
 
 
 def stop_expired(board: AgentBoard) -> None:
--- /dev/null
+++ b/egretthread/scheduling/serverlease.py
@@ -0,0 +1,63 @@
+"""The lease of all runs at the backend server, which their agent renews.
+
+It covers all runs there alike. A run that its coordinator takes for ended must
+not be kept alive by the lease of the others, so that the lease is renewed only
+as far as each of them may go on.
+"""
+
+from egretthread.scheduling import leaserule
+from egretthread.scheduling.agentboard import AgentBoard, Run, RunPhase
+
+# Runs are started only while the lease can be renewed for at least this long.
+# A shorter one is likely to expire with them.
+MIN_START_LEASE_S = 0.2
+
+
+def coordinator_lease_end_s(board: AgentBoard, run: Run) -> float:
+    """Returns when the lease of a run's entry ends; 0 if it has none."""
+    coordinator = board.coordinators.get(run.entry)
+    return coordinator.lease_end_s if coordinator else 0.0
+
+
+def stop_limit_s(board: AgentBoard, run: Run) -> float:
+    """Returns when a run that is being stopped from now on must have ended."""
+    return min(
+        board.now_s + leaserule.STOP_LIMIT_S,
+        coordinator_lease_end_s(board, run) + leaserule.LAPSED_STOP_LIMIT_S,
+    )
+
+
+def limit_s(board: AgentBoard) -> float:
+    """Returns the time up to which the lease may be renewed now."""
+    end_s = board.now_s + leaserule.SERVER_LEASE_S
+    for run in board.runs.values():
+        if run.phase is RunPhase.STOPPING:
+            end_s = min(end_s, run.stop_limit_s)
+        elif run.phase is not RunPhase.QUEUED:
+            lease_end_s = coordinator_lease_end_s(board, run)
+            end_s = min(end_s, lease_end_s + leaserule.LAPSED_STOP_LIMIT_S)
+    return end_s
+
+
+def may_start(board: AgentBoard) -> bool:
+    """Whether the lease can be renewed for long enough to start runs."""
+    if board.is_renewal_blocked:
+        return False
+    return limit_s(board) - board.now_s >= MIN_START_LEASE_S
+
+
+def renew(board: AgentBoard) -> int:
+    """Renews the lease as far as it may be.
+
+    Returns:
+        Its end on the backend server's clock in ms, or 0 if it must not be
+        renewed.
+    """
+    lease_s = limit_s(board) - board.now_s
+    if lease_s <= 0:
+        return 0
+    board.server_lease_end_s = max(
+        board.server_lease_end_s,
+        board.now_s + lease_s * (1 + leaserule.CLOCK_DRIFT),
+    )
+    return board.clock_ms + board.clock_offset_ms + int(lease_s * 1000)
--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -5,7 +5,13 @@
 """
 
 from egretthread import logs
-from egretthread.scheduling import heldends, runorders, runs, servercrash
+from egretthread.scheduling import (
+    heldends,
+    runorders,
+    runs,
+    servercrash,
+    serverlease,
+)
 from egretthread.scheduling.agentboard import (
     AgentBoard,
     Run,
@@ -61,7 +67,7 @@
     until_ms = 0
     wait_ms = POLL_WAIT_MS
     if not board.is_renewal_blocked:
-        until_ms = runorders.renew_lease(board)
+        until_ms = serverlease.renew(board)
     if not board.is_confirmed:
         # Its clock is only known from a heartbeat. An earlier process of the
         # agent may have renewed the lease, so that it is still assumed to last.
--- a/egretthread_standins/platformsite/backendserver.py
+++ b/egretthread_standins/platformsite/backendserver.py
@@ -60,6 +60,7 @@
         lost_share: Share of the requests that it carries out without an
             answer.
         rng: Source of the draws for these two.
+        lost_paths: Paths of the requests that never reach it.
     """
 
     def __init__(self, server, service, zone, cpu, work_s, log, task_cpu=1000):
@@ -86,6 +87,7 @@
         self.late_share = 0.0
         self.lost_share = 0.0
         self.rng = random.Random(server)
+        self.lost_paths: set[str] = set()
         self.changed = asyncio.Event()
         self.server = web.Server(self._handle)
         self.control: tuple[str, int] | None = None
@@ -208,6 +210,8 @@
             self.lapsed_ends.update(end[0] for end in self.ended)
 
     async def _handle(self, request: web.Request):
+        if request.path in self.lost_paths:
+            raise web.Lost
         expected = request.headers.get("x-egretthread-expected-instance")
         if expected and expected != self.id:
             return 421, {"clock_ms": self.clock_ms}
--- a/tests/scheduling/test_leaserule.py
+++ b/tests/scheduling/test_leaserule.py
@@ -14,6 +14,24 @@
         lease_end_s = leaserule.coordinator_lease_end_s(0)
         self.assertLess(lease_end_s + STOP_S, RESUBMIT_S)
 
+    # Guards against TWICE: runs whose stop was not answered went on while their
+    # tasks were started again.
+    def test_runs_whose_stop_is_lost_end_before_their_tasks_start_again(self):
+        drift = 1 + leaserule.CLOCK_DRIFT
+        lapsed_s = (
+            leaserule.COORDINATOR_LEASE_S
+            + leaserule.LAPSED_STOP_LIMIT_S * drift
+        )
+        self.assertLess(lapsed_s + STOP_S, RESUBMIT_S)
+        self.assertLess(lapsed_s, leaserule.fence_s(0.0, ordered=False))
+        ordered_lapse_s = (
+            leaserule.MAX_ORDER_AGE_MS / 1000
+            + leaserule.ACCEPTED_GRACE_S
+            + leaserule.LAPSED_STOP_LIMIT_S * drift
+        )
+        self.assertLess(ordered_lapse_s, leaserule.fence_s(0.0, ordered=True))
+        self.assertLess(leaserule.STOP_LIMIT_S * drift + STOP_S, RESUBMIT_S)
+
     def test_a_delayed_order_is_not_carried_out(self):
         self.assertTrue(leaserule.order_is_fresh(2000, 600))
         self.assertFalse(leaserule.order_is_fresh(2000, 400))
--- a/tests/scheduling/test_runorders.py
+++ b/tests/scheduling/test_runorders.py
@@ -9,6 +9,7 @@
     leaserule,
     runorders,
     runs,
+    serverlease,
     serverpoll,
 )
 from egretthread.scheduling.agentboard import (
@@ -93,7 +94,7 @@
         result = CallResult(Verdict.OK)
         agentengine.on_call_result(self.board, self.starts()[0], result)
         self.board.now_s += leaserule.COORDINATOR_LEASE_S - 0.01
-        runorders.renew_lease(self.board)
+        serverlease.renew(self.board)
         agentengine.on_tick(self.board)
         self.assertEqual(1, len(self.board.calls))
         self.board.now_s += 0.02
--- /dev/null
+++ b/tests/scheduling/test_serverlease.py
@@ -0,0 +1,146 @@
+"""Tests of the lease of the runs at a backend server."""
+
+from egretthread.scheduling import (
+    agentengine,
+    leaserule,
+    serverlease,
+    serverpoll,
+)
+from egretthread.scheduling.agentboard import StopCall
+from egretthread.scheduling.runmessage import EntryBeat, RunEnd, StopRuns
+from egretthread.scheduling.servercall import (
+    CallResult,
+    EndedRun,
+    PollResult,
+    RunningRun,
+    ServerEnd,
+    Verdict,
+)
+from tests.scheduling import test_runorders
+
+POLL_S = 0.05
+OTHER_ENTRY = "f#1"
+
+
+class LeaseCase(test_runorders.AgentCase):
+    """An agent with one run of an entry, whose stops are not answered."""
+
+    def setUp(self):
+        super().setUp()
+        self.order()
+        (start,) = self.starts()
+        agentengine.on_call_result(self.board, start, CallResult(Verdict.OK))
+        (self.run,) = self.board.runs.values()
+        self.until_s = 0.0
+
+    def poll(self, ended=()):
+        """Polls the backend server, which lists the run unless it has ended."""
+        board = self.board
+        call = serverpoll.next_poll(board)
+        if call.until_ms:
+            until_s = (call.until_ms - board.clock_offset_ms) / 1000
+            self.until_s = max(self.until_s, until_s)
+        running = ()
+        if not ended and self.board.runs_by_task:
+            running = (RunningRun(self.run.name, self.run.number, 10),)
+        result = PollResult(
+            Verdict.OK,
+            board.clock_ms + board.clock_offset_ms,
+            running=running,
+            ended=ended,
+        )
+        agentengine.on_poll_result(board, call, result)
+
+    def renew_coordinator(self):
+        heartbeat = EntryBeat(self.board.clock_ms, 0, False, True)
+        agentengine.on_message(self.board, test_runorders.ENTRY, heartbeat)
+
+    def play(self, seconds):
+        """Polls, ticks and leaves all stops unanswered for some time."""
+        end_s = self.board.now_s + seconds
+        while self.board.now_s < end_s:
+            self.board.now_s += POLL_S
+            agentengine.on_tick(self.board)
+            self.poll()
+
+    def stops(self):
+        return [c for c in self.board.calls if isinstance(c, StopCall)]
+
+
+class TestLease(LeaseCase):
+    # Guards against TWICE: runs whose stop was not answered kept their lease
+    # after that of their coordinator had ended.
+    def test_the_lease_of_a_lapsed_run_is_not_renewed_without_its_stop(self):
+        lease_end_s = self.board.coordinators["e#1"].lease_end_s
+        self.play(3.0)
+        self.assertGreater(len(self.stops()), 3)
+        self.assertGreater(self.until_s, lease_end_s)
+        limit_s = lease_end_s + leaserule.LAPSED_STOP_LIMIT_S
+        self.assertLessEqual(self.until_s, limit_s)
+
+    # Guards against TWICE: runs whose stop was not answered kept their lease
+    # after their coordinator had answered their job.
+    def test_the_lease_of_a_run_ordered_to_stop_is_not_renewed_for_long(self):
+        order = StopRuns("j", (1,))
+        agentengine.on_message(self.board, test_runorders.ENTRY, order)
+        ordered_s = self.board.now_s
+        for _ in range(30):
+            self.renew_coordinator()
+            self.play(0.1)
+        self.assertLessEqual(self.until_s, ordered_s + leaserule.STOP_LIMIT_S)
+
+    def test_the_end_of_a_lease_counts_though_its_coordinator_is_back(self):
+        lease_end_s = self.board.coordinators["e#1"].lease_end_s
+        self.play(leaserule.COORDINATOR_LEASE_S + 0.1)
+        for _ in range(30):
+            self.renew_coordinator()
+            self.play(0.1)
+        limit_s = lease_end_s + leaserule.LAPSED_STOP_LIMIT_S
+        self.assertLessEqual(self.until_s, limit_s)
+
+    def test_a_run_that_has_stopped_does_not_keep_the_lease_from_others(self):
+        lease_end_s = self.board.coordinators["e#1"].lease_end_s
+        self.play(leaserule.COORDINATOR_LEASE_S + 0.1)
+        ended = EndedRun(1, self.run.name, self.run.number, ServerEnd.STOPPED)
+        self.poll((ended,))
+        self.assertEqual(RunEnd.STOPPED, self.ends()[-1])
+        self.poll()
+        self.assertGreater(
+            self.until_s, lease_end_s + leaserule.LAPSED_STOP_LIMIT_S
+        )
+
+    def test_a_coordinator_in_touch_keeps_the_whole_lease(self):
+        for _ in range(20):
+            self.renew_coordinator()
+            self.play(0.1)
+            lease_s = self.until_s - self.board.now_s
+            self.assertGreater(lease_s, leaserule.SERVER_LEASE_S - 0.002)
+
+    def test_nothing_is_started_while_a_lapsed_run_may_go_on(self):
+        agentengine.on_link_open(self.board, OTHER_ENTRY)
+        self.play(leaserule.COORDINATOR_LEASE_S + 0.25)
+        self.board.calls.clear()
+        self.order_of(OTHER_ENTRY)
+        self.assertFalse(serverlease.may_start(self.board))
+        self.assertEqual([], self.starts())
+        ended = EndedRun(1, self.run.name, self.run.number, ServerEnd.STOPPED)
+        self.poll((ended,))
+        self.assertEqual(1, len(self.starts()))
+
+    def order_of(self, entry):
+        """Orders a run of another entry."""
+        echo_ms = self.board.clock_ms
+        order = test_runorders.StartRuns(
+            "k",
+            "x",
+            1000,
+            1,
+            0,
+            100,
+            0,
+            echo_ms,
+            1000,
+            (test_runorders.RunOrder(0, 0, 1),),
+        )
+        agentengine.on_message(self.board, entry, order)
+        agentengine.after_event(self.board)
