Lose stops at backend servers in the soak, and play longer tasks

Tasks of the soak lasted 1.5 s at most, and others start the tasks of a lost entry 1.3 s later, so that no run whose stop is lost could be seen beside its successor. One task in a hundred lasts 4 s now, and the calls that stop runs are lost for up to 4 s at a time. The steps of this kind are drawn apart, so that the other steps of a seed stay.

--- a/egretthread_standins/soak/callers.py
+++ b/egretthread_standins/soak/callers.py
@@ -108,6 +108,9 @@
 def work_s(task: str) -> float:
     """Returns how long a task works, the same each time."""
     draw = random.Random(task).random()
+    if draw < 0.01:
+        # Longer than it takes until others start the task of a lost entry.
+        return 4.0
     return 1.5 if draw < 0.05 else 0.05 + 0.5 * draw
 
 
--- a/egretthread_standins/soak/disturbances.py
+++ b/egretthread_standins/soak/disturbances.py
@@ -158,6 +158,18 @@
     return disturb
 
 
+async def lose_stops(play: Play, step: Step) -> None:
+    """Loses the calls that stop runs at backend servers."""
+    play.site.log("platform", step.kind, agents=step.targets)
+    servers = [play.site.servers[name] for name in step.targets]
+    for server in servers:
+        server.lost_paths.add("/run-stop")
+    await asyncio.sleep(step.duration_s)
+    for server in servers:
+        server.lost_paths.discard("/run-stop")
+    play.site.log("platform", f"{step.kind} over", agents=step.targets)
+
+
 async def mute_server(play: Play, step: Step) -> None:
     """Makes agents' open connections to their servers silent for good."""
     play.site.log("platform", step.kind, agents=step.targets)
@@ -373,6 +385,7 @@
     "store-reassigns": reassign,
     "server-late": server_share("late_share"),
     "server-answers-lost": server_share("lost_share"),
+    "server-loses-stops": lose_stops,
     "server-mute": mute_server,
     "server-reset": reset_server,
     "settings": hang_up,
@@ -406,6 +419,7 @@
     Kind("store-reassigns", "all", weight=0.7),
     Kind("server-late", "agent", (0.3, 3.0)),
     Kind("server-answers-lost", "agent", (0.3, 3.0)),
+    Kind("server-loses-stops", "agent", (0.5, 4.0), gap_s=6.0),
     Kind("server-mute", "agent"),
     Kind("server-reset", "agent", weight=0.5),
     Kind("settings", "machine", weight=0.5),
--- a/egretthread_standins/soak/scenario.py
+++ b/egretthread_standins/soak/scenario.py
@@ -22,12 +22,15 @@
         role: Which machines it concerns: `entry`, `agent`, `machine` or `all`.
         seconds: Shortest and longest duration.
         weight: How often it is drawn.
+        gap_s: Mean interval between such steps, which are drawn apart from
+            those of other kinds; 0 if it is drawn among them.
     """
 
     name: str
     role: str
     seconds: tuple[float, float] = (0.0, 0.0)
     weight: float = 1.0
+    gap_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,10 +62,11 @@
     """Draws the steps of a scenario in the order of their times."""
     rng = random.Random(seed)
     gaps_s = rng.choice(GAPS_S)
+    common = [kind for kind in kinds if not kind.gap_s]
     steps = []
     at_s = 0.5
     while at_s < seconds:
-        (kind,) = rng.choices(kinds, [kind.weight for kind in kinds])
+        (kind,) = rng.choices(common, [kind.weight for kind in common])
         targets = _draw_targets(rng, kind.role, entries, agents)
         duration_s = min(rng.uniform(*kind.seconds), seconds - at_s)
         steps.append(
@@ -76,9 +80,33 @@
                 Step(change_s, CONFIGURE, (), 0.0, rng.getrandbits(32))
             )
         at_s += rng.expovariate(1 / rng.choice(gaps_s))
+    for kind in kinds:
+        if kind.gap_s:
+            steps += _draw_apart(seed, seconds, kind, entries, agents)
     return sorted(steps, key=lambda step: step.at_s)
 
 
+def _draw_apart(
+    seed: int,
+    seconds: float,
+    kind: Kind,
+    entries: list[str],
+    agents: list[str],
+) -> list[Step]:
+    """Draws the steps of one kind without changing other draws of a seed."""
+    rng = random.Random(f"{seed} {kind.name}")
+    steps = []
+    at_s = rng.expovariate(1 / kind.gap_s)
+    while at_s < seconds:
+        targets = _draw_targets(rng, kind.role, entries, agents)
+        duration_s = min(rng.uniform(*kind.seconds), seconds - at_s)
+        steps.append(
+            Step(at_s, kind.name, targets, duration_s, rng.getrandbits(32))
+        )
+        at_s += duration_s + rng.expovariate(1 / kind.gap_s)
+    return steps
+
+
 def _draw_targets(
     rng: random.Random, role: str, entries: list[str], agents: list[str]
 ) -> tuple[str, ...]:
