Renew no lease while runs of an earlier agent process are listed

What callers saw: nothing yet. A task at work on two backend servers at once (TWICE) was possible after an agent restarted while its backend server's stops were lost.

Cause: a new agent process stops the runs of its former process as unknown, and went on renewing their lease with each poll until their stops arrived.

Why this works: no poll and no start renews the lease while a confirmed server lists unknown runs, so that they end by the lease of the former process at the latest.

Tests: TestRestart in tests/scheduling/test_serverlease.py.

--- a/egretthread/scheduling/serverlease.py
+++ b/egretthread/scheduling/serverlease.py
@@ -39,9 +39,19 @@
     return end_s
 
 
+def is_blocked(board: AgentBoard) -> bool:
+    """Whether the lease must not be renewed.
+
+    The runs of an earlier process of the agent count as ended once that
+    process's lease has expired, whether or not their stops arrive.
+    """
+    has_unknown_runs = board.is_confirmed and not board.knows_runs
+    return board.is_renewal_blocked or has_unknown_runs
+
+
 def may_start(board: AgentBoard) -> bool:
     """Whether the lease can be renewed for long enough to start runs."""
-    if board.is_renewal_blocked:
+    if is_blocked(board):
         return False
     return limit_s(board) - board.now_s >= MIN_START_LEASE_S
 
--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -66,7 +66,7 @@
     """Returns the next poll of the backend server."""
     until_ms = 0
     wait_ms = POLL_WAIT_MS
-    if not board.is_renewal_blocked:
+    if not serverlease.is_blocked(board):
         until_ms = serverlease.renew(board)
     if not board.is_confirmed:
         # Its clock is only known from a heartbeat. An earlier process of the
--- a/tests/scheduling/test_serverlease.py
+++ b/tests/scheduling/test_serverlease.py
@@ -1,12 +1,19 @@
 """Tests of the lease of the runs at a backend server."""
 
+import testtools
+
 from egretthread.scheduling import (
     agentengine,
     leaserule,
     serverlease,
     serverpoll,
 )
-from egretthread.scheduling.agentboard import StopCall
+from egretthread.scheduling.agentboard import (
+    ServerRecord,
+    StopCall,
+    TaskName,
+)
+from egretthread.scheduling.room import Room
 from egretthread.scheduling.runmessage import EntryBeat, RunEnd, StopRuns
 from egretthread.scheduling.servercall import (
     CallResult,
@@ -144,3 +151,41 @@
         )
         agentengine.on_message(self.board, entry, order)
         agentengine.after_event(self.board)
+
+
+class TestRestart(testtools.TestCase):
+    """An agent process that finds a run of an earlier one."""
+
+    def setUp(self):
+        super().setUp()
+        self.board = agentengine.new_board("a#2", 5, 100.0)
+        record = ServerRecord(
+            "i-1", 1, "match", "a", (), Room(8000, 64, 0), False, 0.0, 1
+        )
+        agentengine.on_heartbeat(self.board, record, 1000)
+        agentengine.on_link_open(self.board, test_runorders.ENTRY)
+
+    def poll(self, *running):
+        """Polls the backend server; returns the end of the renewed lease."""
+        board = self.board
+        board.now_s += POLL_S
+        agentengine.on_tick(board)
+        call = serverpoll.next_poll(board)
+        result = PollResult(Verdict.OK, board.clock_ms, 1, running)
+        agentengine.on_poll_result(board, call, result)
+        return call.until_ms
+
+    # Guards against TWICE: a restarted agent kept the runs of its earlier
+    # process alive for as long as their stops were not answered.
+    def test_the_lease_of_unknown_runs_is_not_renewed(self):
+        unknown = RunningRun(TaskName("j", 0, 0), 1, 10)
+        untils = {self.poll(unknown) for _ in range(60)}
+        self.assertEqual({0}, untils)
+        self.assertFalse(serverlease.may_start(self.board))
+        self.assertTrue(agentengine.needs_poll(self.board))
+
+    def test_the_lease_is_renewed_once_unknown_runs_have_ended(self):
+        self.poll(RunningRun(TaskName("j", 0, 0), 1, 10))
+        self.poll()
+        self.assertTrue(serverlease.may_start(self.board))
+        self.assertGreater(self.poll(), self.board.clock_ms)
