Grant no longer lease from an old reading of a server's clock

What callers saw: nothing yet. Runs at a backend server with a slow clock could outlive their agent by twice the time that others count on before they start its tasks again (TWICE).

Cause: the end of a lease is sent as a time on the server's clock, which is known from the last answer and may run 2% slow. Idle servers are not called, so that the first start after some time granted up to hold_max_ms (1 s) rather than 0.51 s.

Evidence: FakeServer with a drift of 2%, the lease left after the first start was 0.53, 0.59, 0.63, 0.92 and 1.02 s after 1, 4, 6, 20 and 60 s without a call. It is 0.51 s in all of these cases now.

Why this works: the clock is assumed to have run as slow as it may since its last reading. With an exact clock, 0.42 s of the lease are left after 4 s, which polls then renew. After more than 5 s the first start gets no lease: it is answered late, which does nothing, and is sent again with the clock in that answer, so that it costs a second call to a server on the same machine.

Tests: TestIdleServer in tests/scheduling/test_serverlease.py; the first failed before with 0.531 s against 0.514 s.

--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -286,7 +286,9 @@
         left_server: The last backend server that announced its leave.
         state: State of the backend server.
         is_shutting_down: Whether the agent is shutting down.
-        clock_offset_ms: Backend server's clock minus the agent's clock.
+        clock_offset_ms: Backend server's clock minus the agent's clock, as of
+            its last reading.
+        clock_read_s: When the backend server's clock was last read.
         server_lease_end_s: When the backend server has dropped all runs unless
             their lease is renewed.
         room_limit: Resources that the runs at the backend server may take until
@@ -345,6 +347,7 @@
     state: ServerState = ServerState.ABSENT
     is_shutting_down: bool = False
     clock_offset_ms: int = 0
+    clock_read_s: float = 0.0
     server_lease_end_s: float = 0.0
     room_limit: Room | None = None
     knows_runs: bool = False
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -483,6 +483,7 @@
     board.blocked_runs.clear()
     heldends.clear(board)
     board.clock_offset_ms = clock_offset_ms
+    board.clock_read_s = board.now_s
     board.server_lease_end_s = 0.0
     board.knows_runs = False
     board.health.clear()
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -355,6 +355,7 @@
     """Updates the offset of the backend server's clock from a result."""
     if result.clock_ms:
         board.clock_offset_ms = result.clock_ms - board.clock_ms
+        board.clock_read_s = board.now_s
 
 
 def on_stop_result(
--- a/egretthread/scheduling/serverlease.py
+++ b/egretthread/scheduling/serverlease.py
@@ -5,12 +5,17 @@
 as far as each of them may go on.
 """
 
+import math
+
 from egretthread.scheduling import leaserule
 from egretthread.scheduling.agentboard import AgentBoard, Run, RunPhase
 
 # Runs are started only while the lease can be renewed for at least this long.
 # A shorter one is likely to expire with them.
 MIN_START_LEASE_S = 0.2
+# An older reading of the backend server's clock is not relied on. A start then
+# gets no lease, and is retried with the clock in its answer.
+MAX_CLOCK_AGE_S = 5.0
 
 
 def coordinator_lease_end_s(board: AgentBoard, run: Run) -> float:
@@ -70,4 +75,13 @@
         board.server_lease_end_s,
         board.now_s + lease_s * (1 + leaserule.CLOCK_DRIFT),
     )
-    return board.clock_ms + board.clock_offset_ms + int(lease_s * 1000)
+    if board.now_s - board.clock_read_s > MAX_CLOCK_AGE_S:
+        return _min_clock_ms(board)
+    return _min_clock_ms(board) + int(lease_s * 1000)
+
+
+def _min_clock_ms(board: AgentBoard) -> int:
+    """Returns the backend server's clock now if it runs as slow as it may."""
+    drift_s = (board.now_s - board.clock_read_s) * leaserule.CLOCK_DRIFT
+    clock_ms = board.clock_ms + board.clock_offset_ms
+    return clock_ms - math.ceil(drift_s * 1000)
--- a/tests/scheduling/test_serverlease.py
+++ b/tests/scheduling/test_serverlease.py
@@ -14,7 +14,13 @@
     TaskName,
 )
 from egretthread.scheduling.room import Room
-from egretthread.scheduling.runmessage import EntryBeat, RunEnd, StopRuns
+from egretthread.scheduling.runmessage import (
+    EntryBeat,
+    RunEnd,
+    RunOrder,
+    StartRuns,
+    StopRuns,
+)
 from egretthread.scheduling.servercall import (
     CallResult,
     EndedRun,
@@ -23,7 +29,7 @@
     ServerEnd,
     Verdict,
 )
-from tests.scheduling import test_runorders
+from tests.scheduling import fakeserver, test_runorders
 
 POLL_S = 0.05
 OTHER_ENTRY = "f#1"
@@ -189,3 +195,59 @@
         self.poll()
         self.assertTrue(serverlease.may_start(self.board))
         self.assertGreater(self.poll(), self.board.clock_ms)
+
+
+class TestIdleServer(testtools.TestCase):
+    """A backend server that gets its first start after a time without runs."""
+
+    def start_after(self, idle_s, drift):
+        """Returns the lease that is left with the run, and the start calls.
+
+        Args:
+            idle_s: Time since the last poll.
+            drift: Share by which the server's clock runs slow.
+        """
+        server = fakeserver.FakeServer(
+            "s", "a", 8000, 90.0, lambda name: 9.0, drift
+        )
+        board = agentengine.new_board("a#1", 5, 100.0)
+        record = server.heartbeat(board.now_s)
+        clock_ms = server.clock_ms(board.now_s)
+        agentengine.on_heartbeat(board, record, clock_ms)
+        call = serverpoll.next_poll(board)
+        result = server.poll(call, board.now_s)
+        agentengine.on_poll_result(board, call, result)
+        agentengine.on_link_open(board, test_runorders.ENTRY)
+        board.now_s += idle_s
+        order = StartRuns(
+            "j", "x", 1, 1, 0, 9, 0, board.clock_ms, 9, (RunOrder(0, 0, 1),)
+        )
+        agentengine.on_message(board, test_runorders.ENTRY, order)
+        agentengine.after_event(board)
+        calls = 0
+        while board.calls:
+            calls += 1
+            start = board.calls.pop()
+            result = server.start(start, board.now_s)
+            agentengine.on_call_result(board, start, result)
+        self.assertEqual(1, len(server.runs))
+        left_ms = server.lease_until_ms - server.clock_ms(board.now_s)
+        return left_ms / 1000 / (1 - drift), calls
+
+    # Guards against TWICE: after an idle time, a server with a slow clock was
+    # granted up to twice the lease that others counted on.
+    def test_a_slow_clock_gets_no_longer_lease_after_an_idle_time(self):
+        for idle_s in (0.0, 1.0, 4.0, 6.0, 20.0, 60.0, 3600.0):
+            lease_s, _ = self.start_after(idle_s, leaserule.CLOCK_DRIFT)
+            self.assertLess(lease_s, leaserule.max_server_lease_s() + 0.004)
+
+    def test_most_of_the_lease_is_left_whatever_the_clock(self):
+        for idle_s in (0.0, 1.0, 4.0, 6.0, 20.0, 60.0, 3600.0):
+            for drift in (0.0, leaserule.CLOCK_DRIFT):
+                lease_s, _ = self.start_after(idle_s, drift)
+                self.assertGreater(lease_s, 0.75 * leaserule.SERVER_LEASE_S)
+
+    def test_a_server_that_was_idle_for_short_is_called_once(self):
+        for idle_s in (0.0, 1.0, 4.0):
+            self.assertEqual(1, self.start_after(idle_s, 0.0)[1])
+        self.assertEqual(2, self.start_after(60.0, 0.0)[1])
