Refuse orders to start runs that were held up in transit

What callers saw: nothing yet. A task of a best-effort job could be at work on two backend servers at once (TWICE) after its entry had ended within a partition that healed 1 to 1.5 s later.

Cause: agents carried out orders that echoed a reading of up to 1.5 s before, and kept the run for another 0.4 s. That much age is needed for idle agents, whose heartbeats are a second apart, but it was accepted as time in transit too. Bytes of an ended process are still delivered, and callers submit a lost job again after 1.3 s.

Evidence: found by reading; not seen in a run of the programs. The first test below, an order whose reading is 0.4 to 1.5 s old and was all the while in transit, failed before: both runs were started.

Why this works: an order now tells for how long its entry had the reading, the rest of its age is time in transit, and an order with more than 0.4 s of that is refused. Runs have then ended 1.2 s after the order was sent, whether or not their stops arrive. Orders to idle agents are accepted as before; links with a round trip of less than 0.4 s have none refused.

Tests: test_an_order_that_was_held_up_is_refused in tests/scheduling/test_runorders; test_an_idle_agent_accepts_an_order_that_echoes_an_old_reading in test_region, which fails if entries leave the age out.

--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -472,6 +472,7 @@
                 job.spec.kept,
                 job.route.name,
                 isolation.treatment(board, first).is_exclusive,
+                int((board.now_s - view.last_received_s) * 1000),
             ),
         )
     )
--- a/egretthread/scheduling/leaserule.py
+++ b/egretthread/scheduling/leaserule.py
@@ -8,6 +8,10 @@
 
 # An order whose echoed reading is older was delayed in transit and is refused.
 MAX_ORDER_AGE_MS = 1500
+# An order is also refused if it and the heartbeat that it echoes were longer in
+# transit. Its entry may have ended since, and runs that are accepted must end
+# before callers submit its jobs again.
+MAX_ORDER_TRANSIT_MS = 400
 # Runs are stopped when the last reading that their coordinator echoed is older.
 # This plus the time for the stops is less than the time after which callers
 # submit a lost job again.
@@ -40,6 +44,18 @@
     return clock_ms - echo_ms <= MAX_ORDER_AGE_MS
 
 
+def order_is_prompt(clock_ms: int, echo_ms: int, echo_age_ms: int) -> bool:
+    """Whether an order was not delayed in transit.
+
+    Args:
+        clock_ms: The agent's clock.
+        echo_ms: The reading that the order echoes.
+        echo_age_ms: How long ago the entry had received it when it sent the
+            order.
+    """
+    return clock_ms - echo_ms - echo_age_ms <= MAX_ORDER_TRANSIT_MS
+
+
 def coordinator_lease_end_s(echo_ms: int) -> float:
     """Returns when the lease of an entry that echoes this reading ends."""
     return echo_ms / 1000 + COORDINATOR_LEASE_S
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -145,6 +145,7 @@
         route: Name of the job's route.
         exclusive: Whether the runs must not share the backend server with runs
             of other jobs, since a task of this job may crash it.
+        echo_age_ms: How long ago that reading was received.
     """
 
     job: str
@@ -160,6 +161,7 @@
     kept: bool = False
     route: str = ""
     exclusive: bool = False
+    echo_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -82,6 +82,10 @@
     """Returns why an order is refused, or an empty text if it is accepted."""
     if not leaserule.order_is_fresh(board.clock_ms, order.echo_ms):
         return "order too old"
+    if not leaserule.order_is_prompt(
+        board.clock_ms, order.echo_ms, order.echo_age_ms
+    ):
+        return "order delayed"
     if board.state is not ServerState.READY:
         return f"server {board.state}"
     if board.is_withdrawn:
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -316,6 +316,7 @@
   kept @10 :Bool;
   route @11 :Text;
   exclusive @12 :Bool;
+  echoAgeMs @13 :Int64;
 }
 
 struct LostRun {
--- a/tests/scheduling/test_leaserule.py
+++ b/tests/scheduling/test_leaserule.py
@@ -36,6 +36,16 @@
         self.assertTrue(leaserule.order_is_fresh(2000, 600))
         self.assertFalse(leaserule.order_is_fresh(2000, 400))
 
+    def test_a_delayed_order_of_a_dead_entry_ends_before_its_job_is_back(self):
+        self.assertTrue(leaserule.order_is_prompt(2000, 600, 1000))
+        self.assertFalse(leaserule.order_is_prompt(2000, 500, 1000))
+        lapsed_s = (
+            leaserule.MAX_ORDER_TRANSIT_MS / 1000
+            + leaserule.ACCEPTED_GRACE_S
+            + leaserule.LAPSED_STOP_LIMIT_S * (1 + leaserule.CLOCK_DRIFT)
+        )
+        self.assertLess(lapsed_s + STOP_S, RESUBMIT_S)
+
     def test_the_fence_outlasts_every_run(self):
         order_s = leaserule.MAX_ORDER_AGE_MS / 1000
         longest_s = (
--- a/tests/scheduling/test_region.py
+++ b/tests/scheduling/test_region.py
@@ -84,6 +84,14 @@
         world.submit(region.job("second"), "e0")
         self.assertEqual([], board.waiting)
 
+    def test_an_idle_agent_accepts_an_order_that_echoes_an_old_reading(self):
+        world = region.Region(entries=1, agents=1)
+        world.run(3.95)
+        world.submit(region.job("first"), "e0")
+        world.finish(2.0)
+        self.assertEqual(1, len(completed(world)))
+        self.assertEqual(0, world.agents["a0"].board.counters["runs_refused"])
+
     def test_an_agent_that_is_silent_after_an_order_gets_no_more_runs(self):
         world = region.Region(entries=1, agents=1)
         world.run(2.0)
--- a/tests/scheduling/test_runorders.py
+++ b/tests/scheduling/test_runorders.py
@@ -60,10 +60,29 @@
         poll_first(self.board)
         agentengine.on_link_open(self.board, ENTRY)
 
-    def order(self, age_ms=0, attempt=1, cpu=1000, job="j"):
+    def order(self, age_ms=0, transit_ms=0, attempt=1, cpu=1000, job="j"):
+        """Receives an order of one run.
+
+        Args:
+            age_ms: Age of the clock reading that it echoes.
+            transit_ms: The part of that age spent in transit, with the order.
+            attempt: Number of the attempt.
+            cpu: CPU that the run takes.
+            job: Id of the job.
+        """
         echo_ms = self.board.clock_ms - age_ms
         order = StartRuns(
-            job, "x", cpu, 1, 0, 100, 0, echo_ms, 10, (RunOrder(0, 0, attempt),)
+            job,
+            "x",
+            cpu,
+            1,
+            0,
+            100,
+            0,
+            echo_ms,
+            10,
+            (RunOrder(0, 0, attempt),),
+            echo_age_ms=age_ms - transit_ms,
         )
         agentengine.on_message(self.board, ENTRY, order)
         agentengine.after_event(self.board)
@@ -89,6 +108,17 @@
         self.order(age_ms=leaserule.MAX_ORDER_AGE_MS)
         self.assertEqual(1, len(self.starts()))
 
+    # Guards against TWICE: an order held up by a partition, in which its entry
+    # ended, began a run after the job had been submitted again.
+    def test_an_order_that_was_held_up_is_refused(self):
+        limit_ms = leaserule.MAX_ORDER_TRANSIT_MS
+        for age_ms in (limit_ms + 1, leaserule.MAX_ORDER_AGE_MS):
+            self.order(age_ms=age_ms, transit_ms=limit_ms + 1)
+        self.assertEqual([], self.starts())
+        self.assertEqual([RunEnd.REFUSED] * 2, self.ends())
+        self.order(age_ms=leaserule.MAX_ORDER_AGE_MS, transit_ms=limit_ms)
+        self.assertEqual(1, len(self.starts()))
+
     def test_runs_stop_when_the_lease_of_their_entry_ends(self):
         self.order()
         result = CallResult(Verdict.OK)
