Stop all runs of a lost entry at once

What callers saw: after the loss of an entry, jobs of other entries could take longer, as their sound runs ended and were started again.

Cause: all starts and stops of an agent shared three connections, and a call's time-out of 0.1 s included the wait for one. With more than about ten runs to stop, most calls were never sent, while retries were added.

Test: test_the_runs_of_a_lost_entry_are_stopped_at_once in tests/platform/test_servers, which failed with three connections.

--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -265,7 +265,7 @@
     number: int
     server: str
     token: int
-    timeout_s: float = 0.1
+    timeout_s: float = 0.06
     started_unix_ms: int = 0
 
 
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -37,8 +37,8 @@
 # within a few ms. A start call that is retried is carried out only once.
 START_TIMEOUTS_S = (0.04, 0.08, 0.15)
 START_TRIES = len(START_TIMEOUTS_S)
-# Interval between attempts to stop a run. Several fit into the time for which
-# its lease is still renewed.
+# Interval between attempts to stop a run, at which the previous one times out.
+# Several fit into the time for which its lease is still renewed.
 STOP_RETRY_S = 0.06
 # A fencing token that is too low is raised by this much. Tokens are start times
 # in Unix ms, and clocks jump back by less than this.
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -1,12 +1,14 @@
 """Tests of the bodies exchanged with backend servers."""
 
+import asyncio
 import json
 
 import testtools
 
 from egretthread.platform import bodies, servers
-from egretthread.scheduling.agentboard import TaskName
-from egretthread.scheduling.servercall import ServerEnd
+from egretthread.scheduling.agentboard import StopCall, TaskName
+from egretthread.scheduling.servercall import ServerEnd, Verdict
+from egretthread_standins.platformsite import web
 
 HEARTBEAT = {
     "service": "match",
@@ -86,3 +88,40 @@
             body = json.dumps({"clock_ms": 1, "running": rows}).encode()
             with self.assertRaises(bodies.BodyError):
                 servers.decode_poll_result(body)
+
+
+class TestStops(testtools.TestCase):
+    async def stop(self, count):
+        """Stops runs whose stops are answered only once all have arrived.
+
+        Returns:
+            The verdicts.
+        """
+        arrived = []
+        all_arrived = asyncio.Event()
+
+        async def answer(request):
+            arrived.append(request.path)
+            if len(arrived) == count:
+                all_arrived.set()
+            await all_arrived.wait()
+            return 200, {"clock_ms": 1}
+
+        server = web.Server(answer)
+        await server.start("127.0.0.1", 0)
+        _, port = server.server.sockets[0].getsockname()
+        client = servers.BackendServerClient(f"127.0.0.1:{port}")
+        calls = [
+            StopCall(TaskName("j", 0, index), 1, "i-1", 5, timeout_s=5.0)
+            for index in range(count)
+        ]
+        results = await asyncio.gather(*map(client.stop_run, calls))
+        client.close()
+        await server.close()
+        return [result.verdict for result in results]
+
+    # Guards against the end of sound runs: stops of a lost entry's runs waited
+    # for each other until the lease of all runs at the server had ended.
+    def test_the_runs_of_a_lost_entry_are_stopped_at_once(self):
+        verdicts = asyncio.run(self.stop(32))
+        self.assertEqual([Verdict.OK] * 32, verdicts)
