Deliver no message to a later process in the simulated region

Test infrastructure only. Messages to a node were delivered over the link of any process of the same name, so that an entry that had been restarted received the reports on runs of its former process, which have the same attempt numbers. The programs look links up by node id, and drop such messages.

--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -437,6 +437,10 @@
         link = self.links.get(pair)
         if link is None or not getattr(link, f"{process.kind}_open"):
             return
+        receiver = link.agent if process.kind == "entry" else link.entry
+        if receiver.board.node != node:
+            # Addressed to an earlier process of that name.
+            return
         if self.is_cut(*pair):
             # Delivered late, if the link is still open when the partition ends.
             wait_s = self.cuts[pair] - self.now_s + LINK_DELAY_S
