Renew no lease for long at a server that answers no poll

What callers saw: jobs with runs at a backend server that fell silent for good did not end (LOST): best-effort jobs were answered at their deadline, kept ones stayed running.

Cause: runs of a silent server are given up when the lease that is assumed has expired, but each poll renewed that lease, whether or not it was answered. It was thus counted on to lapse by the side that renewed it.

Why this works: the lease is renewed up to 2.5 s after the last poll that was answered, or after the first start at a server without runs, and no further. A poll takes at most 0.18 s, so that more than a dozen in a row have to be lost. The runs are given up when that lease has expired at the server too, whenever the polls arrive there. Polls that are answered with an error count as lost, since they renew nothing.

--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -289,6 +289,8 @@
         clock_offset_ms: Backend server's clock minus the agent's clock, as of
             its last reading.
         clock_read_s: When the backend server's clock was last read.
+        listed_s: When the backend server last listed its runs, or got the first
+            run after a time without any.
         server_lease_end_s: When the backend server has dropped all runs unless
             their lease is renewed.
         room_limit: Resources that the runs at the backend server may take until
@@ -348,6 +350,7 @@
     is_shutting_down: bool = False
     clock_offset_ms: int = 0
     clock_read_s: float = 0.0
+    listed_s: float = 0.0
     server_lease_end_s: float = 0.0
     room_limit: Room | None = None
     knows_runs: bool = False
--- a/egretthread/scheduling/leaserule.py
+++ b/egretthread/scheduling/leaserule.py
@@ -28,6 +28,9 @@
 LAPSED_STOP_LIMIT_S = 0.4
 # The same after the decision to stop a run whose coordinator has a lease.
 STOP_LIMIT_S = 0.8
+# Maximum time for which the lease is renewed while no poll is answered. The
+# runs are given up after that.
+MAX_SILENCE_S = 2.5
 # Maximum share by which a backend server's clock runs slow.
 CLOCK_DRIFT = 0.02
 # Maximum time in which an agent notices the end of a lease.
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -184,6 +184,8 @@
 def _begin_start(board: AgentBoard, run: Run) -> None:
     number, _ = board.run_numbers.get(run.name, (0, 0.0))
     run.number = number + 1
+    if not serverlease.has_runs(board):
+        board.listed_s = board.now_s
     run.phase = RunPhase.STARTING
     run.tries = 0
     board.runs_by_task[run.name] = run
--- a/egretthread/scheduling/serverlease.py
+++ b/egretthread/scheduling/serverlease.py
@@ -41,9 +41,16 @@
         elif run.phase is not RunPhase.QUEUED:
             lease_end_s = coordinator_lease_end_s(board, run)
             end_s = min(end_s, lease_end_s + leaserule.LAPSED_STOP_LIMIT_S)
+    if has_runs(board):
+        end_s = min(end_s, board.listed_s + leaserule.MAX_SILENCE_S)
     return end_s
 
 
+def has_runs(board: AgentBoard) -> bool:
+    """Whether runs are, or may be, at the backend server."""
+    return any(run.phase is not RunPhase.QUEUED for run in board.runs.values())
+
+
 def is_blocked(board: AgentBoard) -> bool:
     """Whether the lease must not be renewed.
 
--- a/egretthread/scheduling/serverpoll.py
+++ b/egretthread/scheduling/serverpoll.py
@@ -121,7 +121,7 @@
         return
     servercrash.withdraw(board)
     board.is_confirmed = True
-    board.answered_s = board.now_s
+    board.answered_s = board.listed_s = board.now_s
     candidate = board.candidate
     if candidate is not None and call.sent_s >= candidate.received_s:
         logs.info(
