Send all stops to a server though some are not answered

The stop of one of three runs reached their server 0.82 s after those of the others, of which one was lost and one was held.

Cause: starts and stops share three connections, and the time for which a call waits for one counts to its timeout. Three stops without an answer keep all three busy until they time out, and the calls behind them time out at the same moment. Retries come in the same order, so that the other runs were sent no stop at all for as long as the first three were not answered, and no start either.

Why this works: stops have connections of their own, more than a server usually has runs. They are opened only when needed. That the record of Varna shows this very order of calls is suspected; it does not tell which calls the agent sent.

--- a/egretthread/platform/servers.py
+++ b/egretthread/platform/servers.py
@@ -37,6 +37,9 @@
 # not delay start and stop calls.
 CALL_CONNECTIONS = 3
 POLL_CONNECTIONS = 1
+# Stops that are not answered keep their connections busy until they time out.
+# All runs of a server have to be stopped before their lease expires.
+STOP_CONNECTIONS = 32
 # The backend server closes connections that are idle for longer than this.
 # Opening a new connection costs more than finding one closed.
 MAX_IDLE_S = 60.0
@@ -182,7 +185,8 @@
     """Client of the agent's backend server.
 
     Attributes:
-        call_pool: Connections for starting and stopping runs.
+        call_pool: Connections for starting runs.
+        stop_pool: Connections for stopping runs.
         poll_pool: Connections for polls.
     """
 
@@ -191,6 +195,9 @@
         self.call_pool = backendpool.ConnectionPool(
             url, CALL_CONNECTIONS, MAX_BODY_BYTES, MAX_IDLE_S
         )
+        self.stop_pool = backendpool.ConnectionPool(
+            url, STOP_CONNECTIONS, MAX_BODY_BYTES, MAX_IDLE_S
+        )
         self.poll_pool = backendpool.ConnectionPool(
             url, POLL_CONNECTIONS, MAX_BODY_BYTES, MAX_IDLE_S
         )
@@ -198,6 +205,7 @@
     def close(self) -> None:
         """Closes the connections."""
         self.call_pool.close()
+        self.stop_pool.close()
         self.poll_pool.close()
 
     async def start_run(self, call: StartCall) -> CallResult:
@@ -209,7 +217,7 @@
             "until_ms": call.until_ms,
             "fencing_token": call.token,
         }
-        return await self._call("/run-start", table, call)
+        return await self._call(self.call_pool, "/run-start", table, call)
 
     async def stop_run(self, call: StopCall) -> CallResult:
         """Asks the backend server to stop a run."""
@@ -218,7 +226,7 @@
             "run": call.number,
             "fencing_token": call.token,
         }
-        return await self._call("/run-stop", table, call)
+        return await self._call(self.stop_pool, "/run-stop", table, call)
 
     async def poll(self, call: PollCall) -> PollResult:
         """Lists the runs and renews their lease."""
@@ -242,10 +250,14 @@
             return PollResult(Verdict.NO_ANSWER)
 
     async def _call(
-        self, path: str, table: dict, call: StartCall | StopCall
+        self,
+        pool: backendpool.ConnectionPool,
+        path: str,
+        table: dict,
+        call: StartCall | StopCall,
     ) -> CallResult:
         verdict, body = await self._send(
-            self.call_pool, path, table, call.server, call.timeout_s
+            pool, path, table, call.server, call.timeout_s
         )
         return CallResult(verdict, _clock_ms(body))
 
