End the runs of a forwarded job before it is submitted again

What callers saw: nothing yet. A task of a job that one entry had forwarded to another could be at work on two backend servers at once (TWICE) when its sender was lost, a message about it had been held up and the stops of its runs were not answered.

Cause: the receiver takes a message of up to 0.4 s, keeps the job for another 0.3 s, and only then orders its runs to stop, whose lease was renewed for up to 0.8 s more. Callers submit a lost job again after 1.3 s, and the sender counted on 1.2 s.

Evidence: by the constants, such a run may have gone on for 1.57 s with the time of a stop; not seen in a run of the programs.

Why this works: a run that is ordered to stop has its lease renewed for 0.5 s at most, in which the stop is tried nine times, so that the sum is 1.26 s. The sender's fence is 1.27 s now.

Tests: test_runs_of_a_forwarded_job_end_before_it_is_submitted_again in tests/scheduling/test_leaserule failed before (1.566 s against 1.3 s).

--- a/egretthread/scheduling/forwarding.py
+++ b/egretthread/scheduling/forwarding.py
@@ -34,9 +34,11 @@
 MAX_TRIES = 3
 # Time for the job and its answer to be transmitted.
 TRANSFER_S = 0.01
+# Time to end the runs of a job, also if their stops are not answered.
+STOP_S = 0.57
 # Time in which the runs of a job have ended whose receiver is lost. A job that
 # is submitted again earlier waits for it.
-FENCE_S = LEASE_S + 0.9
+FENCE_S = MAX_MESSAGE_AGE_S + LEASE_S + STOP_S
 # Time for which the last message about a job is kept to be repeated.
 SETTLED_RETENTION_S = 10.0
 
--- a/egretthread/scheduling/leaserule.py
+++ b/egretthread/scheduling/leaserule.py
@@ -26,8 +26,9 @@
 # being stopped. The lease at the backend server is not renewed beyond that.
 # Callers submit a lost job again, and its fence passes, only later.
 LAPSED_STOP_LIMIT_S = 0.4
-# The same after the decision to stop a run whose coordinator has a lease.
-STOP_LIMIT_S = 0.8
+# The same after the decision to stop a run whose coordinator has a lease. That
+# decision may be due to the loss of another entry, which has forwarded the job.
+STOP_LIMIT_S = 0.5
 # Maximum time for which the lease is renewed while no poll is answered. The
 # runs are given up after that.
 MAX_SILENCE_S = 2.5
--- a/tests/scheduling/test_leaserule.py
+++ b/tests/scheduling/test_leaserule.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from egretthread.scheduling import leaserule
+from egretthread.scheduling import forwarding, leaserule
 
 # A caller resubmits its job this long after its connection broke.
 RESUBMIT_S = 1.3
@@ -32,6 +32,14 @@
         self.assertLess(ordered_lapse_s, leaserule.fence_s(0.0, ordered=True))
         self.assertLess(leaserule.STOP_LIMIT_S * drift + STOP_S, RESUBMIT_S)
 
+    # Guards against TWICE: runs of a forwarded job whose stop was not answered
+    # went on after their sender was lost and its caller was back.
+    def test_runs_of_a_forwarded_job_end_before_it_is_submitted_again(self):
+        stop_s = leaserule.STOP_LIMIT_S * (1 + leaserule.CLOCK_DRIFT) + STOP_S
+        lapsed_s = forwarding.MAX_MESSAGE_AGE_S + forwarding.LEASE_S + stop_s
+        self.assertLess(lapsed_s, RESUBMIT_S)
+        self.assertLess(lapsed_s, forwarding.FENCE_S)
+
     def test_a_delayed_order_is_not_carried_out(self):
         self.assertTrue(leaserule.order_is_fresh(2000, 600))
         self.assertFalse(leaserule.order_is_fresh(2000, 400))
