Read no more than a handshake frame from a foreign connection

Callers: none saw this fault yet; with more connections the entry would have been killed for its memory, and all its callers with it.

Cause: a link's connection read up to 64 KiB in each turn of the event loop into `pending`, whatever the handshake needed, so that all connections that had sent something by one turn were read at once.

Fix: before `serve`, a connection is read only up to the largest frame of a handshake; reading pauses there until the handshake takes bytes. What an authenticated peer sends right behind its proof stays in the network until the link is served, in order, also over TLS.

--- a/egretthread/linkstream.py
+++ b/egretthread/linkstream.py
@@ -3,8 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
+from egretthread import framing, wire
 from egretthread.readbuffer import READ_BUFFER
 
+# Bytes of the largest handshake frame. No more are read before `serve`, since
+# anyone may send them.
+MAX_PENDING_BYTES = framing.LENGTH.size + wire.MAX_HANDSHAKE_BYTES
+
 
 class StreamLostError(ConnectionError):
     """The connection ended before the expected bytes arrived."""
@@ -18,7 +23,8 @@
 
     Attributes:
         transport: The transport; None until the connection is open.
-        pending: Bytes received for `read_bytes`.
+        pending: Bytes received for `read_bytes`, at most MAX_PENDING_BYTES;
+            reading is paused while there are as many.
         arrived: Set when bytes have arrived or the connection has closed.
         lost: Future that is done when the connection has closed.
         on_bytes: Callback for received bytes; None before `serve`.
@@ -60,6 +66,9 @@
     async def read_bytes(self, count: int) -> bytes:
         """Returns the next bytes; used before `serve` only.
 
+        Args:
+            count: Number of bytes, at most MAX_PENDING_BYTES.
+
         Raises:
             StreamLostError: The connection closed before they arrived.
         """
@@ -70,6 +79,8 @@
             await self.arrived.wait()
         data = bytes(self.pending[:count])
         del self.pending[:count]
+        if count:
+            self.transport.resume_reading()
         return data
 
     async def serve(self, on_bytes: Callable[[memoryview], None]) -> None:
@@ -78,6 +89,7 @@
         if self.pending:
             pending, self.pending = self.pending, bytearray()
             on_bytes(memoryview(pending))
+        self.transport.resume_reading()
         await asyncio.shield(self.lost)
 
     def close(self) -> None:
@@ -106,7 +118,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer that received bytes are read into."""
-        return READ_BUFFER
+        if self.on_bytes is not None:
+            return READ_BUFFER
+        return READ_BUFFER[: MAX_PENDING_BYTES - len(self.pending)]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes on received bytes."""
@@ -114,6 +128,8 @@
             self.on_bytes(READ_BUFFER[:nbytes])
             return
         self.pending += READ_BUFFER[:nbytes]
+        if len(self.pending) >= MAX_PENDING_BYTES:
+            self.transport.pause_reading()
         self.arrived.set()
 
     def eof_received(self) -> bool:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -337,6 +337,28 @@
         await until(lambda: self.server_events.messages)
         self.assertEqual([], self.server_events.closed)
 
+    async def send_at_once(self, **changes):
+        """Sends batches of which the first follow the handshake at once."""
+        server = await self.start_server(**changes)
+        sent = [Credit("x" * 50_000, count, 0) for count in range(4)]
+
+        def send(peer):
+            for message in sent:
+                peer.write([message])
+
+        server.on_open = send
+        self.start_client(server.address, **changes)
+        await until(lambda: len(self.client_events.messages) == len(sent))
+        self.assertEqual(sent, self.client_events.messages)
+
+    @run_async
+    async def test_batches_right_behind_the_handshake_arrive(self):
+        await self.send_at_once()
+
+    @run_async
+    async def test_batches_right_behind_the_handshake_arrive_over_tls(self):
+        await self.send_at_once(**TLS)
+
     @run_async
     async def test_tls_links(self):
         client = await self.connect(**TLS)
