Limit the connections to the link port without a handshake

Callers: none saw this fault yet; an entry without descriptors accepts no caller and calls no store.

Cause: every connection to the port for links was held until its handshake timed out after liveness_s, in any number.

Fix: beyond max_handshakes (512) the address with the most such connections loses its oldest. Time that a connection stands still or trickles bytes counts for nothing, and the processes of a site, which complete their handshakes within a few round trips from addresses of their own, are the last to be closed.

--- a/egretthread/link.py
+++ b/egretthread/link.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import logging
 import random
 import socket
@@ -18,6 +19,7 @@
 
 from egretthread import framing, handshake, logs, settings, tls, util, wire
 from egretthread.linkstream import LinkStream
+from egretthread.openhandshakes import OpenHandshakes
 from egretthread.settings import AgentSettings, EntrySettings
 from egretthread.wire import Message
 
@@ -260,6 +262,7 @@
         options_by_role: Settings of the links with peers of a role, where they
             differ from those of the process.
         peers: The open links by node id.
+        handshakes: The connections whose handshake is not complete.
         traffic: Traffic counters; may be shared with other links.
     """
 
@@ -284,6 +287,7 @@
         self.traffic = Traffic()
         self.address = ""
         self.peers: dict[str, Peer] = {}
+        self.handshakes = OpenHandshakes(options.max_handshakes)
         self.sockets: list[socket.socket] = []
         self.stop_accepting: list[Callable[[], None]] = []
         self.streams: dict[LinkStream, asyncio.Task] = {}
@@ -327,7 +331,24 @@
             self.handle_connection(connection, address)
         )
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(functools.partial(self.on_done, connection))
+        excess = self.handshakes.add(task, address[0])
+        if excess is not None:
+            logs.warning(
+                "link_handshake_dropped",
+                open=self.handshakes.limit,
+                remedy="see whose connections fill link_port",
+            )
+            excess.cancel()
+
+    def on_done(self, connection: socket.socket, task: asyncio.Task) -> None:
+        """Releases a connection that has been served.
+
+        The task of a dropped one may have ended before it began.
+        """
+        self.tasks.discard(task)
+        self.handshakes.remove(task)
+        connection.close()
 
     async def handle_connection(
         self, connection: socket.socket, address: tuple
@@ -359,6 +380,7 @@
         except (util.EgretthreadError, OSError, TimeoutError) as error:
             _log_failure(logging.WARNING, "link_refused", remote_address, error)
         else:
+            self.handshakes.remove(asyncio.current_task())
             options = self.options_by_role.get(hello.role, self.options)
             await self.serve(
                 Peer(stream, hello, remote_address, options, self.traffic)
--- a/egretthread/scheduling/nodesettings.py
+++ b/egretthread/scheduling/nodesettings.py
@@ -36,6 +36,8 @@
         shutdown_s: Maximum duration of a graceful shutdown.
         keepalive_s: Maximum time without sending on a link.
         liveness_s: Time without receiving after which a link is closed.
+        max_handshakes: Maximum number of connections to the link port whose
+            other end has not proved the key yet.
         tls_cert: Certificate file; empty for plain TCP.
         tls_key: Private key file of the certificate.
         tls_ca: Certificate authority file for verifying peers.
@@ -61,6 +63,7 @@
     shutdown_s: float = 6.0
     keepalive_s: float = 1.0
     liveness_s: float = 2.5
+    max_handshakes: int = settings.MAX_HANDSHAKES
     tls_cert: str = ""
     tls_key: str = ""
     tls_ca: str = ""
@@ -157,6 +160,8 @@
         return tuple(str(seed) for seed in table.get(name, ()))
     if name == "log_level":
         return checker.choice(table, name, name, LOG_LEVELS)
+    if name == "max_handshakes":
+        return checker.integer(table, name, name, minimum=1)
     if field.type is int:
         return checker.integer(table, name, name, maximum=settings.MAX_PORT)
     if field.type is float:
--- a/egretthread/settings.py
+++ b/egretthread/settings.py
@@ -13,6 +13,9 @@
 NAME_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 MIN_SHARED_KEY_CHARS = 16
 MAX_PORT = 65_535
+# Maximum number of connections to a link port without a complete handshake.
+# All other processes of a large site may connect to an entry at once.
+MAX_HANDSHAKES = 512
 LOG_LEVELS = ("debug", "info", "warning", "error")
 HIDDEN = "(hidden)"
 
@@ -47,6 +50,8 @@
         dead_after_s: Silence after which a node is considered dead.
         keepalive_s: Longest time without sending on a link.
         liveness_s: Time without receiving after which a link is closed.
+        max_handshakes: Maximum number of connections to the peer address
+            whose other end has not proved the key yet.
         shutdown_s: Longest duration of a graceful shutdown.
         log_level: Lowest severity that is logged.
     """
@@ -71,6 +76,7 @@
     dead_after_s: float = 6.0
     keepalive_s: float = 1.0
     liveness_s: float = 3.0
+    max_handshakes: int = MAX_HANDSHAKES
     shutdown_s: float = 30.0
     log_level: str = "info"
 
@@ -376,6 +382,7 @@
     "lease_s": _duration,
     "suspect_after_s": _duration,
     "dead_after_s": _duration,
+    "max_handshakes": _count,
 }
 
 AGENT_CHECKS: dict[str, Check] = {
--- a/tests/platform/test_linkcrowds.py
+++ b/tests/platform/test_linkcrowds.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import pathlib
+import resource
 import signal
 import socket
 import tempfile
@@ -196,6 +197,24 @@
 
         self.play(scenario, max_handshakes=2 * CROWD)
 
+    # Guards against a lack of descriptors: the number of connections without a
+    # complete handshake had no bound, and callers could not connect.
+    def test_silent_connections_leave_descriptors_for_callers(self):
+        async def scenario(site, crowd):
+            resource.prlimit(
+                site.pid,
+                resource.RLIMIT_NOFILE,
+                (LOW_DESCRIPTORS, LOW_DESCRIPTORS),
+            )
+            await crowd.join(CROWD)
+            most = await most_descriptors(site.pid, SETTLE_S)
+            self.assertLess(most, LOW_DESCRIPTORS)
+            self.assertEqual(200, await run_job(site, 3))
+            log = site.log_path(site.entry).read_text()
+            self.assertNotIn("Too many open files", log)
+
+        self.play(scenario, max_handshakes=LOW_HANDSHAKES)
+
     # Guards a bound on connections without a complete handshake, which would
     # keep out agents while it is full.
     def test_an_agent_links_while_a_crowd_fills_the_handshakes(self):
--- a/tests/scheduling/test_nodesettings.py
+++ b/tests/scheduling/test_nodesettings.py
@@ -57,6 +57,12 @@
         faults = self.faults(name=None, link_port='"x"', remote_factor="-1")
         self.assertEqual(3, len(faults))
 
+    def test_at_least_one_handshake_is_allowed(self):
+        self.assertEqual(
+            80_000, self.load(max_handshakes=80_000).max_handshakes
+        )
+        self.assertEqual(1, len(self.faults(max_handshakes="0")))
+
     def test_the_decisions_under_load_are_a_table(self):
         self.assertTrue(
             self.load(load="{ forward_jobs = true }").load.forward_jobs
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -337,6 +337,23 @@
         await until(lambda: self.server_events.messages)
         self.assertEqual([], self.server_events.closed)
 
+    # Guards against a lack of descriptors: connections without a complete
+    # handshake were held in any number.
+    @run_async
+    async def test_connections_without_a_handshake_are_limited(self):
+        server = await self.start_server(max_handshakes=3)
+        address = settings.split_address(server.address)
+        crowd = [socket.create_connection(address) for _ in range(20)]
+        self.start_client(server.address)
+        await until(
+            lambda: self.client_events.opened and self.server_events.opened
+        )
+        await until(lambda: len(server.tasks) <= 4)
+        self.assertLessEqual(len(server.handshakes.hosts), 3)
+        self.assertIn("event=link_handshake_dropped", self.log.getvalue())
+        for connection in crowd:
+            connection.close()
+
     async def send_at_once(self, **changes):
         """Sends batches of which the first follow the handshake at once."""
         server = await self.start_server(**changes)
