Limit the headers of a response

Callers: none saw this fault; it was found by reading.

Cause: the client connection to the store and to backend servers limited the body of a response, but neither its headers, which the parser holds until each is complete, nor the informational responses before it.

Evidence: a response with 131,072 bytes of headers was accepted; only the timeout of the request bounded them.

Fix: bytes that arrive before the headers of the final response are complete are counted, and the connection is closed beyond 64 KiB.

tests/test_httpconnection.py::test_headers_are_limited failed before.

--- a/egretthread/httpconnection.py
+++ b/egretthread/httpconnection.py
@@ -10,6 +10,9 @@
 
 # Informational responses, with lower status codes, precede the final one.
 MIN_FINAL_CODE = 200
+# Maximum length of the headers of a response with the informational responses
+# before it. The parser holds a header that isn't complete.
+MAX_HEADER_BYTES = 65_536
 
 
 class ConnectionLostError(ConnectionError):
@@ -43,6 +46,7 @@
         is_delimited: Whether the response's headers state where it ends; if
             not, it ends when the server closes the connection.
         has_headers: Whether the response's headers are complete.
+        header_bytes: Bytes received without completing them.
         chunks: Chunks of the response's body.
         body_bytes: Length of these chunks.
     """
@@ -53,6 +57,7 @@
         self.transport: asyncio.Transport | None = None
         self.response: asyncio.Future[Response] | None = None
         self.parser = httptools.HttpResponseParser(self)
+        self.header_bytes = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -74,6 +79,7 @@
     def write(self, request: bytes) -> None:
         """Writes a complete request without yielding to the event loop."""
         self._reset()
+        self.header_bytes = 0
         self.response = asyncio.get_running_loop().create_future()
         self.transport.write(request)
 
@@ -114,6 +120,11 @@
             self.parser.feed_data(READ_BUFFER[:nbytes])
         except httptools.HttpParserError as error:
             self._fail(f"malformed response: {error}")
+            return
+        if not self.has_headers:
+            self.header_bytes += nbytes
+            if self.header_bytes > MAX_HEADER_BYTES:
+                self._fail(f"the headers exceed {MAX_HEADER_BYTES} bytes")
 
     def eof_received(self) -> bool:
         """Ends a response that is delimited by the end of the connection."""
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -108,6 +108,20 @@
         self.assertEqual([(503, b"x")], results)
         self.assertEqual(1, idle)
 
+    # Guards against an end by memory: a header without end was read whole.
+    def test_headers_are_limited(self):
+        value = b"x" * (2 * httpconnection.MAX_HEADER_BYTES)
+        for head in (
+            b"HTTP/1.1 200 OK\r\nX-Long: " + value + b"\r\n",
+            b"HTTP/1.1 200 OK\r\n" + b"X-A: b\r\n" * (len(value) // 8),
+            b"HTTP/1.1 100 Continue\r\n\r\n" * (len(value) // 25)
+            + b"HTTP/1.1 200 OK\r\n",
+        ):
+            server = ScriptedServer((head + b"Content-Length: 1\r\n\r\nx",))
+            results, idle = exchange(server)
+            self.assertEqual([httpconnection.ConnectionLostError], results)
+            self.assertEqual(0, idle)
+
     def test_a_response_without_length_ends_with_the_connection(self):
         server = ScriptedServer(
             (b"HTTP/1.1 200 OK\r\n\r\nab", b"cd"), close=True
