Close the other links when a peer has reset one

Callers: not seen in a deployment. An entry that shuts down while a peer resets its link raised OSError (ENOTCONN) out of the close of its links: the others were not closed, and neither were the log of kept jobs, the store's client and the metrics (by reading entryprogram.close).

Cause: LinkStream.finish_writing shuts down the sending direction, which fails on a connection that has been reset and whose end has not been read yet.

Evidence: it was met once in test_link.py when a client left in its handshake, and the test below shows it each time.

Fix: the connection is closed at once instead.

tests/test_link.py::test_server_close_survives_a_reset failed before with OSError 107.

--- a/egretthread/linkstream.py
+++ b/egretthread/linkstream.py
@@ -105,10 +105,14 @@
         """
         if self.closed():
             return
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        else:
+        if not self.transport.can_write_eof():
             self.transport.close()
+            return
+        try:
+            self.transport.write_eof()
+        except OSError:
+            # The other end has reset the connection.
+            self.transport.abort()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport of the opened connection."""
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import socket
+import struct
 
 import testtools
 
@@ -198,6 +199,27 @@
         self.assertEqual([Credit("bye", 1, 0)], self.client_events.messages)
         self.assertEqual({}, server.peers)
 
+    # Guards against a shutdown that fails at a link that its peer has reset.
+    @run_async
+    async def test_server_close_survives_a_reset(self):
+        server = await self.start_server()
+        address = settings.split_address(server.address)
+        loop = asyncio.get_running_loop()
+        _, stream = await loop.create_connection(
+            linkstream.LinkStream, *address
+        )
+        hello = handshake.new_hello("agent-1#2", "agent")
+        await handshake.initiate(stream, server.options, hello)
+        self.assertEqual(1, len(server.peers))
+        # The connection is reset, and the server has not noticed yet.
+        stream.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        stream.close()
+        await asyncio.sleep(0)
+        await server.close()
+        self.assertEqual({}, server.peers)
+
     @run_async
     async def test_a_wrong_key_is_refused(self):
         server = await self.start_server()
