--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import socket
+import struct
 
 import testtools
 
@@ -198,6 +199,27 @@
         self.assertEqual([Credit("bye", 1, 0)], self.client_events.messages)
         self.assertEqual({}, server.peers)
 
+    # Guards against a shutdown that fails at a link that its peer has reset.
+    @run_async
+    async def test_server_close_survives_a_reset(self):
+        server = await self.start_server()
+        address = settings.split_address(server.address)
+        loop = asyncio.get_running_loop()
+        _, stream = await loop.create_connection(
+            linkstream.LinkStream, *address
+        )
+        hello = handshake.new_hello("agent-1#2", "agent")
+        await handshake.initiate(stream, server.options, hello)
+        self.assertEqual(1, len(server.peers))
+        # The connection is reset, and the server has not noticed yet.
+        stream.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        stream.close()
+        await asyncio.sleep(0)
+        await server.close()
+        self.assertEqual({}, server.peers)
+
     @run_async
     async def test_a_wrong_key_is_refused(self):
         server = await self.start_server()
@@ -337,6 +359,45 @@
         await until(lambda: self.server_events.messages)
         self.assertEqual([], self.server_events.closed)
 
+    # Guards against a lack of descriptors: connections without a complete
+    # handshake were held in any number.
+    @run_async
+    async def test_connections_without_a_handshake_are_limited(self):
+        server = await self.start_server(max_handshakes=3)
+        address = settings.split_address(server.address)
+        crowd = [socket.create_connection(address) for _ in range(20)]
+        self.start_client(server.address)
+        await until(
+            lambda: self.client_events.opened and self.server_events.opened
+        )
+        await until(lambda: len(server.tasks) <= 4)
+        self.assertLessEqual(len(server.handshakes.hosts), 3)
+        self.assertIn("event=link_handshake_dropped", self.log.getvalue())
+        for connection in crowd:
+            connection.close()
+
+    async def send_at_once(self, **changes):
+        """Sends batches of which the first follow the handshake at once."""
+        server = await self.start_server(**changes)
+        sent = [Credit("x" * 50_000, count, 0) for count in range(4)]
+
+        def send(peer):
+            for message in sent:
+                peer.write([message])
+
+        server.on_open = send
+        self.start_client(server.address, **changes)
+        await until(lambda: len(self.client_events.messages) == len(sent))
+        self.assertEqual(sent, self.client_events.messages)
+
+    @run_async
+    async def test_batches_right_behind_the_handshake_arrive(self):
+        await self.send_at_once()
+
+    @run_async
+    async def test_batches_right_behind_the_handshake_arrive_over_tls(self):
+        await self.send_at_once(**TLS)
+
     @run_async
     async def test_tls_links(self):
         client = await self.connect(**TLS)
