--- a/tests/scheduling/test_serverlease.py
+++ b/tests/scheduling/test_serverlease.py
@@ -29,7 +29,7 @@
     ServerEnd,
     Verdict,
 )
-from tests.scheduling import fakeserver, test_runorders
+from tests.scheduling import fakeserver, test_leaserule, test_runorders
 
 POLL_S = 0.05
 OTHER_ENTRY = "f#1"
@@ -159,6 +159,17 @@
         agentengine.after_event(self.board)
 
 
+class TestLateOrder(LeaseCase):
+    # Guards against TWICE: an order that was held up, of a coordinator that had
+    # been lost meanwhile, renewed the lease of its earlier runs.
+    def test_a_late_order_does_not_prolong_the_runs_of_a_lost_entry(self):
+        lost_s = self.board.now_s
+        self.play(0.7)
+        self.order(age_ms=700, transit_ms=700, attempt=2, job="k")
+        self.play(2.0)
+        self.assertLessEqual(self.until_s, lost_s + test_leaserule.RESUBMIT_S)
+
+
 class TestRestart(testtools.TestCase):
     """An agent process that finds a run of an earlier one."""
 
