--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -74,7 +74,7 @@
         has_stalled: Whether it made no progress for a while.
         end: The end to report once it has been stopped.
         stop_confirmed_s: When the backend server confirmed a stop; 0 before.
-        stop_limit_s: When it must have ended; only while it is being stopped.
+        stop_deadline_s: When it must have ended; only while it is being stopped.
         kept: Whether its job is kept, so that its end is held until its
             coordinator has settled it.
         route: Name of its job's route.
@@ -102,7 +102,7 @@
     has_stalled: bool = False
     end: RunEnd = RunEnd.STOPPED
     stop_confirmed_s: float = 0.0
-    stop_limit_s: float = 0.0
+    stop_deadline_s: float = 0.0
     kept: bool = False
     route: str = ""
     exclusive: bool = False
--- a/egretthread/scheduling/runs.py
+++ b/egretthread/scheduling/runs.py
@@ -57,7 +57,7 @@
     if run.phase is RunPhase.STOPPING:
         return
     run.phase = RunPhase.STOPPING
-    run.stop_limit_s = serverlease.stop_limit_s(board, run)
+    run.stop_deadline_s = serverlease.stop_deadline_s(board, run)
     run.end = end
     run.tries = 0
     send_stop(board, run)
--- a/egretthread/scheduling/serverlease.py
+++ b/egretthread/scheduling/serverlease.py
@@ -24,7 +24,7 @@
     return coordinator.lease_end_s if coordinator else 0.0
 
 
-def stop_limit_s(board: AgentBoard, run: Run) -> float:
+def stop_deadline_s(board: AgentBoard, run: Run) -> float:
     """Returns when a run that is being stopped from now on must have ended."""
     return min(
         board.now_s + leaserule.STOP_LIMIT_S,
@@ -32,12 +32,12 @@
     )
 
 
-def limit_s(board: AgentBoard) -> float:
+def renewable_until_s(board: AgentBoard) -> float:
     """Returns the time up to which the lease may be renewed now."""
     end_s = board.now_s + leaserule.SERVER_LEASE_S
     for run in board.runs.values():
         if run.phase is RunPhase.STOPPING:
-            end_s = min(end_s, run.stop_limit_s)
+            end_s = min(end_s, run.stop_deadline_s)
         elif run.phase is not RunPhase.QUEUED:
             lease_end_s = coordinator_lease_end_s(board, run)
             end_s = min(end_s, lease_end_s + leaserule.LAPSED_STOP_LIMIT_S)
@@ -65,7 +65,7 @@
     """Whether the lease can be renewed for long enough to start runs."""
     if is_blocked(board):
         return False
-    return limit_s(board) - board.now_s >= MIN_START_LEASE_S
+    return renewable_until_s(board) - board.now_s >= MIN_START_LEASE_S
 
 
 def renew(board: AgentBoard) -> int:
@@ -75,7 +75,7 @@
         Its end on the backend server's clock in ms, or 0 if it must not be
         renewed.
     """
-    lease_s = limit_s(board) - board.now_s
+    lease_s = renewable_until_s(board) - board.now_s
     if lease_s <= 0:
         return 0
     board.server_lease_end_s = max(
