--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -74,7 +74,7 @@
         has_stalled: Whether it made no progress for a while.
         end: The end to report once it has been stopped.
         stop_confirmed_s: When the backend server confirmed a stop; 0 before.
-        stop_deadline_s: When it must have ended; only while it is being stopped.
+        stop_deadline_s: When it must have ended; only while it is stopped.
         kept: Whether its job is kept, so that its end is held until its
             coordinator has settled it.
         route: Name of its job's route.
--- a/egretthread/scheduling/leaserule.py
+++ b/egretthread/scheduling/leaserule.py
@@ -24,7 +24,7 @@
 SERVER_LEASE_S = 0.5
 # How long after the end of its coordinator's lease a run may go on while it is
 # being stopped. The lease at the backend server is not renewed beyond that.
-# Callers submit a lost job again, and the fence of its agent passes, only later.
+# Callers submit a lost job again, and its agent's fence passes, only later.
 LAPSED_STOP_LIMIT_S = 0.4
 # The same after the decision to stop a run whose coordinator has a lease. That
 # decision may be due to the loss of another entry, which has forwarded the job.
