Declare the gauge of an entry's backlog, so that its metrics are served

Operators saw: GET /metrics of every entry answered 500, with `KeyError: 'backlog_seconds'` in the log.

Cause: the gauge was added to the entry's gauges and to the docs, but not to the declared metrics.

Evidence: four of four requests to a real entry answered 500, whatever their Accept header; found by a crowd test whose ordinary request is /metrics. `test_every_gauge_is_declared` failed before.

--- a/egretthread/metrics.py
+++ b/egretthread/metrics.py
@@ -71,6 +71,7 @@
     Metric("store_seconds", HISTOGRAM, "Time of a call.", ("call", "result")),
     Metric("queued_tasks", GAUGE, "Tasks waiting for a slot."),
     Metric("running_tasks", GAUGE, "Tasks running now."),
+    Metric("backlog_seconds", GAUGE, "Time for which tasks have waited."),
     Metric("open_jobs", GAUGE, "Jobs without an answer yet."),
     Metric("forwarded_jobs", GAUGE, "Jobs forwarded, without an answer yet."),
     Metric("received_jobs", GAUGE, "Open jobs forwarded by other entries."),
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from egretthread import metrics
+from egretthread import gauges, metrics
+from egretthread.scheduling import agentgauges, entrygauges
 
 TABLE = (
     *metrics.METRICS,
@@ -27,6 +28,17 @@
 
 
 class MetricsTest(testtools.TestCase):
+    # Guards against /metrics that answers 500 because of an unknown gauge.
+    def test_every_gauge_is_declared(self):
+        declared = {metric.name for metric in metrics.METRICS}
+        for table in (
+            gauges.ENTRY_GAUGES,
+            gauges.AGENT_GAUGES,
+            entrygauges.GAUGES,
+            agentgauges.GAUGES,
+        ):
+            self.assertEqual(set(), set(table) - declared)
+
     def test_counters_and_gauges(self):
         registry = metrics.Metrics(TABLE)
         registry.count("tasks_total", "ledger-match", "done")
