--- a/egretthread_standins/platformsite/site.py
+++ b/egretthread_standins/platformsite/site.py
@@ -14,7 +14,7 @@
 import tempfile
 import time
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from egretthread_standins.platformsite import web
 from egretthread_standins.platformsite.backendserver import BackendServer
@@ -97,6 +97,8 @@
         spares: Number of entries that may be added later.
         racks: Rack of each backend server, in turn.
         keep_logs: Whether the folder gets the programs' logs.
+        options: Further lines of each program's settings file, as TOML values
+            by key.
     """
 
     work_s: Callable[[str], float]
@@ -108,6 +110,7 @@
     spares: int = 0
     racks: tuple[str, ...] = ("r1-1",)
     keep_logs: bool = False
+    options: Mapping[str, object] = dataclasses.field(default_factory=dict)
 
 
 class Site:
@@ -290,7 +293,8 @@
                 "[load]",
                 "server_speeds = true",
             ]
-        lines[:0] = [f"{key} = {value}" for key, value in changes.items()]
+        options = {**self.settings.options, **changes}
+        lines[:0] = [f"{key} = {value}" for key, value in options.items()]
         path = pathlib.Path(self.folder.name) / f"{name}.toml"
         path.write_text("\n".join(lines) + "\n")
         return path
