Bound what HTTP listeners hold for their clients

Callers saw: clients that send many large bodies and stop short of their end made a process exceed its memory, which ends it; very small chunks made an entry answer nobody.

Cause: the servers' body limit (4 MiB, 32 MiB, 100 MiB for metrics) was not the operators', and nothing bounded the sum over the connections, the number of connections, the time for which a request stands still, or the chunks of a body.

Fix: each listener counts the bytes that it has received of requests that are incomplete or wait for their answer, headers too, where they are read from the socket. Beyond the limit it closes connections: those that stand still longest, then the largest, so that a full limit does not shut out small requests. The same goes for the number of connections. A body beyond the operators' limit is refused with 413 from its header on. A chunked request with far more framing than content is closed before its chunks are decoded. The limits follow from limits.memory_mb and limits.max_fds of the machine, by way of the templates. `intake` decides without a network; `intakeserver` hooks it into tornado.

--- a/egretthread/adminapi.py
+++ b/egretthread/adminapi.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Mapping
 
 import orjson
-import tornado.httpserver
 import tornado.netutil
 import tornado.web
 
-from egretthread import dump, metrics
+from egretthread import dump, intake, metrics
+from egretthread.intakeserver import IntakeServer
 from egretthread.settings import join_address, split_address
 
 Gauges = Mapping[str, Callable[[object], float]]
@@ -83,7 +83,12 @@
             ],
             log_function=lambda handler: None,
         )
-        self.http = tornado.httpserver.HTTPServer(application)
+        self.http = IntakeServer(
+            application,
+            intake.SMALL_LIMITS,
+            lambda: intake.SMALL_BODY_BYTES,
+            board.counters,
+        )
 
     def _refresh(self, process_metrics: metrics.Metrics) -> None:
         """Updates the metrics from the blackboard."""
--- a/egretthread/entryserver.py
+++ b/egretthread/entryserver.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 
-import tornado.httpserver
 import tornado.netutil
 
 from egretthread import (
@@ -19,6 +18,8 @@
     nodeid,
 )
 from egretthread.blackboard import EntryBoard
+from egretthread.intake import IntakeLimits
+from egretthread.intakeserver import IntakeServer
 from egretthread.jobkey import JobRef
 from egretthread.settings import EntrySettings, join_address, split_address
 from egretthread.submission import Refusal, SingleRequest, Submission
@@ -26,6 +27,7 @@
 TICK_S = 0.05
 SHUTDOWN_CHECK_S = 0.05
 MAX_BODY_BYTES = 32 * 2**20
+CALLER_LIMITS = IntakeLimits(total_bytes=4 * MAX_BODY_BYTES, connections=4_000)
 
 
 class EntryServer:
@@ -68,8 +70,11 @@
             self.board, settings.admin_address, gauges.ENTRY_GAUGES
         )
         self.admin.metrics.refreshers.append(self._count_traffic)
-        self.http = tornado.httpserver.HTTPServer(
-            callerapi.application(self), max_body_size=MAX_BODY_BYTES
+        self.http = IntakeServer(
+            callerapi.application(self),
+            CALLER_LIMITS,
+            lambda: MAX_BODY_BYTES,
+            self.board.counters,
         )
         self.http_address = ""
         self.feed = logfeed.LogFeed(settings, self.board, self._on_log_update)
--- a/egretthread/platform/agentprogram.py
+++ b/egretthread/platform/agentprogram.py
@@ -45,6 +45,8 @@
             self.listeners.take(self.settings.heartbeat_address),
             self.server.on_heartbeat,
             self.server.on_leave,
+            self.settings.intake,
+            self.server.board.counters,
         )
         await self.server.start()
         if self.settings.metrics_port:
--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -10,7 +10,7 @@
 import orjson
 import tornado.web
 
-from egretthread import clock, logs
+from egretthread import clock, intake, logs
 from egretthread.platform import bodies, listener
 from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryboard import Answer, Job, Outcome, TaskState
@@ -31,8 +31,7 @@
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 # How long the caller waits for the response, in ms.
 DEADLINE_HEADER = "X-Egretthread-Deadline-Ms"
-# Body limit of the HTTP server. The limit from the configuration is checked in
-# addition.
+# Body limit until there is a configuration.
 MAX_BODY_BYTES = 4 * 2**20
 MAX_PAYLOAD_BYTES = 4000
 MAX_TASKS = 10_000
@@ -436,13 +435,32 @@
         self.finish()
 
 
-def serve(
-    listening: socket.socket, handler: type, server: EntryServer, log: JobLog
-):
-    """Starts an HTTP server with one handler for all paths."""
+def serve(listening: socket.socket, server: EntryServer, log: JobLog):
+    """Starts the HTTP server for callers."""
+
+    def body_limit() -> int:
+        state = server.board.operator_state
+        if state.is_configured:
+            return state.limits.max_body_bytes
+        return MAX_BODY_BYTES
+
+    return listener.serve(
+        listening,
+        [(r".*", CallerHandler, {"server": server, "log": log})],
+        limits=server.settings.intake,
+        body_limit=body_limit,
+        counters=server.board.counters,
+        idle_connection_timeout=IDLE_TIMEOUT_S,
+    )
+
+
+def serve_readiness(listening: socket.socket, server: EntryServer, log: JobLog):
+    """Starts the HTTP server for readiness checks."""
     return listener.serve(
         listening,
-        [(r".*", handler, {"server": server, "log": log})],
-        max_body_size=MAX_BODY_BYTES,
+        [(r".*", ReadyHandler, {"server": server, "log": log})],
+        limits=intake.SMALL_LIMITS,
+        body_limit=lambda: intake.SMALL_BODY_BYTES,
+        counters=server.board.counters,
         idle_connection_timeout=IDLE_TIMEOUT_S,
     )
--- a/egretthread/platform/entryprogram.py
+++ b/egretthread/platform/entryprogram.py
@@ -53,12 +53,10 @@
     async def start(self) -> None:
         """Starts listening and all background tasks."""
         self.http_servers = [
-            callers.serve(
-                self.listeners.take(address), handler, self.server, self.log
-            )
-            for address, handler in (
-                (self.settings.callers_address, callers.CallerHandler),
-                (self.settings.ready_address, callers.ReadyHandler),
+            serve(self.listeners.take(address), self.server, self.log)
+            for address, serve in (
+                (self.settings.callers_address, callers.serve),
+                (self.settings.ready_address, callers.serve_readiness),
             )
         ]
         await self.server.start()
--- a/egretthread/platform/servers.py
+++ b/egretthread/platform/servers.py
@@ -1,5 +1,6 @@
 """HTTP between an agent and its backend server: heartbeats and calls."""
 
+import collections
 import reprlib
 import socket
 
@@ -8,6 +9,7 @@
 
 from egretthread import backendpool, logs, util
 from egretthread.httpconnection import Response
+from egretthread.intake import IntakeLimits
 from egretthread.platform import bodies, listener
 from egretthread.scheduling.agentboard import (
     ServerLeave,
@@ -360,7 +362,13 @@
     )
 
 
-def serve(listening: socket.socket, on_heartbeat, on_leave):
+def serve(
+    listening: socket.socket,
+    on_heartbeat,
+    on_leave,
+    limits: IntakeLimits,
+    counters: collections.Counter,
+):
     """Starts the HTTP server that receives the backend server's requests."""
     return listener.serve(
         listening,
@@ -376,4 +384,7 @@
                 {"on_leave": on_leave},
             ),
         ],
+        limits=limits,
+        body_limit=lambda: MAX_BODY_BYTES,
+        counters=counters,
     )
--- a/egretthread/scheduling/nodesettings.py
+++ b/egretthread/scheduling/nodesettings.py
@@ -3,11 +3,15 @@
 import dataclasses
 import pathlib
 
-from egretthread import settings, util
+from egretthread import intake, settings, util
+from egretthread.intake import IntakeLimits
 from egretthread.scheduling import loadsettings
 from egretthread.scheduling.loadsettings import LoadSettings
 from egretthread.settings import LOG_LEVELS, MIN_SHARED_KEY_CHARS
 
+# Smallest limits of a process with which it can work.
+MIN_LIMITS = {"memory_mb": 64, "max_fds": 512}
+
 
 @dataclasses.dataclass(frozen=True)
 class NodeSettings:
@@ -31,6 +35,8 @@
             empty for an entry.
         server_address: `host:port` of the backend server; empty for an entry.
         metrics_port: Port for metrics and the state dump; 0 for none.
+        memory_mb: Memory limit of the process in MB.
+        max_fds: Limit on the open descriptors of the process.
         remote_factor: Factor by which a task takes longer on a rack that does
             not hold its data.
         shutdown_s: Maximum duration of a graceful shutdown.
@@ -57,6 +63,8 @@
     heartbeat_address: str = ""
     server_address: str = ""
     metrics_port: int = 0
+    memory_mb: int = 128
+    max_fds: int = 3075
     remote_factor: float = 2.0
     shutdown_s: float = 6.0
     keepalive_s: float = 1.0
@@ -77,6 +85,11 @@
         """`host:port` of metrics and the state dump."""
         return f"{self.host}:{self.metrics_port}"
 
+    @property
+    def intake(self) -> IntakeLimits:
+        """Limits on the requests of callers or of the backend server."""
+        return intake.limits_of(self.memory_mb, self.max_fds)
+
     @property
     def served_addresses(self) -> tuple[str, ...]:
         """`host:port` of all addresses at which other processes call.
@@ -157,6 +170,8 @@
         return tuple(str(seed) for seed in table.get(name, ()))
     if name == "log_level":
         return checker.choice(table, name, name, LOG_LEVELS)
+    if name in MIN_LIMITS:
+        return checker.integer(table, name, name, minimum=MIN_LIMITS[name])
     if field.type is int:
         return checker.integer(table, name, name, maximum=settings.MAX_PORT)
     if field.type is float:
