Bound what a listener reads before the memory of closed connections is free

Operators saw: a crowd of whole bodies took 99.3 of 100 MB, although a listener holds at most a sixth of the limit.

Cause: the memory of a closed connection is free only once its coroutine has run, in the next turn of the event loop; until then each other connection may read 256 KiB. So the excess grew with the number of connections.

Fix: a listener reads at most a quarter of its limit in one turn. Since a crowd is then read for longer, its bytes still arrived while an ordinary caller sent a body of the largest size, and that was closed as the largest one. Of the requests that make progress, those above 16 KiB that began first are now closed first.

--- a/egretthread/intake.py
+++ b/egretthread/intake.py
@@ -16,6 +16,11 @@
 # Once a limit is reached, connections are closed until this share of it is in
 # use, so that they are not sorted again for each further one.
 RELIEVED_SHARE = 3 / 4
+# Share of the limit on bytes that a listener reads in one turn of the event
+# loop. The memory of closed connections is not free before the next turn.
+TURN_SHARE = 1 / 4
+# Larger requests are closed before smaller ones, as those of most callers.
+LARGE_BYTES = 16 * 1024
 # A request that makes no progress for this time counts as standing still.
 STILL_S = 1.0
 # A chunked request may have this many lines, and one more for each so many
@@ -84,6 +89,7 @@
         close: Closes the connection.
         progress_s: Time of the last byte received, or of the last response.
         state: What the connection does.
+        started_s: Time of the first byte of the current request.
         held_bytes: Bytes received of the current request.
         lines: Lines in them, less those of the content.
         is_chunked: Whether the current request has a chunked body.
@@ -93,6 +99,7 @@
     close: Callable[[], None]
     progress_s: float
     state: State = State.NEW
+    started_s: float = 0.0
     held_bytes: int = 0
     lines: int = 0
     is_chunked: bool = False
@@ -108,6 +115,8 @@
             been closed.
         clients: The open connections.
         total_bytes: Sum of their `held_bytes`.
+        turn_bytes: Bytes received since the start of the turn.
+        is_paused: Whether nothing more may be read before the next turn.
     """
 
     def __init__(
@@ -117,6 +126,20 @@
         self.on_closed = on_closed
         self.clients: set[Client] = set()
         self.total_bytes = 0
+        self.turn_bytes = 0
+        self.is_paused = False
+
+    def pause(self) -> bool:
+        """Ends the turn if enough was read; returns whether it did."""
+        if self.turn_bytes < self.limits.total_bytes * TURN_SHARE:
+            return False
+        self.is_paused = True
+        return True
+
+    def start_turn(self) -> None:
+        """Allows to read again."""
+        self.turn_bytes = 0
+        self.is_paused = False
 
     def open(self, close: Callable[[], None], now_s: float) -> Client:
         """Adds a connection; closes others if there are too many."""
@@ -138,9 +161,12 @@
         if client.is_closed:
             return False
         client.progress_s = now_s
+        if not client.held_bytes:
+            client.started_s = now_s
         client.held_bytes += size_bytes
         client.lines += lines
         self.total_bytes += size_bytes
+        self.turn_bytes += size_bytes
         if client.state is not State.WAITING:
             client.state = State.RECEIVING
         if client.is_chunked and not self.check_chunks(client):
@@ -180,7 +206,7 @@
         client.held_bytes = held_bytes
         client.lines = lines
         client.is_chunked = False
-        client.progress_s = now_s
+        client.progress_s = client.started_s = now_s
         if held_bytes:
             client.state = State.RECEIVING
         elif client.state is not State.NEW:
@@ -252,10 +278,9 @@
 
 
 def _size_rank(client: Client, now_s: float) -> tuple:
-    """Order in which connections are closed when they hold too much.
-
-    Small requests stay, as those of most callers.
-    """
+    """Order in which connections are closed when they hold too much."""
     if _is_still(client, now_s):
-        return (0, client.progress_s, 0)
-    return (1, -client.held_bytes, client.progress_s)
+        return (0, client.progress_s)
+    if client.held_bytes > LARGE_BYTES:
+        return (1, client.started_s)
+    return (2, client.started_s)
--- a/egretthread/intakeserver.py
+++ b/egretthread/intakeserver.py
@@ -38,6 +38,12 @@
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads into a buffer; returns the number of bytes, if any."""
+        # A socket that is not read stays readable until the next turn.
+        if self.intake.is_paused:
+            return None
+        if self.intake.pause():
+            self.io_loop.add_callback(self.intake.start_turn)
+            return None
         size_bytes = super().read_from_fd(buf)
         if not size_bytes:
             return size_bytes
