Leave descriptors for links beside full listeners

Three quarters of 2,875 descriptors for callers, 512 for links without a handshake and 128 for readiness checks and metrics left 79 for the links of a large site and the store, if all were full at once. With two thirds 319 are left. By calculation; no crowd filled all listeners at once.

--- a/egretthread/intake.py
+++ b/egretthread/intake.py
@@ -11,8 +11,8 @@
 # Descriptors of a process that are reserved for files.
 FILE_DESCRIPTORS = 200
 # Share of the other descriptors that callers may take; the rest is left for
-# links, the store and operators.
-DESCRIPTOR_SHARE = 3 / 4
+# links, with and without a handshake, the store and operators.
+DESCRIPTOR_SHARE = 2 / 3
 # Once a limit is reached, connections are closed until this share of it is in
 # use, so that they are not sorted again for each further one.
 RELIEVED_SHARE = 3 / 4
