Let received requests take a smaller share of the memory

Of 100 MB, a crowd of bodies in chunks of 16 KiB took up to 100.2 MB, though a listener held a sixth of the limit at most.

Cause: a chunked body is held in many small pieces, whose memory is not returned to the system when they are freed, and takes several times what is counted.

The smallest agents still take four of the largest heartbeats at once.

--- a/egretthread/intake.py
+++ b/egretthread/intake.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 # Share of the memory of a process that received requests may take. A body takes
-# twice its size while it is decoded, and the garbage of earlier requests is not
-# returned to the system at once.
-MEMORY_SHARE = 1 / 6
+# twice its size while it is decoded, a chunked one more, and the garbage of
+# earlier requests is not returned to the system at once.
+MEMORY_SHARE = 2 / 15
 # Descriptors of a process that are reserved for files.
 FILE_DESCRIPTORS = 200
 # Share of the other descriptors that callers may take; the rest is left for
