Give stops that are answered late more time

What callers saw: nothing yet.

Cause: since each call that stops a run times out after 0.06 s, however often it was tried, and closes the idle connections. On a machine on which no call is answered that fast, a stop would never count as confirmed, and its server never be used again.

Why this works: the first four tries keep their 0.06 s, which fit into the time for which the lease is renewed; later ones take up to 0.25 s, as do those for runs that may still arrive.

--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -37,9 +37,6 @@
 # within a few ms. A start call that is retried is carried out only once.
 START_TIMEOUTS_S = (0.04, 0.08, 0.15)
 START_TRIES = len(START_TIMEOUTS_S)
-# Interval between attempts to stop a run, at which the previous one times out.
-# Several fit into the time for which its lease is still renewed.
-STOP_RETRY_S = 0.06
 # A fencing token that is too low is raised by this much. Tokens are start times
 # in Unix ms, and clocks jump back by less than this.
 TOKEN_STEP = 10_000
@@ -399,7 +396,8 @@
         is_unconfirmed = (
             run.phase is RunPhase.STOPPING and not run.stop_confirmed_s
         )
-        if is_unconfirmed and board.now_s - run.last_change_s > STOP_RETRY_S:
+        waited_s = board.now_s - run.last_change_s
+        if is_unconfirmed and waited_s > runs.stop_timeout_s(run):
             if run.tries == 1:
                 logs.info(
                     "stop_unanswered",
@@ -410,10 +408,11 @@
                     server_lease_s=board.server_lease_end_s - board.now_s,
                 )
             runs.send_stop(board, run)
-    if board.blocked_runs and board.now_s - board.blocked_sent_s > STOP_RETRY_S:
+    timeout_s = runs.STOP_TIMEOUTS_S[-1]
+    if board.blocked_runs and board.now_s - board.blocked_sent_s > timeout_s:
         board.blocked_sent_s = board.now_s
         board.calls += [
-            dataclasses.replace(call, token=board.token)
+            dataclasses.replace(call, token=board.token, timeout_s=timeout_s)
             for call in board.blocked_runs
         ]
 
--- a/egretthread/scheduling/runs.py
+++ b/egretthread/scheduling/runs.py
@@ -1,5 +1,6 @@
 """Lifecycle of the runs that an agent holds: stops, ends and reports."""
 
+import dataclasses
 from collections.abc import Sequence
 
 from egretthread.scheduling import serverlease
@@ -12,6 +13,11 @@
 )
 from egretthread.scheduling.runmessage import RunEnd, RunReport
 
+# Timeouts of the successive calls that stop one run; each is retried when it
+# times out, the last one again and again. Several fit into the time for which
+# the run's lease is still renewed. On a busy machine an answer takes longer.
+STOP_TIMEOUTS_S = (0.06, 0.06, 0.06, 0.06, 0.12, 0.25)
+
 
 def finish(
     board: AgentBoard, run: Run, end: RunEnd, notify: bool = True
@@ -67,7 +73,13 @@
     """Queues the call that stops a run, or blocks it if it has not arrived."""
     run.tries += 1
     run.last_change_s = board.now_s
-    board.calls.append(stop_call(board, run))
+    call = stop_call(board, run)
+    board.calls.append(dataclasses.replace(call, timeout_s=stop_timeout_s(run)))
+
+
+def stop_timeout_s(run: Run) -> float:
+    """Returns the timeout of the last call that was sent to stop a run."""
+    return STOP_TIMEOUTS_S[min(run.tries, len(STOP_TIMEOUTS_S)) - 1]
 
 
 def stop_call(board: AgentBoard, run: Run) -> StopCall:
--- a/tests/platform/test_servercalls.py
+++ b/tests/platform/test_servercalls.py
@@ -6,7 +6,7 @@
 import testtools
 
 from egretthread.platform import servers
-from egretthread.scheduling import leaserule, runorders
+from egretthread.scheduling import leaserule, runs
 from egretthread.scheduling.agentboard import StopCall, TaskName
 
 RUNS = 8
@@ -51,12 +51,13 @@
         host, port = server.sockets[0].getsockname()
         client = servers.BackendServerClient(f"{host}:{port}")
         async with asyncio.TaskGroup() as group:
-            rounds = leaserule.LAPSED_STOP_LIMIT_S / runorders.STOP_RETRY_S
+            retry_s = runs.STOP_TIMEOUTS_S[0]
+            rounds = leaserule.LAPSED_STOP_LIMIT_S / retry_s
             for _ in range(int(rounds)):
                 for index in range(RUNS):
                     call = StopCall(TaskName("j", 0, index), 1, "", 1)
                     group.create_task(client.stop_run(call))
-                await asyncio.sleep(runorders.STOP_RETRY_S)
+                await asyncio.sleep(retry_s)
         client.close()
     return silent
 
--- a/tests/scheduling/test_runorders.py
+++ b/tests/scheduling/test_runorders.py
@@ -7,7 +7,6 @@
 from egretthread.scheduling import (
     agentengine,
     leaserule,
-    runorders,
     runs,
     serverlease,
     serverpoll,
@@ -207,7 +206,7 @@
         agentengine.on_tick(board)
         (first,) = board.calls
         board.token = 6
-        board.now_s += runorders.STOP_RETRY_S
+        board.now_s += runs.STOP_TIMEOUTS_S[-1]
         agentengine.on_tick(board)
         second = board.calls[1]
         self.assertEqual(
--- a/tests/scheduling/test_serverlease.py
+++ b/tests/scheduling/test_serverlease.py
@@ -122,6 +122,16 @@
             self.until_s, lease_end_s + leaserule.LAPSED_STOP_LIMIT_S
         )
 
+    # Guards against a server that is never used again: no stop was answered in
+    # time on a busy machine.
+    def test_stops_that_are_answered_late_are_given_more_time(self):
+        self.play(leaserule.COORDINATOR_LEASE_S + 0.1)
+        self.play(2.0)
+        timeouts = [stop.timeout_s for stop in self.stops()]
+        self.assertEqual(sorted(timeouts), timeouts)
+        self.assertLess(timeouts[0], 0.1)
+        self.assertGreater(timeouts[-1], 0.2)
+
     def test_a_coordinator_in_touch_keeps_the_whole_lease(self):
         for _ in range(20):
             self.renew_coordinator()
