--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -10,14 +10,15 @@
 import functools
 import os
 import pathlib
+import signal
 import sys
 import time
 import traceback
 from collections.abc import Awaitable, Callable
 
 from egretthread_standins.platformsite import site as sites
-from egretthread_standins.platformsite.backendserver import BackendServer
 from egretthread_standins.platformsite import store as stores
+from egretthread_standins.platformsite.backendserver import BackendServer
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 LIMIT_S = 105.0
@@ -182,12 +183,18 @@
     """
 
     async def main() -> int:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         site = make(pathlib.Path(path).resolve().parent)
         try:
             async with asyncio.timeout(LIMIT_S):
                 await site.start()
                 return await play(site)
-        except (sites.Unavailable, TimeoutError) as error:
+        except (
+            sites.Unavailable,
+            TimeoutError,
+            asyncio.CancelledError,
+        ) as error:
             print(f"not run: {error!r}", flush=True)
             return NOT_RUN
         finally:
