--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,102 +1,82 @@
-"""A kept job is never run after entries were added.
+"""One failed run of a kept job is counted twice.
 
-An agent keeps links with five entries. A coordinator without a link to an agent
-whose backend server may run a job's task never starts the task.
+The coordinator of the job is partitioned from the store while it writes that a
+run has failed: the store has the record, but the coordinator does not learn it.
 """
 
 import asyncio
 import pathlib
+import zlib
 
 import kit
 
-from egretthread.scheduling import linkchoice
 from egretthread_standins.platformsite import site as sites
 
-ENTRIES = 4
-ADDED = 3
-AGENTS = 11
-WORK_S = 4.0
-FINISH_S = 14.0
-IDLE_S = 3.0
+WORK_S = 2.0
+CUT_S = 5.5
+# How long requests over connections that were open before the cut still arrive.
+OPEN_S = 0.7
+LEAD_S = 0.15
+JOB = "00c0ffee00000002"
+QUEUE = {**sites.QUEUE, "max_attempts": 2}
 
 
-class Site(kit.Site):
-    """A site with one backend server of kind b.
-
-    Attributes:
-        special: The agent of that backend server.
-        without: Added entries that this agent won't have a link with.
-    """
-
-    special = ""
-    without: tuple[str, ...] = ()
-
-
-def make(folder: pathlib.Path) -> Site:
+def make(folder: pathlib.Path) -> kit.Site:
     """Returns the site."""
-    site = Site(
-        sites.SiteSettings(
-            lambda task: WORK_S,
-            folder,
-            entries=ENTRIES,
-            agents=AGENTS,
-            spares=ADDED,
-        )
+    site = kit.Site(
+        sites.SiteSettings(lambda task: WORK_S, folder, entries=3, agents=3)
+    )
+    # The first run of the task fails, later ones do their work.
+    site.fails = lambda task: (
+        not [e for e in site.seen("end", JOB) if e.fields["how"] == "failed"]
     )
-    site.use_store(kit.Store(sites.PARTS, site.log))
-    addresses = {
-        name: f"{site.hosts[name]}:{site.link_port}"
-        for name in site.names + site.spare_names
-    }
-    for agent in site.agent_names:
-        linked = linkchoice.choose(agent, addresses.values(), ())
-        site.without = tuple(
-            name for name in site.spare_names if addresses[name] not in linked
-        )
-        if site.without:
-            site.special = agent
-            break
-    else:
-        raise sites.Unavailable("all agents link with all added entries")
-    site.kinds[site.special] = "b"
     return site
 
 
-async def play(site: Site) -> int:
+async def cut(site: kit.Site, entry: str) -> None:
+    """Partitions an entry from the store, one way: no answers come back."""
+    site.log("operator", "cut from the store, one way", name=entry)
+    site.store.modes[entry] = "lost"
+    await asyncio.sleep(OPEN_S)
+    site.store.modes[entry] = "silent"
+    await asyncio.sleep(CUT_S - OPEN_S)
+    site.store.modes[entry] = ""
+    site.log("operator", "cut healed", name=entry)
+
+
+async def play(site: kit.Site) -> int:
     """Plays the case."""
-    site.log("check", "only one of kind b", agent=site.special)
-    job = site.job_id(0, 0xC0FFEE)
-    entry = site.names[0]
+    site.configure(2, [QUEUE])
+    await asyncio.sleep(3.0)
+    part = zlib.crc32(JOB.encode()) % sites.PARTS
+    owner = site.store.owner(part).partition("#")[0]
+    other = next(name for name in site.names if name != owner)
     status, _ = await site.request(
-        entry,
-        "POST",
-        job,
-        sites.job(1, int(WORK_S * 1000), required_label="b"),
+        other, "POST", JOB, sites.job(1, int(WORK_S * 1000))
     )
     if status != 200:
         raise sites.Unavailable(f"the job was answered {status}")
-    await site.wait_for(lambda: site.seen("start", job), 10.0, "a start")
+    await site.wait_for(lambda: site.seen("start", JOB), 10.0, "a start")
+    start = site.seen("start", JOB)[0]
+    cutting = None
+    await asyncio.sleep(start.at_s + WORK_S - LEAD_S - site.now_s())
     if kit.has_trouble():
-        site.store.wanted[0] = site.without[0]
-        for name in site.spare_names:
-            site.start_process(name)
-    server = site.servers[site.special]
-    end_s = site.now_s() + WORK_S + FINISH_S + 2 * IDLE_S
-    state, idle_since_s, idle_s = "", None, 0.0
-    while state != "completed" and site.now_s() < end_s:
-        state = await site.state(entry, job)
-        if server.runs or state == "completed":
-            idle_since_s = None
-        elif idle_since_s is None:
-            idle_since_s = site.now_s()
-        else:
-            idle_s = max(idle_s, site.now_s() - idle_since_s)
+        cutting = asyncio.create_task(cut(site, owner))
+    state = ""
+    end_s = site.now_s() + 25.0
+    while state not in ("completed", "failed", "cancelled"):
+        if site.now_s() > end_s:
+            break
         await asyncio.sleep(0.3)
+        state = await site.state(other, JOB)
+    failed = [e for e in site.seen("end", JOB) if e.fields["how"] == "failed"]
+    if cutting:
+        await cutting
     return site.verdict(
-        state != "completed" and idle_s > FINISH_S + IDLE_S,
+        state == "failed" and len(failed) < QUEUE["max_attempts"],
         "LOST",
-        f"the job is shown as {state!r}; nothing of it was running for"
-        f" {idle_s:.1f} s, while its backend server was empty",
+        f"the job is shown as {state!r}; {len(failed)} of its runs ended"
+        f" failed, {QUEUE['max_attempts']} may",
     )
 
 
