--- a/review/6/case.py
+++ b/review/6/case.py
@@ -38,10 +38,30 @@
         )
     )
     site.kinds[HOLDER] = "b"
+    hosts = list(site.hosts.values())
+    ports = {
+        site.front_port,
+        site.ready_port,
+        site.control_port,
+        site.metrics_port,
+        site.app_port,
+        site.store_port,
+    }
+    while not all_are_linked(site):
+        site.link_port = sites.free_port(hosts, ports)
     site.use_store(kit.Store(sites.PARTS, site.log))
     return site
 
 
+def all_are_linked(site: kit.Site) -> bool:
+    """Whether each entry will have a link, without which it is not ready."""
+    addresses = [f"{site.hosts[n]}:{site.link_port}" for n in site.names]
+    linked = set()
+    for agent in site.agent_names:
+        linked.update(linkchoice.choose(agent, addresses, ()))
+    return linked == set(addresses)
+
+
 async def lose_power(site: kit.Site, name: str) -> None:
     """Takes an entry away for a time."""
     site.signal(name, signal.SIGKILL)
