--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,6 +9,7 @@
 from egretthread_standins.platformsite import web
 
 JOBS = 12
+WORK_S = 1.8
 LONG_S = 14.0
 OLD_S = 5.5  # visible_ms + 2 s, and a margin.
 URGENT = {**sites.QUEUE, "name": "urgent", "path_prefix": "/urgent/"}
@@ -20,7 +21,7 @@
     """Returns the site."""
     return kit.Site(
         sites.SiteSettings(
-            lambda task: LONG_S if task.startswith(FILLER) else 0.9,
+            lambda task: LONG_S if task.startswith(FILLER) else WORK_S,
             folder,
             entries=3,
             agents=3,
@@ -55,7 +56,11 @@
         for number in range(JOBS):
             job = f"{number:016x}"
             status, _ = await site.request(
-                "entry-2", "POST", job, sites.job(1, 900), prefix="/urgent/"
+                "entry-2",
+                "POST",
+                job,
+                sites.job(1, int(WORK_S * 1000)),
+                prefix="/urgent/",
             )
             if status == 200:
                 accepted[job] = site.now_s()
