--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import signal
 import time
@@ -15,6 +16,9 @@
 from egretthread.scheduling import linkchoice
 from egretthread_standins.platformsite import site as sites
 
+# Whether the disruption is played.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 ENTRIES = 7
 AGENTS = 4
 HOLDER = "agent-1"
@@ -132,7 +136,7 @@
     if start.fields["agent"] != HOLDER:
         raise sites.Unavailable("the task was not placed near its data")
     await asyncio.sleep(start.at_s + WORK_S - LEAD_S - site.now_s())
-    if kit.has_trouble():
+    if HAS_TROUBLE:
         site.store.wanted[part] = second
         power = asyncio.create_task(lose_power(site, first))
         await asyncio.sleep(DARK_S - 1.0)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import zlib
 
@@ -12,6 +13,9 @@
 
 from egretthread_standins.platformsite import site as sites
 
+# Whether the disruption is played.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 WORK_S = 2.0
 CUT_S = 5.5
 # How long requests over connections that were open before the cut still arrive.
@@ -60,7 +64,7 @@
     start = site.seen("start", JOB)[0]
     cutting = None
     await asyncio.sleep(start.at_s + WORK_S - LEAD_S - site.now_s())
-    if kit.has_trouble():
+    if HAS_TROUBLE:
         cutting = asyncio.create_task(cut(site, owner))
     state = ""
     end_s = site.now_s() + 25.0
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
 """Urgent kept jobs that wait are missing in the count of pending jobs."""
 
 import asyncio
+import os
 import pathlib
 
 import kit
@@ -8,6 +9,9 @@
 from egretthread_standins.platformsite import site as sites
 from egretthread_standins.platformsite import web
 
+# Whether the disruption is played.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 JOBS = 12
 WORK_S = 1.8
 LONG_S = 14.0
@@ -52,7 +56,7 @@
         lambda: len(site.seen("start", FILLER)) == 24, 10.0, "the filler"
     )
     accepted = {}
-    if kit.has_trouble():
+    if HAS_TROUBLE:
         for number in range(JOBS):
             job = f"{number:016x}"
             status, _ = await site.request(
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 import functools
-import os
 import pathlib
 import signal
 import sys
@@ -164,11 +163,6 @@
         return BROKEN if is_broken else HELD
 
 
-def has_trouble() -> bool:
-    """Whether the disruption is to be played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run(
     path: str,
     make: Callable[[pathlib.Path], Site],
