--- a/review/7/case.py
+++ b/review/7/case.py
@@ -16,7 +16,8 @@
 # Whether the disruption is played.
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
-WORK_S = 2.0
+# Longer than an entry holds a partition that it can no longer renew.
+WORK_S = 4.0
 CUT_S = 5.5
 # How long requests over connections that were open before the cut still arrive.
 OPEN_S = 0.7
