Number the runs of kept jobs in the order of their starts

Cause: what a coordinator knows of the runs that it has started was kept for its own tenure. The first coordinator loses its power, its successor has no link with the agent that holds the end and starts the task again; the third one is offered the end of the first run and can't tell that the task was started since. The same happens without a missing link: a coordinator that gives up a run, starts the task again and is lost leaves a successor that accepts the end of the run given up.

Fix: the entry numbers the starts of each task, the agent starts them under that number, and the backend server lists it with the end, also for a restarted agent. A task is started again only after the store has the number of its last run, and a job that was taken over only after the store tells that its runs may have been superseded. So each later coordinator knows which ends came too late: they are void, and are acknowledged after the lease has expired. Progress has two more fields, which earlier releases ignore and need not write; their size is bounded.

A job that is shown as `failed` without enough failed runs is a violation.

Failed before: test_an_end_is_void_after_a_former_coordinator_started_the_task, test_an_end_is_void_after_its_run_was_given_up.

--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -13,7 +13,12 @@
 from egretthread import clock, intake, logs
 from egretthread.platform import bodies, listener
 from egretthread.scheduling.caller import Caller
-from egretthread.scheduling.entryboard import Answer, Job, Outcome, TaskState
+from egretthread.scheduling.entryboard import (
+    IDLE_STATES,
+    Answer,
+    Job,
+    Outcome,
+)
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.joblog import JobLog
 from egretthread.scheduling.jobrecord import Submission
@@ -416,9 +421,7 @@
 
 def _has_started(job: Job) -> bool:
     return any(
-        task.state not in (TaskState.BLOCKED, TaskState.WAITING)
-        for tasks in job.tasks
-        for task in tasks
+        task.state not in IDLE_STATES for tasks in job.tasks for task in tasks
     )
 
 
--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -63,6 +63,8 @@
         accepted_s: When the agent accepted it.
         queue_wait_s: How long it may be queued for free capacity.
         phase: Its phase.
+        ordered_number: Number that its order gives it; 0 if the agent numbers
+            it.
         number: Number of the run at the backend server.
         tries: Calls made in the current phase.
         started_s: When its start was confirmed.
@@ -92,6 +94,7 @@
     accepted_s: float
     queue_wait_s: float = 0.0
     phase: RunPhase = RunPhase.QUEUED
+    ordered_number: int = 0
     number: int = 0
     tries: int = 0
     started_s: float = 0.0
--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -8,11 +8,13 @@
     expectedrates,
     isolation,
     placing,
+    runnumbers,
     shares,
     waitingload,
     waitorder,
 )
 from egretthread.scheduling.entryboard import (
+    IDLE_STATES,
     AgentView,
     EntryBoard,
     Task,
@@ -396,7 +398,7 @@
     siblings = [
         sibling
         for sibling in task.job.tasks[task.step]
-        if sibling.state not in (TaskState.BLOCKED, TaskState.WAITING)
+        if sibling.state not in IDLE_STATES
     ]
     all_counts = collections.Counter(s.agent for s in siblings)
     live_counts = collections.Counter(
@@ -444,7 +446,9 @@
         view.tasks[task.attempt] = task
         view.ordered_runs += 1
         view.in_flight.append((view.ordered_runs, room))
-        orders.append(RunOrder(task.step, task.index, task.attempt))
+        if job.spec.kept:
+            task.run = runnumbers.next_number(task)
+        orders.append(RunOrder(task.step, task.index, task.attempt, task.run))
         board.samples.append(
             ("queue_seconds", board.now_s - task.waiting_since_s)
         )
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -45,6 +45,9 @@
     BLOCKED = "blocked"
     # Waits to be dispatched.
     WAITING = "waiting"
+    # Task of a kept job: it waits until the store has the number of its last
+    # run, and is started again only then.
+    RECORDING = "recording"
     # Dispatched to an agent; it may run.
     ORDERED = "ordered"
     # The agent was asked to stop it; it may still run.
@@ -52,6 +55,12 @@
     DONE = "done"
 
 
+# States of a task without a run.
+IDLE_STATES = frozenset(
+    (TaskState.BLOCKED, TaskState.WAITING, TaskState.RECORDING)
+)
+
+
 @dataclasses.dataclass
 class Task:
     """One task of a job.
@@ -61,7 +70,8 @@
         step: Number of its step.
         index: Its index in the step.
         state: Its state.
-        attempt: Number of the current or last attempt.
+        attempt: Number of the current or last attempt by this coordinator.
+        run: Number of the last run, see `runnumbers`; only in kept jobs.
         agent: Node id of the agent that it was last dispatched to.
         waiting_since_s: When it was last enqueued.
         failures: Number of runs that failed.
@@ -78,6 +88,7 @@
     index: int
     state: TaskState = TaskState.BLOCKED
     attempt: int = 0
+    run: int = 0
     agent: str = ""
     waiting_since_s: float = 0.0
     failures: int = 0
@@ -145,6 +156,7 @@
         runs: Number of runs dispatched.
         share: Share of the capacity that it belongs to.
         lead_s: How much earlier than its latest start it is ordered.
+        first_run: Number of the first run of its tasks here, see `runnumbers`.
     """
 
     spec: JobSpec
@@ -159,6 +171,7 @@
     runs: int = 0
     share: ShareRule = loadsettings.UNSHARED
     lead_s: float = 0.0
+    first_run: int = 1
 
     @property
     def id(self) -> str:
--- a/egretthread/scheduling/heldends.py
+++ b/egretthread/scheduling/heldends.py
@@ -42,6 +42,9 @@
     if end is None or not _may_be_kept(board, ended_run, run):
         return False
     run_s = board.now_s - run.started_s if run and run.started_s else 0.0
+    number = ended_run.number
+    if run is not None and run.ordered_number != number:
+        number = 0
     held = HeldEnd(
         ended_run.name.job,
         ended_run.name.step,
@@ -51,6 +54,7 @@
         run.attempt if run else 0,
         end,
         int(run_s * 1000),
+        number,
     )
     board.held_ends[ended_run.sequence] = held
     if run is not None:
--- a/egretthread/scheduling/jobrecord.py
+++ b/egretthread/scheduling/jobrecord.py
@@ -62,6 +62,9 @@
         ended_unix_s: When it ended; 0 while it is open.
         crashes: Keys of the incarnations of backend servers that crashed under
             a task, by step and index of the task.
+        superseded_all: Highest number of a run, of any task, whose end counts
+            no longer, as the task may have been started again.
+        superseded: The same by step and index of the task, where it is higher.
     """
 
     state: JobState = JobState.RUNNING
@@ -73,6 +76,10 @@
     crashes: dict[tuple[int, int], tuple[str, ...]] = dataclasses.field(
         default_factory=dict
     )
+    superseded_all: int = 0
+    superseded: dict[tuple[int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def partition_of(job: str, partition_count: int) -> int:
@@ -127,6 +134,10 @@
             "crashes": [
                 (*task, keys) for task, keys in progress.crashes.items()
             ],
+            "superseded_all": progress.superseded_all,
+            "superseded": [
+                (*task, number) for task, number in progress.superseded.items()
+            ],
         }
     )
 
@@ -146,9 +157,14 @@
             table["ended_unix_s"],
             {
                 (step, index): tuple(keys)
-                # Releases without this field have written records too.
+                # Releases without these fields have written records too.
                 for step, index, keys in table.get("crashes", ())
             },
+            table.get("superseded_all", 0),
+            {
+                (step, index): number
+                for step, index, number in table.get("superseded", ())
+            },
         )
     except (KeyError, TypeError, ValueError) as error:
         raise _malformed(error) from error
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -13,6 +13,7 @@
     forwarding,
     longruns,
     retryplan,
+    runnumbers,
     shares,
     waitingload,
     waitorder,
@@ -295,8 +296,17 @@
         return
     if report.end is RunEnd.FAILED:
         record_failure(board, view, task, report)
-    if board.jobs.get(job.id) is job:
+    if board.jobs.get(job.id) is not job:
+        return
+    if not job.spec.kept:
+        enqueue(board, task)
+    elif report.end is RunEnd.REFUSED:
+        runnumbers.on_refused(task)
         enqueue(board, task)
+    else:
+        # It is enqueued once the store has the number of that run.
+        task.state = TaskState.RECORDING
+        board.kept.record_run(task)
 
 
 def record_failure(
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -7,7 +7,7 @@
 from egretthread.scheduling.runmessage import PendingJobs
 
 if typing.TYPE_CHECKING:
-    from egretthread.scheduling.entryboard import Job
+    from egretthread.scheduling.entryboard import Job, Task
 
 # Upper bound of the epochs of a partition in one generation of the group.
 EPOCHS_PER_GENERATION = 2**24
@@ -22,6 +22,7 @@
         submission: Its submission as read from the log.
         state: RUNNING while it is open, else its final state.
         job: The job with its tasks.
+        loaded: Its progress when it was loaded.
         is_open: Whether its tasks may be dispatched.
         has_begun: Whether a run of it is known to have started.
         ended_unix_s: When it ended; 0 while it is open.
@@ -30,11 +31,14 @@
             backend server's incarnation and the sequence number of the end.
         unsettled: Ends that are acknowledged once the job's progress has been
             written: the node id of the agent that holds each, by such a pair.
+        recording: Tasks that are enqueued once the number of their last run
+            has been written.
     """
 
     partition: int
     submission: Submission
     job: "Job"
+    loaded: Progress = Progress()
     state: JobState = JobState.RUNNING
     is_open: bool = False
     has_begun: bool = False
@@ -44,6 +48,7 @@
     unsettled: dict[tuple[str, int], str] = dataclasses.field(
         default_factory=dict
     )
+    recording: list["Task"] = dataclasses.field(default_factory=list)
 
     @property
     def id(self) -> str:
@@ -187,6 +192,13 @@
             kept_job.is_open = False
             self.mark_dirty(kept_job)
 
+    def record_run(self, task: "Task") -> None:
+        """Has the number of a task's last run written to the store."""
+        kept_job = self.find(task.job.id)
+        if kept_job is not None:
+            kept_job.recording.append(task)
+            self.mark_dirty(kept_job)
+
     def mark_dirty(self, kept_job: KeptJob) -> None:
         """Records that the progress of a job has to be written."""
         partition = self.partitions.get(kept_job.partition)
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -16,14 +16,17 @@
     jobs,
     leaserule,
     pendingcounts,
+    runnumbers,
     shares,
 )
 from egretthread.scheduling.entryboard import (
+    IDLE_STATES,
     AgentView,
     Answer,
     EntryBoard,
     Job,
     Outcome,
+    Task,
     TaskState,
 )
 from egretthread.scheduling.jobrecord import (
@@ -190,10 +193,12 @@
     kept_job = KeptJob(partition.number, submission, job)
     partition.jobs[kept_job.id] = kept_job
     if progress is not None:
+        kept_job.loaded = progress
         kept_job.state = kept_job.stored_state = progress.state
         kept_job.ended_unix_s = progress.ended_unix_s
         _restore(board, job, progress)
     if partition.is_open:
+        # No earlier coordinator can have started it.
         _open(board, kept_job)
 
 
@@ -204,6 +209,7 @@
             job.tasks[step][index].state = TaskState.DONE
     for (step, index), count in progress.failures.items():
         job.tasks[step][index].failures = count
+    runnumbers.restore(job, progress)
     for (step, index), keys in progress.crashes.items():
         task = crashbook.TaskId(job.id, step, index)
         crashbook.restore(
@@ -212,11 +218,16 @@
 
 
 def _open_if_ready(board: EntryBoard, partition: Partition) -> None:
-    """Opens a partition's jobs once earlier coordinators' runs have ended."""
+    """Takes a partition's jobs over once earlier runs of them have ended.
+
+    The jobs are opened when the store has the numbers of their runs to come.
+    """
     if board.now_s >= partition.ready_s:
         partition.is_open = True
-        for kept_job in tuple(partition.jobs.values()):
-            _open(board, kept_job)
+        for kept_job in partition.jobs.values():
+            if kept_job.state not in FINAL_STATES:
+                runnumbers.begin(kept_job.job, kept_job.loaded)
+                board.kept.mark_dirty(kept_job)
 
 
 def _open(board: EntryBoard, kept_job: KeptJob) -> None:
@@ -322,18 +333,20 @@
     case the later run decides.
     """
     task = kept_job.job.tasks[end.step][end.index]
-    report = RunReport(end.job, end.attempt, end.end, end.run_ms, 0)
-    if task.attempt:
-        if (end.entry, end.attempt) != (board.node, task.attempt):
-            return False
-        if view.tasks.pop(end.attempt, None) is task:
-            shares.on_ended(board, task)
-            jobs.on_run_ended(board, view, task, report)
-            return True
-        # This entry considered the run lost. Its end counts only if the task
-        # has not been restarted since.
-        if kept_job.is_open and task.state is not TaskState.WAITING:
-            return False
+    if _is_superseded(board, kept_job, task, end):
+        return False
+    attempt = task.attempt or end.attempt
+    report = RunReport(end.job, attempt, end.end, end.run_ms, 0)
+    holder = board.agents.get(task.agent)
+    if holder and holder.tasks.get(task.attempt) is task:
+        del holder.tasks[task.attempt]
+        shares.on_ended(board, task)
+        jobs.on_run_ended(board, view, task, report)
+        return True
+    # This entry considered the run lost. Its end counts only if the task has
+    # not been restarted since.
+    if task.attempt and kept_job.is_open and task.state not in IDLE_STATES:
+        return False
     if task.state is TaskState.DONE:
         return False
     if not kept_job.is_open and kept_job.state in FINAL_STATES:
@@ -349,6 +362,17 @@
     return True
 
 
+def _is_superseded(
+    board: EntryBoard, kept_job: KeptJob, task: Task, end: HeldEnd
+) -> bool:
+    """Whether a task has or may have been started again after a run."""
+    if end.run:
+        return runnumbers.is_superseded(task, kept_job.loaded, end.run)
+    if not task.attempt:
+        return False
+    return (end.entry, end.attempt) != (board.node, task.attempt)
+
+
 def on_crash(board: EntryBoard, crash: ServerCrash) -> None:
     """Has the progress written of the jobs whose runs a crash has ended."""
     for job in {row.job for row in crash.rows}:
@@ -402,6 +426,7 @@
         {(t.step, t.index): t.failures for t in tasks if t.failures},
         kept_job.ended_unix_s,
         _crashes(board, kept_job.job),
+        *runnumbers.record(kept_job.job),
     )
 
 
@@ -428,12 +453,35 @@
         kept_job = partition.jobs.get(job) if partition else None
         if kept_job is not None and progress is not None:
             kept_job.stored_state = progress.state
+            _on_progress_stored(board, partition, kept_job, progress)
     for (node, server), sequences in batch.settles.items():
         board.outbox.append((node, SettleEnds(server, sequences, ())))
     if partition is not None:
         _remove_settled(partition, batch)
 
 
+def _on_progress_stored(
+    board: EntryBoard,
+    partition: Partition,
+    kept_job: KeptJob,
+    progress: Progress,
+) -> None:
+    """Opens a job, or enqueues its tasks, that have waited for the store."""
+    if not kept_job.is_open:
+        is_begun = progress.superseded_all == kept_job.job.first_run - 1
+        if partition.is_open and is_begun:
+            _open(board, kept_job)
+        return
+    recording, kept_job.recording = kept_job.recording, []
+    for task in recording:
+        if task.state is not TaskState.RECORDING:
+            continue
+        if runnumbers.is_stored(task, progress):
+            jobs.enqueue(board, task)
+        else:
+            kept_job.recording.append(task)
+
+
 def _remove_settled(partition: Partition, batch: ProgressBatch) -> None:
     """Removes the ends acknowledged with a batch from its jobs."""
     settled = {
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -117,11 +117,14 @@
         step: Number of the task's step.
         index: Index of the task in its step.
         attempt: Number of the attempt within the job.
+        run: Number of the run of a kept job's task, see `runnumbers`; 0 if the
+            agent numbers it.
     """
 
     step: int
     index: int
     attempt: int
+    run: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -318,6 +321,8 @@
         attempt: Number of the attempt, assigned by that entry.
         end: DONE or FAILED.
         run_ms: How long it ran.
+        run: Number of the run at the backend server; 0 if it differs from the
+            number that the entry gave it.
     """
 
     job: str
@@ -328,6 +333,7 @@
     attempt: int
     end: RunEnd
     run_ms: int
+    run: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -68,6 +68,7 @@
             order.priority,
             board.now_s,
             order.wait_ms / 1000,
+            ordered_number=run_order.run,
             kept=order.kept,
             route=order.route,
             exclusive=order.exclusive,
@@ -181,6 +182,9 @@
 def _begin_start(board: AgentBoard, run: Run) -> None:
     number, _ = board.run_numbers.get(run.name, (0, 0.0))
     run.number = number + 1
+    if run.ordered_number and run.ordered_number >= number:
+        # A number is used again when the start was refused.
+        run.number = run.ordered_number
     if not serverlease.has_runs(board):
         board.listed_s = board.now_s
     run.phase = RunPhase.STARTING
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -300,6 +300,7 @@
   step @0 :Int64;
   index @1 :Int64;
   attempt @2 :Int64;
+  run @3 :Int64;
 }
 
 struct StartRuns {
@@ -389,6 +390,7 @@
   attempt @5 :Int64;
   end @6 :UInt8;
   runMs @7 :Int64;
+  run @8 :Int64;
 }
 
 struct HeldEnds {
--- a/tests/scheduling/fakelog.py
+++ b/tests/scheduling/fakelog.py
@@ -22,6 +22,11 @@
     partitions: set[int] = dataclasses.field(default_factory=set)
 
 
+def entry_of(member):
+    """Returns the name of the entry whose process is a member."""
+    return member.partition("#")[0]
+
+
 class FakeLog:
     """A fake of the job log and of its group of coordinators.
 
@@ -34,9 +39,11 @@
         cancelled: Ids of cancelled jobs.
         progress: Encoded progress by job.
         epochs: Epoch of the last writer of each partition.
-        members: Members of the group by name.
+        members: Members of the group by name, the node ids of entries.
         owners: Name of the member that owns each partition; None for none.
         wanted: Name of the member that each partition is to be assigned to.
+        preferred: Name of the entry that a partition is assigned to if it is a
+            member.
         generation: Generation of the group.
     """
 
@@ -53,6 +60,7 @@
         self.members = {}
         self.owners = dict.fromkeys(range(count))
         self.wanted = {}
+        self.preferred = {}
         self.generation = 0
 
     def reaches(self, name, now_s):
@@ -98,6 +106,10 @@
             for number in range(self.count)
             if names
         }
+        for number, entry in self.preferred.items():
+            for name in names:
+                if entry_of(name) == entry:
+                    self.wanted[number] = name
         self._transfer()
 
     def _transfer(self):
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -43,6 +43,8 @@
 UNIX_START_S = 1.7e9
 JOIN_INTERVAL_S = 0.5
 STORE_DELAY_S = 0.004
+# Time after which a call that did not reach the store is repeated.
+STORE_RETRY_S = 0.1
 # Time in which a crashed backend server starts again.
 SERVER_RESTART_S = 3.3
 # Time in which an entry that starts is linked with the others.
@@ -520,7 +522,7 @@
         if not reached or self.now_s < process.frozen_until_s:
             return
         generation, numbers = self.log.join(
-            process.name, process.generation, self.now_s
+            process.board.node, process.generation, self.now_s
         )
         if self.log.loses_answer():
             return
@@ -555,8 +557,10 @@
     def load(self, process, partition):
         """Reads a partition for its new coordinator."""
         log = self.log
-        reached = log.reaches(process.name, self.now_s)
-        if not reached or partition.epoch < log.epochs[partition.number]:
+        if not log.reaches(process.name, self.now_s) or partition.is_loaded:
+            return
+        keptjobs.begin_epoch(process.board, partition)
+        if partition.epoch < log.epochs[partition.number]:
             return
         log.epochs[partition.number] = partition.epoch
         submissions, progress, cancelled = log.read(partition.number)
@@ -599,7 +603,7 @@
         if not reached or self.log.loses_answer():
             if reached:
                 self.log.write(batch)
-            self.at(0.1, self._write, process, batch)
+            self.at(STORE_RETRY_S, self._write, process, batch)
             return
         is_written = self.log.write(batch)
         self.run_event(process, self._on_write, process, batch, is_written)
@@ -885,6 +889,16 @@
                         found.append(f"completed without {name}")
         return found
 
+    def _may_have_failed(self, runs, job_id):
+        """Whether a task of a kept job has failed as often as allowed."""
+        submission = jobrecord.decode_submission(self.log.submissions[job_id])
+        most = max(
+            sum(task_run[2] == "failed" for task_run in task_runs)
+            for name, task_runs in [*runs.items(), (None, ())]
+            if name is None or name.job == job_id
+        )
+        return most >= submission.route.max_attempts or bool(self.crashes)
+
     def _kept_violations(self, runs):
         """Returns descriptions of violated guarantees for kept jobs."""
         found = []
@@ -898,6 +912,8 @@
         for job_id, state in self.log.states().items():
             if state == "open":
                 found.append(f"kept job not ended: {job_id}")
+            if state == "failed" and not self._may_have_failed(runs, job_id):
+                found.append(f"failed without cause: {job_id}")
             if state == "completed":
                 done = {
                     name
--- a/tests/scheduling/test_jobrecord.py
+++ b/tests/scheduling/test_jobrecord.py
@@ -1,6 +1,7 @@
 """Tests of the records of kept jobs."""
 
 import hypothesis
+import orjson
 import testtools
 from hypothesis import strategies
 
@@ -29,10 +30,24 @@
     )
     @hypothesis.settings(derandomize=True, deadline=None)
     def test_progress_survives_encoding_and_decoding(self, done, state):
-        progress = Progress(state, done, {(1, 2): 3}, 4.5)
+        progress = Progress(
+            state, done, {(1, 2): 3}, 4.5, {}, 5, {(1, 2): 7, (0, 1): 6}
+        )
         value = jobrecord.encode_progress(progress)
         self.assertEqual(progress, jobrecord.decode_progress(value))
 
+    def test_progress_of_earlier_releases_can_be_read(self):
+        value = orjson.dumps(
+            {
+                "state": "running",
+                "done": {},
+                "failures": [(0, 1, 1)],
+                "ended_unix_s": 0.0,
+            }
+        )
+        expected = Progress(JobState.RUNNING, {}, {(0, 1): 1})
+        self.assertEqual(expected, jobrecord.decode_progress(value))
+
     @hypothesis.given(strategies.binary(max_size=40))
     @hypothesis.settings(derandomize=True, deadline=None)
     def test_malformed_records_raise_record_errors(self, value):
--- /dev/null
+++ b/tests/scheduling/test_takeovers.py
@@ -0,0 +1,220 @@
+"""Tests of kept jobs whose coordinator is lost around the end of a run.
+
+The task of a kept job runs near its data, at the server of agent a0. Around the
+end of that run its partition moves to an entry that can't hear of the end, and
+later to one that can. A job of another entry keeps the lease of that server
+renewed, so that its ends are never void for want of a lease.
+"""
+
+import dataclasses
+import itertools
+
+import testtools
+
+from egretthread.scheduling import keptjobs
+from egretthread.scheduling.jobspec import JobSpec, StepSpec
+from egretthread.scheduling.room import Room
+from tests.scheduling import fakelog, region
+
+WORK_S = 4.0
+FILLER_S = 90.0
+# How long before or after the end of the run the coordinator is disturbed.
+STEPS_S = {
+    "before the end": -0.15,
+    "before the write": 0.0025,
+    "before the acknowledgement": 0.0075,
+}
+# Time from the loss of a coordinator until its successor has started the task.
+TAKEOVER_S = 8.0
+ROUTE = dataclasses.replace(region.ROUTE, max_attempts=2)
+
+
+def kept_job():
+    """Returns a kept job of one task, whose data is near agent a0."""
+    step = StepSpec(1, Room(1000, 64, 0), WORK_S, data_rack="r1")
+    return JobSpec("k", "payload", (step,), kept=True)
+
+
+def filler():
+    """Returns a job of one long task at the server of agent a0."""
+    step = StepSpec(1, Room(1000, 64, 0), FILLER_S, required_label="r1")
+    return JobSpec("f", "payload", (step,))
+
+
+class Takeover:
+    """A region with a kept job that moves between entries.
+
+    Attributes:
+        world: The region.
+        part: Partition of the kept job.
+        has_failed: Whether the first run of the job ends `failed`.
+    """
+
+    def __init__(self, has_failed=False, entries=3):
+        self.has_failed = has_failed
+        self.world = region.Region(
+            entries=entries,
+            agents=2,
+            work_s=lambda name: FILLER_S if name.job == "f" else WORK_S,
+        )
+        for number, server in enumerate(self.world.servers.values()):
+            server.rack = f"r{number + 1}"
+        self.part = self.world.log.partition_of("k")
+        self.world.log.preferred[self.part] = "e0"
+        self.world.run(6.0)
+        self.world.submit(filler(), "e2", FILLER_S * 2)
+        self.world.run(0.1)
+
+    def entry(self, name):
+        """Returns the present process of an entry."""
+        return self.world.entries[name]
+
+    def isolate(self, entry, agent, seconds=200.0):
+        """Cuts the link between an entry and an agent."""
+        self.world.cut(entry, agent, seconds)
+        self.world.reset_pair(entry, agent)
+
+    def start(self, after_end_s):
+        """Starts the job and runs until a time near the end of its first run.
+
+        Args:
+            after_end_s: That time, after the end; negative before it.
+        """
+        self.world.submit_kept(kept_job(), ROUTE)
+        self.world.run(0.1)
+        (run,) = [
+            run
+            for run in self.world.servers["a0"].runs.values()
+            if run.name.job == "k"
+        ]
+        left_s = run.started_s + WORK_S - self.world.now_s
+        self.world.run(left_s - 0.2)
+        self.world.servers["a0"].failing = self.has_failed
+        self.world.run(0.2 + min(after_end_s, 0.0))
+        if after_end_s > 0:
+            self._run_to_end()
+            self.world.run(after_end_s)
+        # The failing server recovers once the run has ended.
+        if self.has_failed:
+            self.world.at(0.4, self._recover)
+
+    def _run_to_end(self):
+        """Runs until the server has ended the run."""
+        server = self.world.servers["a0"]
+        while not any(name.job == "k" for name, *_ in server.history):
+            self.world.run(0.0005)
+
+    def _recover(self):
+        self.world.servers["a0"].failing = False
+
+    def move(self, name, how="reassign"):
+        """Moves the partition to an entry; its coordinator is disturbed."""
+        world = self.world
+        member = world.log.owners[self.part]
+        owner = fakelog.entry_of(member)
+        world.log.preferred[self.part] = name
+        if how == "kill":
+            world.kill(self.entry(owner), 5.0)
+        elif how == "pause":
+            world.freeze(self.entry(owner), 5.0)
+        elif how == "cut off":
+            world.log.cut_s[owner] = world.now_s + 5.0
+        elif how == "leave":
+            board = self.entry(owner).board
+            keptjobs.release(board, self.part, "shutdown")
+            world.log.leave(member)
+        else:
+            world.log.reassign()
+
+    def restart_agent(self, name):
+        """Kills an agent, which comes back at once."""
+        self.world.kill(self.world.agents[name], 0.3)
+
+    def runs(self):
+        """Returns the runs of the task as start, end and how it ended."""
+        return [
+            sorted(runs)
+            for name, runs in self.world.runs().items()
+            if name.job == "k"
+        ][0]
+
+    def finish(self):
+        """Runs until the job has ended; returns the violations."""
+        self.world.finish(30.0)
+        return self.world.violations()
+
+
+class TestUnheardEnds(testtools.TestCase):
+    """The first successor has no link with the agent that holds the end."""
+
+    def play(self, step, how, has_failed, then):
+        takeover = Takeover(has_failed)
+        takeover.isolate("e1", "a0")
+        takeover.start(STEPS_S[step])
+        takeover.move("e1", how)
+        takeover.world.run(TAKEOVER_S)
+        if then == "agent":
+            takeover.restart_agent("a0")
+            takeover.world.run(1.0)
+        takeover.move("e2" if then == "third" else "e0")
+        return takeover, takeover.finish()
+
+    # Guards against TWICE: a coordinator took the end of a run for that of the
+    # last one, though a former coordinator had started the task again.
+    def test_an_end_is_void_after_a_former_coordinator_started_the_task(self):
+        broken = {}
+        for case in itertools.product(
+            STEPS_S,
+            ("kill", "pause", "cut off", "leave", "reassign"),
+            (False, True),
+            ("first", "third", "agent"),
+        ):
+            takeover, found = self.play(*case)
+            if takeover.world.log.states()["k"] != "completed":
+                found.append(takeover.world.log.states()["k"])
+            if found:
+                broken[case] = found
+        self.assertEqual({}, broken)
+
+
+class TestLostRuns(testtools.TestCase):
+    """The first coordinator gives the run up before it hears of its end."""
+
+    def play(self, how, after_s, has_failed, lost, then):
+        takeover = Takeover(has_failed)
+        world = takeover.world
+        takeover.start(-0.3)
+        if lost == "link":
+            takeover.isolate("e0", "a0")
+        elif lost == "agent":
+            world.kill(world.agents["a0"], 0.3)
+            takeover.isolate("e0", "a0")
+        else:
+            world.freeze(world.agents["a0"], 1.9)
+        for _ in range(1600):
+            world.run(0.005)
+            if world.servers["a1"].runs:
+                break
+        world.run(after_s)
+        takeover.move("e1", how)
+        if then == "twice":
+            world.run(0.8)
+            takeover.move("e2")
+        return takeover, takeover.finish()
+
+    # Guards against TWICE: a successor took the end of a run that the former
+    # coordinator had given up, after which it had started the task again.
+    def test_an_end_is_void_after_its_run_was_given_up(self):
+        broken = {}
+        for case in itertools.product(
+            ("kill", "pause", "cut off", "leave", "reassign"),
+            (0.0, 0.5),
+            (False, True),
+            ("link", "agent", "frozen agent"),
+            ("once", "twice"),
+        ):
+            takeover, found = self.play(*case)
+            state = takeover.world.log.states()["k"]
+            if found or state != "completed":
+                broken[case] = (state, found)
+        self.assertEqual({}, broken)
