Hold unknown ends while partitions have no coordinator

Callers saw nothing wrong, but a task of a kept job ran twice without need: its agent was restarted after the run had ended `done`, while its coordinator was cut off from the store.

Cause: a restarted agent holds the ends of runs that it doesn't know only while an entry reports that there may be kept jobs. When the coordinator gives its partitions up, and the store has not assigned them yet, all entries report that there are none. The agent lets the server discard the end.

Fix: an entry reports that there may be kept jobs until its membership is renewed, and for 3.5 s after it last knew of any, in which another entry gets and loads the partition. Partitions that are not loaded count in its hello too.

Failed before: test_each_end_counts_once with restarts of the agent.

--- a/egretthread/scheduling/agentviews.py
+++ b/egretthread/scheduling/agentviews.py
@@ -96,7 +96,7 @@
         zone in board.operator_state.withdrawn,
         zone == board.zone,
         entries,
-        board.kept.may_exist,
+        board.kept.may_exist(board.now_s),
         services,
     )
     view.last_reply_s = board.now_s
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -560,10 +560,7 @@
             self.board.operator_state.offset,
             pendingcounts.loaded_parts(self.board),
             keptjobs.pending(self.board),
-            any(
-                partition.jobs
-                for partition in self.board.kept.partitions.values()
-            ),
+            self.board.kept.has_jobs,
             self.board.load.forward_jobs,
         )
 
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -9,6 +9,10 @@
 if typing.TYPE_CHECKING:
     from egretthread.scheduling.entryboard import Job, Task
 
+# How long kept jobs may exist after an entry has last known of any. When their
+# coordinator is lost, the store assigns them to another entry within 2.5 s, and
+# that learns of it within 0.6 s and loads them.
+MEMORY_S = 3.5
 # Upper bound of the epochs of a partition in one generation of the group.
 EPOCHS_PER_GENERATION = 2**24
 
@@ -144,7 +148,8 @@
         epochs: The last epoch of each partition in this process, by number.
         is_member: Whether the store has answered a request to join the group,
             with or without partitions.
-        others_have_jobs: Whether another entry coordinates a kept job.
+        others_have_jobs: Whether another entry may coordinate a kept job.
+        known_s: When it last knew of a kept job that exists or may exist.
         until_s: When its assignment expires unless it is renewed.
         dirty: Numbers of partitions with progress that has to be written.
         last_sweep_s: When records of expired jobs were last removed.
@@ -157,18 +162,25 @@
     epochs: dict[int, int] = dataclasses.field(default_factory=dict)
     is_member: bool = False
     others_have_jobs: bool = False
+    known_s: float = 0.0
     until_s: float = 0.0
     dirty: set[int] = dataclasses.field(default_factory=set)
     last_sweep_s: float = 0.0
     former_counts: list[FormerCounts] = dataclasses.field(default_factory=list)
 
     @property
-    def may_exist(self) -> bool:
-        """Whether any entry may coordinate a kept job."""
+    def has_jobs(self) -> bool:
+        """Whether this entry coordinates a kept job, or may do so."""
+        return any(p.jobs or not p.is_loaded for p in self.partitions.values())
+
+    def may_exist(self, now_s: float) -> bool:
+        """Whether there may be a kept job, with or without a coordinator."""
         return (
             not self.is_member
+            or now_s >= self.until_s
+            or now_s - self.known_s < MEMORY_S
             or self.others_have_jobs
-            or any(p.jobs or not p.is_loaded for p in self.partitions.values())
+            or self.has_jobs
         )
 
     def new_epoch(self, number: int, generation: int) -> int:
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -80,7 +80,9 @@
     numbers = set(numbers)
     expire(board)
     kept_board.until_s = until_s
-    kept_board.is_member = True
+    if not kept_board.is_member:
+        kept_board.is_member = True
+        kept_board.known_s = board.now_s
     for number in tuple(kept_board.partitions):
         if number not in numbers:
             release(board, number, "assigned elsewhere")
@@ -106,6 +108,8 @@
     if partition is None:
         return
     pendingcounts.on_released(board, partition)
+    if partition.jobs or not partition.is_loaded:
+        board.kept.known_s = board.now_s
     open_jobs = [
         kept_job for kept_job in partition.jobs.values() if kept_job.is_open
     ]
@@ -250,6 +254,8 @@
     for partition in board.kept.partitions.values():
         if partition.is_loaded and not partition.is_open:
             _open_if_ready(board, partition)
+    if board.kept.has_jobs or board.kept.others_have_jobs:
+        board.kept.known_s = board.now_s
     if board.now_s - board.kept.last_sweep_s >= SWEEP_INTERVAL_S:
         board.kept.last_sweep_s = board.now_s
         _sweep(board)
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -382,7 +382,7 @@
         operator_offset: Offset of the operator state in force.
         parts: Partitions of the job log whose jobs it has loaded.
         pending: Kept jobs that it has not started, by route.
-        kept_jobs: Whether it coordinates any kept job.
+        kept_jobs: Whether it coordinates any kept job, or may do so.
         accepts_jobs: Whether it takes jobs that other entries forward.
     """
 
--- a/tests/scheduling/test_takeovers.py
+++ b/tests/scheduling/test_takeovers.py
@@ -255,7 +255,7 @@
             STEPS_S,
             LOSSES,
             (False, True),
-            ("one takeover", "second takeover"),
+            ("one takeover", "second takeover", "restart of the agent"),
         ):
             takeover, found = self.play(*case)
             state = takeover.world.log.states()["k"]
