Link agents with the coordinators of the ends that they hold

Cause: an agent offers the ends that it holds to its five entries only.

Fix: entries know from the hellos who coordinates a partition. One that is offered ends of another coordinator's jobs names the coordinator to the agent, which links with it until 5 s after it was last told.

The simulated region sends hellos and opens these links. It no longer starts an entry twice that is killed twice, and a kept job that has begun must be at work or ended in the end; both apply to all histories.

--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -5,7 +5,12 @@
 import typing
 
 from egretthread import background, clock, link, logs, nodeid, routes
-from egretthread.scheduling import agentengine, linkchoice, serverpoll
+from egretthread.scheduling import (
+    agentengine,
+    heldends,
+    linkchoice,
+    serverpoll,
+)
 from egretthread.scheduling.agentboard import (
     AgentBoard,
     ServerLeave,
@@ -14,7 +19,7 @@
     StopCall,
 )
 from egretthread.scheduling.nodesettings import NodeSettings
-from egretthread.scheduling.runmessage import EntryBeat
+from egretthread.scheduling.runmessage import EntryBeat, SettleEnds
 from egretthread.scheduling.servercall import CallResult, PollCall, PollResult
 
 # Interval between ticks while the agent holds runs.
@@ -275,6 +280,8 @@
                 self.reported_entries[peer.node] = incoming.entries
                 self._update_links()
             agentengine.on_message(self.board, peer.node, incoming)
+            if isinstance(incoming, SettleEnds) and incoming.coordinators:
+                self._update_links()
         agentengine.after_event(self.board)
         self._process_output()
 
@@ -294,6 +301,7 @@
         selected = linkchoice.choose(
             self.settings.name, self._known_entries(), unreachable
         )
+        selected += heldends.wanted_entries(self.board)
         for address in selected:
             if address in self.entry_clients:
                 continue
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -499,6 +499,7 @@
         if before is not None:
             pendingcounts.on_hello(self.board, before, hello)
         self.hellos[hello.address] = (hello, self.board.now_s)
+        self._update_coordinators()
         forwardedjobs.on_hello(self.board, peer.node, hello.accepts_jobs)
         if hello.kept_jobs:
             self.board.kept.others_have_jobs = True
@@ -607,6 +608,12 @@
                 pendingcounts.on_hello(self.board, hello, gone)
         hellos = [hello for hello, _ in self.hellos.values()]
         pendingcounts.drop_outdated(self.board, hellos)
+        self._update_coordinators()
+
+    def _update_coordinators(self) -> None:
+        """Updates which other entries coordinate partitions."""
+        hellos = sorted(self.hellos.values(), key=lambda row: row[1])
+        keptjobs.on_hellos(self.board, [hello for hello, _ in hellos])
 
     def _update_others_have_jobs(self) -> None:
         """Updates whether other entries coordinate kept jobs."""
--- a/egretthread/scheduling/heldends.py
+++ b/egretthread/scheduling/heldends.py
@@ -19,6 +19,9 @@
 # Interval between sends of the same ends to all entries. A coordinator writes
 # them to the store within a few ms.
 RESEND_S = 0.3
+# Time for which a link with the coordinator of a held end is kept after the
+# agent was last told of it.
+WANTED_LINK_S = 5.0
 # Maximum number of ends that the backend server has to list. It lists 500 at a
 # time, and further ones would not be seen. Entries settle the ends long before,
 # unless no entry can reach the store.
@@ -134,6 +137,8 @@
     """Releases the ends that an entry has written, and marks the void ones."""
     if board.server is None or board.server.incarnation != settled.server:
         return
+    for address in settled.coordinators:
+        board.wanted_entries[address] = board.now_s + WANTED_LINK_S
     for sequence in settled.taken:
         if sequence not in board.void_ends:
             board.held_ends.pop(sequence, None)
@@ -154,6 +159,14 @@
         board.void_ends.clear()
 
 
+def wanted_entries(board: AgentBoard) -> tuple[str, ...]:
+    """Returns addresses of the coordinators of ends that were held lately."""
+    for address, until_s in tuple(board.wanted_entries.items()):
+        if until_s < board.now_s:
+            del board.wanted_entries[address]
+    return tuple(board.wanted_entries)
+
+
 def clear(board: AgentBoard) -> None:
     """Removes all ends after the backend server's incarnation has ended."""
     board.last_processed = board.acked_last_seen = 0
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -149,6 +149,8 @@
         is_member: Whether the store has answered a request to join the group,
             with or without partitions.
         others_have_jobs: Whether another entry may coordinate a kept job.
+        coordinators: Addresses of the other entries that coordinate partitions,
+            by partition.
         known_s: When it last knew of a kept job that exists or may exist.
         until_s: When its assignment expires unless it is renewed.
         dirty: Numbers of partitions with progress that has to be written.
@@ -162,6 +164,7 @@
     epochs: dict[int, int] = dataclasses.field(default_factory=dict)
     is_member: bool = False
     others_have_jobs: bool = False
+    coordinators: dict[int, str] = dataclasses.field(default_factory=dict)
     known_s: float = 0.0
     until_s: float = 0.0
     dirty: set[int] = dataclasses.field(default_factory=set)
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -38,6 +38,7 @@
 )
 from egretthread.scheduling.keptboard import KeptJob, Partition, ProgressBatch
 from egretthread.scheduling.runmessage import (
+    EntryHello,
     HeldEnd,
     HeldEnds,
     PendingJobs,
@@ -283,20 +284,35 @@
             del partition.unknown_ends[key]
 
 
+def on_hellos(board: EntryBoard, hellos: Iterable[EntryHello]) -> None:
+    """Updates which other entries coordinate partitions.
+
+    Args:
+        board: The blackboard.
+        hellos: Recent hellos of the other entries, the latest last.
+    """
+    board.kept.coordinators = {
+        number: hello.address for hello in hellos for number in hello.parts
+    }
+
+
 def on_held_ends(board: EntryBoard, view: AgentView, held: HeldEnds) -> None:
     """Records the ends that an agent holds for the jobs coordinated here.
 
     Ends that need not be held any longer are acknowledged at once, and the
-    others after the progress of their jobs has been written.
+    others after the progress of their jobs has been written. The agent is told
+    of other entries that coordinate jobs of its ends.
     """
     settled = []
     void = []
+    elsewhere = set()
     for end in held.rows:
-        partition = board.kept.partitions.get(
-            partition_of(end.job, board.kept.partition_count)
-        )
+        number = partition_of(end.job, board.kept.partition_count)
+        partition = board.kept.partitions.get(number)
         if partition is None or not partition.is_loaded:
             # Another entry coordinates the job or will soon do so.
+            if number in board.kept.coordinators:
+                elsewhere.add(board.kept.coordinators[number])
             continue
         kept_job = partition.jobs.get(end.job)
         key = (held.server, end.sequence)
@@ -320,8 +336,10 @@
             board.kept.mark_dirty(kept_job)
         else:
             void.append(end.sequence)
-    if settled or void:
-        settle = SettleEnds(held.server, tuple(settled), tuple(void))
+    if settled or void or elsewhere:
+        settle = SettleEnds(
+            held.server, tuple(settled), tuple(void), tuple(sorted(elsewhere))
+        )
         board.outbox.append((view.node, settle))
 
 
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -358,11 +358,14 @@
         taken: Sequence numbers of ends that are on the store, or not needed.
         void: Sequence numbers of ends whose tasks were started again since; the
             lease must expire before the backend server discards them.
+        coordinators: Addresses of entries that coordinate the jobs of other
+            ends, and with which the agent may have no link.
     """
 
     server: str
     taken: tuple[int, ...]
     void: tuple[int, ...]
+    coordinators: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -402,6 +402,7 @@
   server @0 :Text;
   taken @1 :List(Int64);
   void @2 :List(Int64);
+  coordinators @3 :List(Text);
 }
 
 struct PendingJobs {
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -14,10 +14,12 @@
     agentengine,
     entryengine,
     forwardedjobs,
+    heldends,
     isolation,
     jobrecord,
     keptjobs,
     linkchoice,
+    pendingcounts,
     serverpoll,
 )
 from egretthread.scheduling.agentboard import StartCall
@@ -30,6 +32,7 @@
 )
 from egretthread.scheduling.loadsettings import LoadSettings
 from egretthread.scheduling.room import Room
+from egretthread.scheduling.runmessage import EntryHello
 from egretthread.scheduling.servercall import CallResult, PollResult, Verdict
 from tests.scheduling.fakelog import TTL_S, FakeLog
 from tests.scheduling.fakeserver import FakeServer
@@ -43,6 +46,7 @@
 UNIX_START_S = 1.7e9
 JOIN_INTERVAL_S = 0.5
 STORE_DELAY_S = 0.004
+HELLO_INTERVAL_S = 1.0
 # Time after which a call that did not reach the store is repeated.
 STORE_RETRY_S = 0.1
 # Time in which a crashed backend server starts again.
@@ -71,6 +75,7 @@
         frozen_until_s: Until when it is frozen.
         polling: Whether an agent polls its backend server.
         writing: Partitions with a batch of progress being written.
+        hellos: The last hello from each other entry, by its name.
     """
 
     def __init__(self, name, kind, board):
@@ -82,6 +87,7 @@
         self.polling = False
         self.generation = 0
         self.writing = set()
+        self.hellos = {}
 
 
 class Link:
@@ -106,6 +112,8 @@
         entries: Entries by name.
         agents: Agents by name.
         links: Open links by entry and agent.
+        linked: Node ids of the entries and agents that link with each other,
+            though a link may be down.
         cuts: Until when two processes are partitioned, by their names.
         entry_links: When the last message over each link between two entries
             arrives, by the node ids of its sender and receiver.
@@ -148,6 +156,7 @@
         self.late_share = 0.0
         self.cuts = {}
         self.links = {}
+        self.linked = set()
         self.entry_links = {}
         self.sent_between = []
         # Their delays leave the other random choices as they are.
@@ -203,6 +212,7 @@
         board.entries = (*self.entry_names, *self.absent_entries)
         self.at(TICK_S, self.tick, process)
         self.at(TICK_S, self.join, process)
+        self.at(HELLO_INTERVAL_S, self.send_hello, process)
         for agent in self.agents.values():
             self._link(process, agent)
         for other in self.entries.values():
@@ -211,6 +221,35 @@
                 self.at(ENTRY_LINK_S, self.connect_entries, other, process)
         return process
 
+    def send_hello(self, process):
+        """Tells the other entries which partitions an entry has loaded."""
+        if not process.alive:
+            return
+        self.at(HELLO_INTERVAL_S, self.send_hello, process)
+        if self.now_s < process.frozen_until_s:
+            return
+        parts = pendingcounts.loaded_parts(process.board)
+        hello = EntryHello(process.name, 0, parts)
+        for other in self.entries.values():
+            if other is not process and not self.is_cut(
+                process.name, other.name
+            ):
+                self.at(
+                    ENTRY_LINK_S,
+                    self.run_event,
+                    other,
+                    self._on_hello,
+                    other,
+                    hello,
+                )
+
+    def _on_hello(self, process, hello):
+        hellos = process.hellos
+        # The latest hello comes last.
+        hellos.pop(hello.address, None)
+        hellos[hello.address] = hello
+        keptjobs.on_hellos(process.board, hellos.values())
+
     def connect_entries(self, first, second):
         """Opens the links between two entries once they can be reached."""
         if not first.alive or not second.alive:
@@ -285,16 +324,22 @@
             self._link(entry, process)
         return process
 
-    def _link(self, entry, agent):
-        """Opens a link soon, if the agent selects the entry."""
-        if self.is_partly_linked:
+    def _link(self, entry, agent, is_wanted=False):
+        """Opens a link soon, if the agent selects the entry or wants it."""
+        pair = (entry.board.node, agent.board.node)
+        if pair in self.linked:
+            return
+        if self.is_partly_linked and not is_wanted:
             chosen = linkchoice.choose(agent.name, self.entry_names, ())
             if entry.name not in chosen:
                 return
+        self.linked.add(pair)
         self.at(0.005, self.connect, entry, agent)
 
     def kill(self, process, back_s):
         """Kills a process; a new one replaces it after `back_s`."""
+        if not process.alive:
+            return
         process.alive = False
         for link in tuple(self.links.values()):
             if process in (link.entry, link.agent):
@@ -506,6 +551,8 @@
             for number in tuple(board.kept.partitions):
                 self.write(process, number)
             return
+        for name in heldends.wanted_entries(board):
+            self._link(self.entries[name], process, is_wanted=True)
         calls, board.calls = board.calls, []
         for call in calls:
             self.send_call(process, call)
@@ -909,7 +956,14 @@
                 for run in runs[name]:
                     if run[0] > end_s:
                         found.append(f"start after its end: {name} {run}")
+        at_work = {
+            name.job
+            for name, task_runs in runs.items()
+            if task_runs[-1][2] == "running"
+        }
         for job_id, state in self.log.states().items():
+            if state == "running" and job_id not in at_work:
+                found.append(f"kept job not at work: {job_id}")
             if state == "open":
                 found.append(f"kept job not ended: {job_id}")
             if state == "failed" and not self._may_have_failed(runs, job_id):
--- a/tests/scheduling/test_agentserver.py
+++ b/tests/scheduling/test_agentserver.py
@@ -8,7 +8,10 @@
 from egretthread import link
 from egretthread.listeners import Listeners
 from egretthread.scheduling import agentserver, entryserver, linkchoice
+from egretthread.scheduling.agentboard import ServerRecord
 from egretthread.scheduling.nodesettings import NodeSettings
+from egretthread.scheduling.room import Room
+from egretthread.scheduling.runmessage import SettleEnds
 from egretthread.scheduling.servercall import PollResult, Verdict
 from tests.aio import free_port
 from tests.platform.test_operators import until
@@ -79,6 +82,39 @@
         for entry in entries.values():
             await entry.close()
 
+    async def run_held_end(self):
+        port = free_port()
+        entries = {}
+        for number in range(ENTRIES):
+            settings = self.settings(number, port)
+            entry = entryserver.EntryServer(settings, None, Listeners())
+            entries[settings.peer_address] = entry
+            await entry.start()
+        agent = agentserver.AgentServer(
+            self.settings(ENTRIES, port), SilentServer(), nothing_registered
+        )
+        await agent.start()
+        wanted = set(linkchoice.choose(agent.settings.name, entries, ()))
+        await until(lambda: self.linked(agent) == wanted)
+        other = min(entries.keys() - wanted)
+        agent.board.server = ServerRecord(
+            "i", 1, "match", "a", (), Room(1, 1, 0), False, 0.0, 1
+        )
+        told = SettleEnds("i@1", (), (), (other,))
+        entry = entries[min(wanted)]
+        entry.agent_links.send(agent.board.node, told)
+        await until(lambda: self.linked(agent) == wanted | {other})
+        agent.board.wanted_entries[other] = 0.0
+        await until(lambda: self.linked(agent) == wanted)
+        await agent.close()
+        for entry in entries.values():
+            await entry.close()
+
+    # Guards against a second run of a task that is done, as its end was held by
+    # an agent without a link to the coordinator of its job.
+    def test_an_agent_links_with_the_coordinator_of_a_held_end(self):
+        asyncio.run(self.run_held_end())
+
     def test_an_agent_links_with_a_few_entries_and_replaces_lost_ones(self):
         asyncio.run(self.run_scenario())
 
--- a/tests/scheduling/test_heldends.py
+++ b/tests/scheduling/test_heldends.py
@@ -135,3 +135,13 @@
         )
         agentengine.on_tick(self.board)
         self.assertEqual({1, 3}, self.board.void_ends)
+
+    # Guards against a second run of a task that is done: no linked entry
+    # coordinated its job.
+    def test_an_agent_wants_links_with_the_coordinators_of_its_ends(self):
+        told = SettleEnds(SERVER, (), (), ("e2:7600",))
+        agentengine.on_message(self.board, "e#1", told)
+        self.assertEqual(("e2:7600",), heldends.wanted_entries(self.board))
+        self.assertEqual({1, 3}, self.board.held_ends.keys())
+        self.board.now_s += heldends.WANTED_LINK_S + 0.1
+        self.assertEqual((), heldends.wanted_entries(self.board))
--- a/tests/scheduling/test_takeovers.py
+++ b/tests/scheduling/test_takeovers.py
@@ -11,7 +11,7 @@
 
 import testtools
 
-from egretthread.scheduling import keptjobs
+from egretthread.scheduling import keptjobs, linkchoice
 from egretthread.scheduling.jobspec import JobSpec, StepSpec
 from egretthread.scheduling.room import Room
 from tests.scheduling import fakelog, region
@@ -52,6 +52,7 @@
     Attributes:
         world: The region.
         part: Partition of the kept job.
+        linked: Names of the entries that agent a0 has selected.
         has_failed: Whether the first run of the job ends `failed`.
     """
 
@@ -60,14 +61,16 @@
         self.world = region.Region(
             entries=entries,
             agents=2,
+            is_partly_linked=entries > linkchoice.LINKS_PER_AGENT,
             work_s=lambda name: FILLER_S if name.job == "f" else WORK_S,
         )
         for number, server in enumerate(self.world.servers.values()):
             server.rack = f"r{number + 1}"
         self.part = self.world.log.partition_of("k")
-        self.world.log.preferred[self.part] = "e0"
+        self.linked = linkchoice.choose("a0", self.world.entry_names, ())
+        self.world.log.preferred[self.part] = self.linked[0]
         self.world.run(6.0)
-        self.world.submit(filler(), "e2", FILLER_S * 2)
+        self.world.submit(filler(), self.linked[2], FILLER_S * 2)
         self.world.run(0.1)
 
     def entry(self, name):
@@ -189,6 +192,32 @@
         self.assertEqual({}, broken)
 
 
+class TestManyEntries(testtools.TestCase):
+    """Agents link with some of the entries."""
+
+    # Guards against a second run of a task that is done, since the successor
+    # has no link with the agent that holds the end.
+    def test_an_agent_links_with_the_coordinator_of_an_end(self):
+        broken = {}
+        for case in itertools.product(
+            STEPS_S, ("kill", "pause", "cut off"), (False, True)
+        ):
+            step, how, has_failed = case
+            takeover = Takeover(has_failed, entries=9)
+            names = takeover.world.entry_names
+            others = linkchoice.choose("a1", names, ())
+            successor = min(set(others) - set(takeover.linked))
+            takeover.start(STEPS_S[step])
+            takeover.move(successor, how)
+            found = takeover.finish()
+            # The run that follows a failed one may be stopped.
+            ends = [end for _, _, end in takeover.runs() if end != "stopped"]
+            expected = ["failed", "done"] if has_failed else ["done"]
+            if found or ends != expected:
+                broken[case] = (ends, found)
+        self.assertEqual({}, broken)
+
+
 class TestLostRuns(testtools.TestCase):
     """The first coordinator gives the run up before it hears of its end."""
 
