Count a job as begun only once a run of it has started

Cause: a job counted as begun for good when one of its tasks was ordered at an agent that was heard of 50 ms after the order. Urgent tasks may be queued for 70 ms at an agent whose server is full, and are then refused and ordered again.

In the simulated region 12 urgent jobs at a full server are counted as 3 to 12, while the agent refuses their runs over and over.

Fix: an ordered task counts as started once the agent was heard of 0.1 s after the end of the time for which it may be queued, and only while it is ordered; done, failed, and stopped runs that had started count for good. So a refused run takes nothing off the count, and one that is lost does not add to it.

Failed before: test_urgent_jobs_that_wait_for_a_full_server_are_counted, test_a_job_that_has_lost_a_run_has_begun_for_the_successor.

--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -443,6 +443,7 @@
     for task in tasks:
         board.last_attempt += 1
         task.attempt = board.last_attempt
+        task.start_by_s = board.now_s + queue_wait_s
         view.tasks[task.attempt] = task
         view.ordered_runs += 1
         view.in_flight.append((view.ordered_runs, room))
--- a/egretthread/scheduling/entryboard.py
+++ b/egretthread/scheduling/entryboard.py
@@ -73,6 +73,8 @@
         attempt: Number of the current or last attempt by this coordinator.
         run: Number of the last run, see `runnumbers`; only in kept jobs.
         agent: Node id of the agent that it was last dispatched to.
+        start_by_s: When its run must have started if its agent has received the
+            order and has not refused it.
         waiting_since_s: When it was last enqueued.
         failures: Number of runs that failed.
         move_count: How often a slow run was stopped to restart it elsewhere.
@@ -90,6 +92,7 @@
     attempt: int = 0
     run: int = 0
     agent: str = ""
+    start_by_s: float = 0.0
     waiting_since_s: float = 0.0
     failures: int = 0
     move_count: int = 0
--- a/egretthread/scheduling/jobrecord.py
+++ b/egretthread/scheduling/jobrecord.py
@@ -67,6 +67,7 @@
         superseded: The same by step and index of the task, where it is higher.
         ends: The runs whose ends are included, for the latest ends: step and
             index of the task, and number of the run.
+        has_begun: Whether a run of it is known to have started.
     """
 
     state: JobState = JobState.RUNNING
@@ -83,6 +84,7 @@
         default_factory=dict
     )
     ends: tuple[tuple[int, int, int], ...] = ()
+    has_begun: bool = False
 
 
 def partition_of(job: str, partition_count: int) -> int:
@@ -142,6 +144,7 @@
                 (*task, number) for task, number in progress.superseded.items()
             ],
             "ends": progress.ends,
+            "has_begun": progress.has_begun,
         }
     )
 
@@ -170,6 +173,7 @@
                 for step, index, number in table.get("superseded", ())
             },
             tuple(tuple(run) for run in table.get("ends", ())),
+            table.get("has_begun", False),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise _malformed(error) from error
--- a/egretthread/scheduling/jobs.py
+++ b/egretthread/scheduling/jobs.py
@@ -12,6 +12,7 @@
     expectedrates,
     forwarding,
     longruns,
+    pendingcounts,
     retryplan,
     runnumbers,
     shares,
@@ -304,6 +305,7 @@
         runnumbers.on_refused(task)
         enqueue(board, task)
     else:
+        pendingcounts.on_run_lost(board, task, report.run_ms)
         # It is enqueued once the store has the number of that run.
         task.state = TaskState.RECORDING
         board.kept.record_run(task)
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -205,6 +205,7 @@
     if progress is not None:
         kept_job.loaded = progress
         kept_job.ends = dict.fromkeys(progress.ends)
+        kept_job.has_begun = progress.has_begun
         kept_job.state = kept_job.stored_state = progress.state
         kept_job.ended_unix_s = progress.ended_unix_s
         _restore(board, job, progress)
@@ -480,6 +481,7 @@
         _crashes(board, kept_job.job),
         *runnumbers.record(kept_job.job),
         tuple(kept_job.ends),
+        kept_job.has_begun,
     )
 
 
--- a/egretthread/scheduling/pendingcounts.py
+++ b/egretthread/scheduling/pendingcounts.py
@@ -6,7 +6,12 @@
 
 from collections.abc import Collection, Iterable
 
-from egretthread.scheduling.entryboard import EntryBoard, Task, TaskState
+from egretthread.scheduling.entryboard import (
+    IDLE_STATES,
+    EntryBoard,
+    Task,
+    TaskState,
+)
 from egretthread.scheduling.jobrecord import FINAL_STATES
 from egretthread.scheduling.keptboard import (
     FormerCounts,
@@ -17,8 +22,9 @@
 
 # Maximum number of former counts that are kept.
 MAX_FORMER = 500
-# An agent that is heard of so long after an order has received the order.
-ORDER_DELIVERY_S = 0.05
+# Time after which an agent that is heard of has received an order, or reported
+# that a run which could not start in time is refused.
+DELIVERY_S = 0.1
 
 
 def has_started(kept_job: KeptJob) -> bool:
@@ -33,30 +39,43 @@
 def _has_begun(board: EntryBoard, kept_job: KeptJob) -> bool:
     """Whether a run of a job is known to have started.
 
-    An order to an agent that is stopped or lost may never be carried out.
+    An order to an agent that is stopped or lost may never be carried out, and
+    one to an agent whose backend server is full may be refused.
     """
     if not kept_job.has_begun:
         kept_job.has_begun = any(
-            task.state is TaskState.DONE
-            or task.failures > 0
-            or _is_received(board, task)
+            task.state is TaskState.DONE or task.failures > 0
             for tasks in kept_job.job.tasks
             for task in tasks
         )
-    return kept_job.has_begun
+    return kept_job.has_begun or any(
+        task.state not in IDLE_STATES and _has_started(board, task)
+        for tasks in kept_job.job.tasks
+        for task in tasks
+    )
 
 
-def _is_received(board: EntryBoard, task: Task) -> bool:
-    """Whether a task is ordered at an agent that was heard of since."""
+def _has_started(board: EntryBoard, task: Task) -> bool:
+    """Whether an agent would have refused the last run of a task by now."""
     view = board.agents.get(task.agent)
-    received_s = task.job.last_dispatch_s + ORDER_DELIVERY_S
     return (
-        task.state is TaskState.ORDERED
-        and view is not None
-        and view.last_received_s > received_s
+        view is not None and view.last_received_s > task.start_by_s + DELIVERY_S
     )
 
 
+def on_run_lost(board: EntryBoard, task: Task, run_ms: int) -> None:
+    """Records that the job of a stopped or lost run has begun, if it has.
+
+    Args:
+        board: The blackboard.
+        task: The task.
+        run_ms: How long it has run; 0 if that is not known.
+    """
+    kept_job = board.kept.find(task.job.id)
+    if kept_job is not None and (run_ms or _has_started(board, task)):
+        kept_job.has_begun = True
+
+
 def count(
     board: EntryBoard, partitions: Iterable[Partition]
 ) -> tuple[PendingJobs, ...]:
--- a/tests/scheduling/test_jobrecord.py
+++ b/tests/scheduling/test_jobrecord.py
@@ -39,6 +39,7 @@
             5,
             {(1, 2): 7, (0, 1): 6},
             ((1, 2, 6), (0, 1, 5)),
+            True,
         )
         value = jobrecord.encode_progress(progress)
         self.assertEqual(progress, jobrecord.decode_progress(value))
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -25,7 +25,7 @@
     (found,) = [
         entry
         for entry in world.entries.values()
-        if keptjobs.state(entry.board, job)[0]
+        if entry.alive and keptjobs.state(entry.board, job)[0]
     ]
     return found
 
@@ -212,6 +212,68 @@
         self.check(world)
 
 
+class TestPendingCounts(testtools.TestCase):
+    """Urgent jobs wait for a full server, or lose their runs."""
+
+    def start_region(self, **fields):
+        world = region.Region(
+            entries=3, agents=1, work_s=lambda name: 4.0, **fields
+        )
+        world.run(6.0)
+        world.submit_kept(kept_job("filler", count=8, estimated_s=4.0))
+        world.run(0.5)
+        return world
+
+    def pending(self, world):
+        return sum(
+            row.jobs
+            for entry in world.entries.values()
+            if entry.alive
+            for row in keptjobs.pending(entry.board)
+        )
+
+    # Guards against MIXED: urgent tasks are queued at an agent whose server is
+    # full, and refused after some time; their jobs counted as begun.
+    def test_urgent_jobs_that_wait_for_a_full_server_are_counted(self):
+        world = self.start_region()
+        for number in range(12):
+            world.submit_kept(kept_job(f"k{number}", count=1, estimated_s=4.0))
+            world.run(0.03)
+        counts = set()
+        for _ in range(280):
+            world.run(0.01)
+            counts.add(self.pending(world))
+        self.assertEqual({12}, counts)
+        agent = world.agents["a0"]
+        self.assertGreater(agent.board.counters["runs_refused"], 10)
+        world.run(1.5)
+        self.assertEqual(4, self.pending(world))
+        world.finish(8.0)
+        self.assertEqual(0, self.pending(world))
+        self.assertEqual([], world.violations())
+
+    # Guards against a count that stays too high after a run was lost.
+    def test_a_job_whose_run_was_lost_has_begun(self):
+        for stop in ("freeze", "kill"):
+            world = self.start_region()
+            getattr(world, stop)(world.agents["a0"], 4.0)
+            counts = set()
+            for _ in range(400):
+                world.run(0.01)
+                counts.add(self.pending(world))
+            self.assertEqual({0}, counts, stop)
+
+    # Guards against a count that is too high after a takeover.
+    def test_a_job_that_has_lost_a_run_has_begun_for_the_successor(self):
+        world = self.start_region()
+        world.kill(world.agents["a0"], 30.0)
+        world.run(5.0)
+        world.kill(coordinator(world, "filler"), 60.0)
+        world.run(8.0)
+        self.assertEqual(0, self.pending(world))
+        coordinator(world, "filler")
+
+
 class TestUnreadJobs(testtools.TestCase):
     """A coordinator is offered the end of a job that it has not read yet."""
 
