Cancel jobs that are not kept at whichever entry has them

Cause: an entry cancelled such a job only if it was open there. At another entry it was taken for a kept job that doesn't exist; a job that the entry had forwarded was missed in the same way (read, not run).

Fix: before it answers 410, the entry has the job cancelled at all entries that it is linked with, by a field of the question for kept jobs: earlier releases answer that they don't know the job. It remembers the cancellation for 10 s, tells entries that it links with later, and neither starts the job when its submission is repeated.

--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -335,7 +335,9 @@
             return
         self.job = rest
         state = await self.job_state(self.caller(route))
-        if state:
+        if state == "":
+            self.refuse(410, "no such job")
+        elif state:
             self.reply(200, {"state": state})
 
     async def delete(self) -> None:
@@ -343,24 +345,29 @@
         route = self.job_route()
         if route is None:
             return
-        job = self.server.board.jobs.get(self.job)
-        if job is not None and not job.spec.kept:
-            self.server.cancel(self.job, "cancelled by its caller")
+        caller = self.caller(route)
+        if self.server.cancel_open(self.job):
             self.reply(200, {"state": "cancelled"})
             return
-        caller = self.caller(route)
-        if not await self.job_state(caller):
+        state = await self.job_state(caller)
+        if state is None:
+            return
+        if not state:
+            if await self.server.cancel_elsewhere(self.job):
+                self.reply(200, {"state": "cancelled"})
+            else:
+                self.refuse(410, "no such job")
             return
         if await self.wait_until_stored(
             functools.partial(self.log.cancel, self.job, caller)
         ):
             self.reply(200, {"state": "cancelled"})
 
-    async def job_state(self, caller: Caller) -> str:
-        """Returns the state of a job.
+    async def job_state(self, caller: Caller) -> str | None:
+        """Returns the state of a job; empty when there is no such job.
 
         If it cannot be determined while the caller waits, it sends an error
-        response and returns an empty text.
+        response and returns None.
         """
         job = self.server.board.jobs.get(self.job)
         if job is not None and not job.spec.kept:
@@ -370,13 +377,11 @@
                 state = await self.log.state(self.job)
         except StoreUnavailableError as error:
             self.refuse(503, error.message, 1.0)
-            return ""
         except TimeoutError:
             self.refuse(503, "the state is not known in time", 1.0)
-            return ""
-        if not state:
-            self.refuse(410, "no such job")
-        return state
+        else:
+            return state
+        return None
 
     def _pending_jobs(self, route: Route) -> int:
         return sum(
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -118,6 +118,14 @@
     dispatch.dispatch_waiting(board)
 
 
+def has_open(board: EntryBoard, job: str) -> bool:
+    """Whether a job that is not kept is open here, or was forwarded."""
+    open_job = board.jobs.get(job)
+    if open_job is not None:
+        return not open_job.spec.kept
+    return job in board.forwarding.sent
+
+
 def on_operators(board: EntryBoard, state: OperatorState) -> None:
     """Adopts a published operator state unless it is outdated."""
     previous = board.operator_state
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from egretthread import background, clock, link, logs, nodeid, routes, util
 from egretthread.listeners import Listeners
@@ -17,7 +18,11 @@
 )
 from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
-from egretthread.scheduling.jobrecord import Progress, Submission
+from egretthread.scheduling.jobrecord import (
+    JobState,
+    Progress,
+    Submission,
+)
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
 from egretthread.scheduling.keptboard import Partition, ProgressBatch
 from egretthread.scheduling.nodesettings import NodeSettings
@@ -53,6 +58,12 @@
 # Timeout of a question to another entry about the state of a job. It allows for
 # a few round trips; after that the store is queried.
 QUESTION_TIMEOUT_S = 0.3
+# How long a cancelled job that is not kept is remembered, and how many are. A
+# submission may be repeated some seconds later, and other entries may be
+# unreachable for a time.
+CANCEL_MEMORY_S = 10.0
+MAX_CANCELLED = 5000
+CANCELLED_REASON = "cancelled by its caller"
 # Age beyond which the last hello of another entry is ignored.
 MAX_HELLO_AGE_S = 3.0
 # Delay before a retry that is recommended to callers of an entry that is
@@ -95,6 +106,8 @@
         is_drained: Whether jobs are no longer accepted.
         sent_hello: The hello that was last sent to all entries.
         hello_sent_s: When it was sent.
+        cancelled_s: When a job that is not kept was cancelled lately, by id,
+            the oldest first.
         hellos: Last hello of each other entry and when it arrived, by address.
         known_entry_nodes: When the first hello of each process of an entry
             arrived, by node id.
@@ -141,6 +154,7 @@
         self.is_drained = False
         self.sent_hello: EntryHello | None = None
         self.hello_sent_s = 0.0
+        self.cancelled_s: dict[str, float] = {}
         self.hellos: dict[str, tuple[EntryHello, float]] = {}
         self.known_entry_nodes: dict[str, float] = {}
         self.questions: dict[int, asyncio.Future] = {}
@@ -224,6 +238,11 @@
             logs.info("caller_left", job=spec.job, route=route.name)
             waiter.set_result(Answer(spec.job, Outcome.REFUSED, "caller left"))
             return waiter
+        if self._is_cancelled(spec.job):
+            waiter.set_result(
+                Answer(spec.job, Outcome.CANCELLED, CANCELLED_REASON)
+            )
+            return waiter
         self.waiters.setdefault(spec.job, []).append(Waiter(caller, waiter))
         left_s = caller.left_s(self.board.now_s)
         refusal = entryengine.submit(self.board, spec, route, left_s)
@@ -265,6 +284,44 @@
         entryengine.cancel(self.board, job, reason)
         self._process_output()
 
+    def cancel_open(self, job: str) -> bool:
+        """Cancels a job that is not kept; returns whether it is open here.
+
+        It is not started again if a repeated submission arrives later.
+        """
+        self._update_time()
+        self.cancelled_s.pop(job, None)
+        self.cancelled_s[job] = self.board.now_s
+        oldest = next(iter(self.cancelled_s))
+        if (
+            not self._is_cancelled(oldest)
+            or len(self.cancelled_s) > MAX_CANCELLED
+        ):
+            del self.cancelled_s[oldest]
+        is_open = entryengine.has_open(self.board, job)
+        if is_open:
+            entryengine.cancel(self.board, job, CANCELLED_REASON)
+            self._process_output()
+        return is_open
+
+    async def cancel_elsewhere(self, job: str) -> bool:
+        """Cancels a job that is not kept at the other entries.
+
+        Entries that can't be reached now are told once they can.
+
+        Returns:
+            Whether one of them had it open.
+        """
+        peers = [c.peer for c in self.entry_clients.values() if c.peer]
+        replies = await asyncio.gather(
+            *(self._ask(peer, job, cancels=True) for peer in peers)
+        )
+        return any(replies)
+
+    def _is_cancelled(self, job: str) -> bool:
+        cancelled_s = self.cancelled_s.get(job, -math.inf)
+        return self.board.now_s - cancelled_s < CANCEL_MEMORY_S
+
     def assign_partitions(
         self, generation: int, numbers: tuple[int, ...], until_s: float
     ) -> list[Partition]:
@@ -366,13 +423,15 @@
                 return await self._ask(client.peer, job)
         return ""
 
-    async def _ask(self, peer: link.Peer, job: str) -> str:
-        """Asks another entry for the state of a kept job."""
+    async def _ask(
+        self, peer: link.Peer, job: str, cancels: bool = False
+    ) -> str:
+        """Asks another entry for the state of a kept job, or cancels a job."""
         self.last_question += 1
         number = self.last_question
         future = asyncio.get_running_loop().create_future()
         self.questions[number] = future
-        peer.send(JobQuestion(number, job))
+        peer.send(JobQuestion(number, job, cancels))
         try:
             async with asyncio.timeout(QUESTION_TIMEOUT_S):
                 reply = await future
@@ -467,8 +526,7 @@
             elif isinstance(incoming, OperatorRecord):
                 self._on_operator_record(peer, incoming)
             elif isinstance(incoming, JobQuestion):
-                is_known, state = keptjobs.state(self.board, incoming.job)
-                peer.send(JobReply(incoming.number, state, is_known))
+                peer.send(self._reply(incoming))
             elif isinstance(incoming, JobReply):
                 self._on_job_reply(incoming)
             elif isinstance(incoming, ServerCrash) and peer.role == "entry":
@@ -509,6 +567,14 @@
             offset = self.board.operator_state.offset
             client.peer.send(OperatorRecord(offset, self.encoded_state))
 
+    def _reply(self, question: JobQuestion) -> JobReply:
+        if question.cancels:
+            is_known = self.cancel_open(question.job)
+            state = JobState.CANCELLED.value if is_known else ""
+        else:
+            is_known, state = keptjobs.state(self.board, question.job)
+        return JobReply(question.number, state, is_known)
+
     def _on_job_reply(self, reply: JobReply) -> None:
         future = self.questions.get(reply.number)
         if future is not None and not future.done():
@@ -546,6 +612,11 @@
     def _on_entry_open(self, peer: link.Peer) -> None:
         self.unreachable_since_s.pop(peer.address, None)
         peer.send(self._make_hello())
+        self._update_time()
+        for job in self.cancelled_s:
+            if self._is_cancelled(job):
+                self.last_question += 1
+                peer.send(JobQuestion(self.last_question, job, cancels=True))
         self.entry_links.add(peer)
         forwardedjobs.on_link_open(self.board, peer.node)
 
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -399,25 +399,28 @@
 
 @dataclasses.dataclass(frozen=True)
 class JobQuestion:
-    """Entry to entry: asks for the state of a kept job.
+    """Entry to entry: asks for the state of a kept job, or cancels another job.
 
     Attributes:
         number: Identifies the question to its sender.
         job: Id of the job.
+        cancels: Whether the job, which is not kept, is to be cancelled.
     """
 
     number: int
     job: str
+    cancels: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
 class JobReply:
-    """Entry to entry: the state of a kept job.
+    """Entry to entry: the state of a job.
 
     Attributes:
         number: Number of the question.
         state: The state; empty if there is no such job.
-        is_known: Whether the entry coordinates the job's partition.
+        is_known: Whether the entry coordinates the job's partition, or has
+            cancelled the job.
     """
 
     number: int
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -422,6 +422,7 @@
 struct JobQuestion {
   number @0 :Int64;
   job @1 :Text;
+  cancels @2 :Bool;
 }
 
 struct JobReply {
--- a/tests/scheduling/test_entryserver.py
+++ b/tests/scheduling/test_entryserver.py
@@ -7,6 +7,8 @@
 from egretthread import clock, util
 from egretthread.listeners import Listeners
 from egretthread.scheduling import entryserver, nodesettings, peerload
+from egretthread.scheduling.caller import Caller
+from egretthread.scheduling.entryboard import Outcome
 from egretthread.scheduling.jobspec import OperatorState
 from egretthread.scheduling.loadsettings import LoadSettings
 from egretthread.scheduling.runmessage import (
@@ -19,6 +21,9 @@
     OperatorRecord,
     PendingJobs,
 )
+from tests.aio import free_port
+from tests.platform.test_operators import until
+from tests.scheduling import region
 
 
 class StubClient:
@@ -229,3 +234,75 @@
         entry._on_messages(newest, (LiveRuns((LiveRun("j", 5),)),))
         self.assertEqual({5: task}, view.tasks)
         self.assertEqual(frozenset(), view.unconfirmed)
+
+
+class TestCancellations(testtools.TestCase):
+    """A job that is not kept is cancelled at another entry than its own."""
+
+    def settings(self, number, port):
+        return nodesettings.NodeSettings(
+            name=f"e{number}",
+            zone="a",
+            host=f"127.0.0.{number + 1}",
+            link_port=port,
+            shared_key="0123456789abcdef",
+            store_address="127.0.0.1:1",
+            seeds=tuple(f"127.0.0.{n + 1}:1" for n in range(3)),
+        )
+
+    async def start(self, number, port):
+        entry = entryserver.EntryServer(
+            self.settings(number, port), None, Listeners()
+        )
+        await entry.start()
+        return entry
+
+    def submit(self, entry):
+        return entry.submit(
+            region.job("j"),
+            region.ROUTE,
+            Caller(clock.monotonic_s(), 9.0, lambda: False),
+        )
+
+    async def run_scenario(self):
+        port = free_port()
+        entries = [await self.start(number, port) for number in range(2)]
+        first, second = entries
+        await until(
+            lambda: all(
+                any(client.peer for client in entry.entry_clients.values())
+                for entry in entries
+            )
+        )
+        answer = self.submit(second)
+        self.assertFalse(first.cancel_open("j"))
+        self.assertTrue(await first.cancel_elsewhere("j"))
+        self.assertIs(Outcome.CANCELLED, (await answer).outcome)
+        self.assertEqual({}, second.board.jobs)
+        self.assertFalse(await first.cancel_elsewhere("j"))
+        # An entry that could not be reached at that time.
+        entries.append(await self.start(2, port))
+        await until(lambda: "j" in entries[2].cancelled_s)
+        for entry in entries:
+            answer = self.submit(entry)
+            self.assertIs(Outcome.CANCELLED, (await answer).outcome)
+            self.assertEqual({}, entry.board.jobs)
+        for entry in entries:
+            await entry.close()
+
+    # Guards against UNASKED: a job went on after its cancellation had been
+    # answered, as another entry had it.
+    def test_a_job_is_cancelled_at_any_entry(self):
+        asyncio.run(self.run_scenario())
+
+    def test_cancellations_are_forgotten(self):
+        entry = TestHellos.entry(self, others=0)
+        entry.cancel_open("a")
+        self.patch(entryserver, "CANCEL_MEMORY_S", 0.0)
+        entry.cancel_open("b")
+        self.assertEqual(["b"], list(entry.cancelled_s))
+        self.patch(entryserver, "CANCEL_MEMORY_S", 10.0)
+        self.patch(entryserver, "MAX_CANCELLED", 2)
+        for job in "cdb":
+            entry.cancel_open(job)
+        self.assertEqual(["d", "b"], list(entry.cancelled_s))
