Let tasks use the reserve of a server while most capacity is free

Cause: less urgent tasks leave a tenth of each server free for the most urgent queue, also if no other server may run them.

Fix: if a task finds no server, and half of the capacity of its service is free, it may use the reserve. Urgent tasks find room elsewhere then.

Failed before: test_a_task_uses_the_reserve_while_most_capacity_is_free.

--- a/egretthread/scheduling/dispatch.py
+++ b/egretthread/scheduling/dispatch.py
@@ -37,6 +37,9 @@
 # Time for which a waiting task leaves idle the agents on which it has failed,
 # while others have no capacity for it.
 AVOID_S = 2.0
+# Minimum free share of all capacity with which a task may use the reserve of a
+# backend server, if no other one can run it.
+MIN_FREE_SHARE = 0.5
 # How long a run that finds its agent full is queued there for another run to
 # end. Then its entry, which is a round trip away, looks for another agent.
 QUEUE_WAIT_S = 0.01
@@ -66,6 +69,7 @@
             found no capacity.
         reserve_used: Whether most of what is reserved for the most urgent
             tasks is in use, by service.
+        reserve_needed: Whether the reserve is kept free for them, by service.
     """
 
     top_priority: int | None
@@ -75,6 +79,7 @@
     assignments: dict[tuple[str, str, int, float, int], list[Task]]
     blocked: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     reserve_used: dict[str, bool] = dataclasses.field(default_factory=dict)
+    reserve_needed: dict[str, bool] = dataclasses.field(default_factory=dict)
 
 
 def dispatch_waiting(board: EntryBoard) -> None:
@@ -310,6 +315,19 @@
         reserved_share,
         board.remote_factor,
     )
+    if (
+        agent is None
+        and reserved_share
+        and not _is_reserve_needed(dispatch_pass, task.job.route.service)
+    ):
+        agent = placing.choose(
+            eligible,
+            task.spec,
+            expected_s,
+            avoided_agents,
+            0.0,
+            board.remote_factor,
+        )
     if agent and _should_wait_for_rack(board, eligible, agent, task):
         return None, QUEUE_WAIT_S
     if agent or not is_urgent or waitorder.is_late(task, board.now_s):
@@ -318,6 +336,21 @@
     return agent, URGENT_QUEUE_WAIT_S
 
 
+def _is_reserve_needed(dispatch_pass: _Pass, service: str) -> bool:
+    """Whether urgent tasks may need the reserve of every backend server.
+
+    While most of the capacity is free they find room elsewhere.
+    """
+    if service not in dispatch_pass.reserve_needed:
+        candidates = dispatch_pass.candidates[service]
+        free_cpu = sum(max(0, c.free.cpu) for c in candidates)
+        total_cpu = sum(c.capacity.cpu for c in candidates)
+        dispatch_pass.reserve_needed[service] = (
+            free_cpu < MIN_FREE_SHARE * total_cpu
+        )
+    return dispatch_pass.reserve_needed[service]
+
+
 def _avoided_agents(board: EntryBoard, task: Task) -> set[str]:
     """Returns the agents that a task is not dispatched to yet."""
     if board.now_s - task.waiting_since_s > AVOID_S:
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -274,6 +274,34 @@
         coordinator(world, "filler")
 
 
+class TestReserve(testtools.TestCase):
+    """A tenth of each server is kept free for a more urgent queue."""
+
+    def submit(self, world, name, count):
+        step = StepSpec(count, Room(400, 64, 0), 9.0, required_label="r9")
+        spec = JobSpec(name, "payload", (step,), kept=True)
+        world.submit_kept(spec, region.LONG_ROUTE)
+        world.run(1.0)
+
+    def start_region(self, agents):
+        world = region.Region(entries=1, agents=agents, work_s=lambda name: 9.0)
+        world.servers["a0"].rack = "r9"
+        world.run(6.0)
+        self.submit(world, "filler", 18)
+        self.submit(world, "k", 1)
+        return world
+
+    # Guards against LOST: the only server for a task had room in the reserve
+    # alone, which no urgent task needed.
+    def test_a_task_uses_the_reserve_while_most_capacity_is_free(self):
+        world = self.start_region(agents=4)
+        self.assertEqual(19, len(world.servers["a0"].runs))
+
+    def test_the_reserve_is_kept_while_most_capacity_is_used(self):
+        world = self.start_region(agents=1)
+        self.assertEqual(18, len(world.servers["a0"].runs))
+
+
 class TestUnreadJobs(testtools.TestCase):
     """A coordinator is offered the end of a job that it has not read yet."""
 
