Link agents with coordinators that have tasks for them alone

Cause: an agent links with five entries. A coordinator without a link to the only agents that may run a task waits for ever.

Fix: a coordinator tells the other entries what tasks need that have waited for a second and that none of its agents can ever run, at most 20 needs. Entries name it, in the replies to heartbeats, to the agents that meet a need, and these link with it for 15 s after they were last told.

Failed before: test_an_agent_links_with_a_coordinator_that_needs_it (with the reply's field empty).

--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -88,6 +88,7 @@
         leaserule.coordinator_lease_end_s(heartbeat.echo_ms),
     )
     _send_operator_record(board, coordinator, heartbeat)
+    heldends.want_links(board, heartbeat.coordinators)
     if heartbeat.services:
         _on_services(board, heartbeat)
     if heartbeat.operator_offset >= board.operator_offset:
--- a/egretthread/scheduling/agentviews.py
+++ b/egretthread/scheduling/agentviews.py
@@ -1,7 +1,7 @@
 """The view that an entry has of its agents, based on their heartbeats."""
 
 from egretthread import logs
-from egretthread.scheduling import leaserule
+from egretthread.scheduling import leaserule, serverneeds
 from egretthread.scheduling.entryboard import AgentView, EntryBoard
 from egretthread.scheduling.room import Room
 from egretthread.scheduling.runmessage import (
@@ -98,6 +98,7 @@
         entries,
         board.kept.may_exist(board.now_s),
         services,
+        serverneeds.coordinators(board, view),
     )
     view.last_reply_s = board.now_s
     board.outbox.append((view.node, reply))
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -14,6 +14,7 @@
     jobrecord,
     keptjobs,
     pendingcounts,
+    serverneeds,
     waitingload,
 )
 from egretthread.scheduling.caller import Caller
@@ -634,6 +635,7 @@
             keptjobs.pending(self.board),
             self.board.kept.has_jobs,
             self.board.load.forward_jobs,
+            serverneeds.unmet(self.board),
         )
 
     async def _tick_loop(self) -> None:
--- a/egretthread/scheduling/heldends.py
+++ b/egretthread/scheduling/heldends.py
@@ -6,6 +6,8 @@
 is acknowledged only after the backend server's lease has expired.
 """
 
+from collections.abc import Iterable
+
 from egretthread import logs
 from egretthread.scheduling.agentboard import AgentBoard, Coordinator, Run
 from egretthread.scheduling.runmessage import (
@@ -19,9 +21,9 @@
 # Interval between sends of the same ends to all entries. A coordinator writes
 # them to the store within a few ms.
 RESEND_S = 0.3
-# Time for which a link with the coordinator of a held end is kept after the
-# agent was last told of it.
-WANTED_LINK_S = 5.0
+# Time for which a link with an entry outside the selection is kept after the
+# agent was last told of its need.
+WANTED_LINK_S = 15.0
 # Maximum number of ends that the backend server has to list. It lists 500 at a
 # time, and further ones would not be seen. Entries settle the ends long before,
 # unless no entry can reach the store.
@@ -137,8 +139,7 @@
     """Releases the ends that an entry has written, and marks the void ones."""
     if board.server is None or board.server.incarnation != settled.server:
         return
-    for address in settled.coordinators:
-        board.wanted_entries[address] = board.now_s + WANTED_LINK_S
+    want_links(board, settled.coordinators)
     for sequence in settled.taken:
         if sequence not in board.void_ends:
             board.held_ends.pop(sequence, None)
@@ -159,8 +160,14 @@
         board.void_ends.clear()
 
 
+def want_links(board: AgentBoard, addresses: Iterable[str]) -> None:
+    """Records entries with which links are wanted for some time."""
+    for address in addresses:
+        board.wanted_entries[address] = board.now_s + WANTED_LINK_S
+
+
 def wanted_entries(board: AgentBoard) -> tuple[str, ...]:
-    """Returns addresses of the coordinators of ends that were held lately."""
+    """Returns the addresses of entries with which links are wanted."""
     for address, until_s in tuple(board.wanted_entries.items()):
         if until_s < board.now_s:
             del board.wanted_entries[address]
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -4,7 +4,7 @@
 import typing
 
 from egretthread.scheduling.jobrecord import JobState, Progress, Submission
-from egretthread.scheduling.runmessage import PendingJobs
+from egretthread.scheduling.runmessage import PendingJobs, ServerNeed
 
 if typing.TYPE_CHECKING:
     from egretthread.scheduling.entryboard import Job, Task
@@ -151,6 +151,7 @@
         others_have_jobs: Whether another entry may coordinate a kept job.
         coordinators: Addresses of the other entries that coordinate partitions,
             by partition.
+        needs: Needs of tasks that other entries know no agent for, by address.
         known_s: When it last knew of a kept job that exists or may exist.
         until_s: When its assignment expires unless it is renewed.
         dirty: Numbers of partitions with progress that has to be written.
@@ -165,6 +166,9 @@
     is_member: bool = False
     others_have_jobs: bool = False
     coordinators: dict[int, str] = dataclasses.field(default_factory=dict)
+    needs: dict[str, tuple[ServerNeed, ...]] = dataclasses.field(
+        default_factory=dict
+    )
     known_s: float = 0.0
     until_s: float = 0.0
     dirty: set[int] = dataclasses.field(default_factory=set)
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -8,7 +8,7 @@
 coordinators have ended, and learns from the agents how they ended.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from egretthread import logs
 from egretthread.scheduling import (
@@ -285,8 +285,8 @@
             del partition.unknown_ends[key]
 
 
-def on_hellos(board: EntryBoard, hellos: Iterable[EntryHello]) -> None:
-    """Updates which other entries coordinate partitions.
+def on_hellos(board: EntryBoard, hellos: Collection[EntryHello]) -> None:
+    """Updates which partitions other entries coordinate, and their needs.
 
     Args:
         board: The blackboard.
@@ -295,6 +295,9 @@
     board.kept.coordinators = {
         number: hello.address for hello in hellos for number in hello.parts
     }
+    board.kept.needs = {
+        hello.address: hello.needs for hello in hellos if hello.needs
+    }
 
 
 def on_held_ends(board: EntryBoard, view: AgentView, held: HeldEnds) -> None:
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -98,6 +98,8 @@
         kept_jobs: Whether there may be kept jobs in the system.
         services: Services that the configuration at that offset names; empty
             when unchanged or not known.
+        coordinators: Addresses of entries that have tasks of kept jobs for this
+            agent, and may have no link with it.
     """
 
     echo_ms: int
@@ -107,6 +109,7 @@
     entries: tuple[str, ...] = ()
     kept_jobs: bool = True
     services: tuple[str, ...] = ()
+    coordinators: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -376,6 +379,25 @@
     jobs: int
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerNeed:
+    """What a waiting task of a kept job needs of a backend server.
+
+    Attributes:
+        service: The service of its route.
+        label: Label that the backend server must have; empty for none.
+        cpu: CPU that it takes, in thousandths of a core.
+        memory_mb: Memory that it takes.
+        gpu: GPUs that it takes.
+    """
+
+    service: str
+    label: str
+    cpu: int
+    memory_mb: int
+    gpu: int
+
+
 @dataclasses.dataclass(frozen=True)
 class EntryHello:
     """Entry to entry: announces itself and its state.
@@ -387,6 +409,8 @@
         pending: Kept jobs that it has not started, by route.
         kept_jobs: Whether it coordinates any kept job, or may do so.
         accepts_jobs: Whether it takes jobs that other entries forward.
+        needs: Needs of waiting tasks that no agent meets which it is linked
+            with.
     """
 
     address: str
@@ -395,6 +419,7 @@
     pending: tuple[PendingJobs, ...] = ()
     kept_jobs: bool = False
     accepts_jobs: bool = False
+    needs: tuple[ServerNeed, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/egretthread/scheduling/serverneeds.py
@@ -0,0 +1,65 @@
+"""Needs of kept jobs' tasks that no linked agent meets.
+
+With many entries, an agent links with some of them only. A coordinator tells
+the others what its waiting tasks need, and they tell the agents that meet it.
+"""
+
+from egretthread.scheduling.entryboard import AgentView, EntryBoard, Task
+from egretthread.scheduling.room import Room
+from egretthread.scheduling.runmessage import ServerNeed
+
+# Time that a task has waited for before its need is told. An agent that has
+# just started, or that is linked again, is known by then.
+MIN_WAIT_S = 1.0
+# Maximum number of needs that are told.
+MAX_NEEDS = 20
+
+
+def unmet(board: EntryBoard) -> tuple[ServerNeed, ...]:
+    """Returns the needs of waiting tasks that no linked agent meets."""
+    since_s = board.now_s - MIN_WAIT_S
+    needs = {
+        _need(task): None
+        for task in board.waiting
+        if task.job.spec.kept and task.waiting_since_s <= since_s
+    }
+    found = [
+        need
+        for need in needs
+        if not any(
+            view.is_connected and _meets(view, need)
+            for view in board.agents.values()
+        )
+    ]
+    return tuple(found[:MAX_NEEDS])
+
+
+def coordinators(board: EntryBoard, view: AgentView) -> tuple[str, ...]:
+    """Returns the addresses of entries that have a task for an agent."""
+    return tuple(
+        address
+        for address, needs in board.kept.needs.items()
+        if any(_meets(view, need) for need in needs)
+    )
+
+
+def _need(task: Task) -> ServerNeed:
+    room = task.spec.room
+    return ServerNeed(
+        task.job.route.service,
+        task.spec.required_label,
+        room.cpu,
+        room.memory_mb,
+        room.gpu,
+    )
+
+
+def _meets(view: AgentView, need: ServerNeed) -> bool:
+    """Whether a task with a need may ever run at an agent."""
+    facts = view.facts
+    return (
+        facts is not None
+        and facts.service == need.service
+        and (not need.label or need.label in facts.labels)
+        and facts.capacity.holds(Room(need.cpu, need.memory_mb, need.gpu))
+    )
--- a/egretthread/wire.capnp
+++ b/egretthread/wire.capnp
@@ -294,6 +294,7 @@
   entries @4 :List(Text);
   keptJobs @5 :Bool;
   services @6 :List(Text);
+  coordinators @7 :List(Text);
 }
 
 struct RunOrder {
@@ -417,6 +418,15 @@
   pending @3 :List(PendingJobs);
   keptJobs @4 :Bool;
   acceptsJobs @5 :Bool;
+  needs @6 :List(ServerNeed);
+}
+
+struct ServerNeed {
+  service @0 :Text;
+  label @1 :Text;
+  cpu @2 :Int64;
+  memoryMb @3 :Int64;
+  gpu @4 :Int64;
 }
 
 struct JobQuestion {
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -20,6 +20,7 @@
     keptjobs,
     linkchoice,
     pendingcounts,
+    serverneeds,
     serverpoll,
 )
 from egretthread.scheduling.agentboard import StartCall
@@ -229,7 +230,8 @@
         if self.now_s < process.frozen_until_s:
             return
         parts = pendingcounts.loaded_parts(process.board)
-        hello = EntryHello(process.name, 0, parts)
+        needs = serverneeds.unmet(process.board)
+        hello = EntryHello(process.name, 0, parts, needs=needs)
         for other in self.entries.values():
             if other is not process and not self.is_cut(
                 process.name, other.name
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -2,7 +2,13 @@
 
 import testtools
 
-from egretthread.scheduling import jobrecord, keptjobs, pendingcounts
+from egretthread.scheduling import (
+    jobrecord,
+    keptjobs,
+    linkchoice,
+    pendingcounts,
+    serverneeds,
+)
 from egretthread.scheduling.jobspec import JobSpec, StepSpec
 from egretthread.scheduling.room import Room
 from egretthread.scheduling.runmessage import (
@@ -302,6 +308,53 @@
         self.assertEqual(18, len(world.servers["a0"].runs))
 
 
+class TestServerNeeds(testtools.TestCase):
+    """Agents link with five of nine entries."""
+
+    def start_region(self):
+        world = region.Region(entries=9, agents=3, is_partly_linked=True)
+        world.servers["a0"].rack = "r9"
+        linked = linkchoice.choose("a0", world.entry_names, ())
+        other = min(set(world.entry_names) - set(linked))
+        for number in range(world.log.count):
+            world.log.preferred[number] = other
+        world.run(6.0)
+        return world, world.entries[other].board
+
+    def submit(self, world, cpu=1000):
+        step = StepSpec(1, Room(cpu, 64, 0), 0.1, required_label="r9")
+        world.submit_kept(JobSpec("k", "payload", (step,), kept=True))
+
+    # Guards against LOST: the coordinator had no link with the only agent that
+    # may run the job.
+    def test_an_agent_links_with_a_coordinator_that_needs_it(self):
+        world, board = self.start_region()
+        self.submit(world)
+        world.finish(6.0)
+        self.assertEqual({"k": "completed"}, world.log.states())
+        self.assertEqual([], world.violations())
+        self.assertEqual((), serverneeds.unmet(board))
+
+    def test_an_agent_that_is_too_small_is_not_told(self):
+        world, board = self.start_region()
+        self.submit(world, cpu=9000)
+        world.run(6.0)
+        self.assertEqual(1, len(serverneeds.unmet(board)))
+        for agent in world.agents.values():
+            self.assertEqual({}, agent.board.wanted_entries)
+
+    def test_the_needs_that_are_told_are_bounded(self):
+        world, board = self.start_region()
+        for number in range(2 * serverneeds.MAX_NEEDS):
+            step = StepSpec(1, Room(9000 + number, 64, 0), 0.1)
+            world.submit_kept(
+                JobSpec(f"k{number}", "payload", (step,), kept=True)
+            )
+        world.run(6.0)
+        needs = serverneeds.unmet(board)
+        self.assertEqual(serverneeds.MAX_NEEDS, len(needs))
+
+
 class TestUnreadJobs(testtools.TestCase):
     """A coordinator is offered the end of a job that it has not read yet."""
 
