Give up a numbered start that a server refuses as old

The agent raised the number and started the task once more. Until the runs were numbered by entries, the first end was void then; since, it would have been accepted.

Fix: a run with the number of its order is stopped, so that its end is listed, or reported as stopped if no call before can have been carried out. Its entry gives the task a higher number once that is stored. Runs that agents number behave as before.

Failed before: test_a_repeated_start_that_is_old_is_stopped, test_a_first_start_that_is_old_is_reported_as_stopped.

--- a/egretthread/scheduling/runorders.py
+++ b/egretthread/scheduling/runorders.py
@@ -274,7 +274,17 @@
 
 
 def _on_stale_number(board: AgentBoard, run: Run) -> None:
-    """Retries with a higher number; an earlier agent process used this one."""
+    """Retries with a higher number; an earlier agent process used this one.
+
+    A run that its entry has numbered may also have ended since a call that was
+    not answered. It is given up instead, and is numbered anew if need be.
+    """
+    if run.number == run.ordered_number:
+        if run.tries == 1:
+            runs.finish(board, run, RunEnd.STOPPED)
+        else:
+            runs.begin_stop(board, run, RunEnd.STOPPED)
+        return
     if run.tries > START_TRIES * 4:
         _refuse_run(board, run)
         return
--- a/tests/scheduling/test_runorders.py
+++ b/tests/scheduling/test_runorders.py
@@ -27,6 +27,7 @@
     RunReports,
     ServerState,
     StartRuns,
+    StopRuns,
 )
 from egretthread.scheduling.servercall import (
     CallResult,
@@ -98,6 +99,89 @@
         ]
 
 
+class TestNumberedRuns(AgentCase):
+    """The entry numbers the runs of kept jobs."""
+
+    def order_numbered(self, number, attempt=1):
+        order = StartRuns(
+            "j",
+            "x",
+            1000,
+            1,
+            0,
+            100,
+            0,
+            self.board.clock_ms,
+            10,
+            (RunOrder(0, 0, attempt, number),),
+            kept=True,
+        )
+        agentengine.on_message(self.board, ENTRY, order)
+        agentengine.after_event(self.board)
+
+    def answer(self, *verdicts):
+        for verdict in verdicts:
+            call = self.board.calls[-1]
+            agentengine.on_call_result(self.board, call, CallResult(verdict))
+
+    def test_a_run_has_the_number_of_its_order(self):
+        self.order_numbered(4)
+        self.assertEqual([4], [start.number for start in self.starts()])
+
+    def test_a_number_is_used_again_after_a_refused_start(self):
+        self.order_numbered(4)
+        self.answer(Verdict.UNHEALTHY)
+        self.assertEqual([RunEnd.REFUSED], self.ends())
+        self.order_numbered(4, attempt=2)
+        self.assertEqual([4, 4], [start.number for start in self.starts()])
+
+    # Guards against TWICE: a run had ended `done` after a start without an
+    # answer, and was started again under a higher number.
+    def test_a_repeated_start_that_is_old_is_stopped(self):
+        self.order_numbered(4)
+        self.answer(Verdict.NO_ANSWER, Verdict.STALE_NUMBER)
+        self.assertEqual([4, 4], [start.number for start in self.starts()])
+        self.assertIsInstance(self.board.calls[-1], StopCall)
+        call = serverpoll.next_poll(self.board)
+        start = self.starts()[0]
+        ended = EndedRun(1, start.run.name, 4, ServerEnd.DONE)
+        agentengine.on_poll_result(
+            self.board, call, PollResult(Verdict.OK, 1, 1, (), (ended,))
+        )
+        (held,) = self.board.held_ends.values()
+        self.assertEqual(
+            (4, 1, RunEnd.DONE), (held.run, held.attempt, held.end)
+        )
+
+    def test_a_first_start_that_is_old_is_reported_as_stopped(self):
+        self.order_numbered(4)
+        self.answer(Verdict.STALE_NUMBER)
+        self.assertEqual([RunEnd.STOPPED], self.ends())
+        self.order_numbered(5, attempt=2)
+        self.assertEqual([4, 5], [start.number for start in self.starts()])
+
+    def test_the_end_of_a_run_with_another_number_has_none(self):
+        self.order_numbered(4)
+        self.answer(Verdict.OK)
+        agentengine.on_message(self.board, ENTRY, StopRuns("j", (1,)))
+        self.order_numbered(2, attempt=2)
+        call = serverpoll.next_poll(self.board)
+        name = self.starts()[0].run.name
+        stopped = EndedRun(1, name, 4, ServerEnd.STOPPED)
+        agentengine.on_poll_result(
+            self.board, call, PollResult(Verdict.OK, 1, 1, (), (stopped,))
+        )
+        self.assertEqual([4, 5], [start.number for start in self.starts()])
+        done = EndedRun(2, name, 5, ServerEnd.DONE)
+        agentengine.on_poll_result(
+            self.board,
+            serverpoll.next_poll(self.board),
+            PollResult(Verdict.OK, 1, 1, (), (done,)),
+        )
+        (held,) = self.board.held_ends.values()
+        self.assertEqual((0, 2), (held.run, held.attempt))
+
+
 class TestOrders(AgentCase):
     def test_a_delayed_order_is_refused(self):
         """Its entry may have dispatched the tasks to other agents since."""
