Cancel a job for all its callers and at all entries

Where the job was open, the other entries were not told, though one of them may have got a repeated submission.

Failed before: test_a_forwarded_job_is_cancelled_for_all_its_callers (new call).

--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -311,8 +311,8 @@
         void_ends: Sequence numbers of held ends that may be acknowledged once
             the lease has expired.
         held_ends_sent_s: When the held ends were last sent to entries.
-        wanted_entries: Until when a link with an entry is wanted for the ends
-            of the jobs that it coordinates, by address.
+        wanted_entries: Until when a link is wanted with an entry that needs the
+            ends held here, or this agent, by address.
         runs: Runs held, by coordinator and attempt.
         runs_by_task: The live run of each task.
         run_numbers: Highest run number used for a task, and when it was used.
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -118,12 +118,22 @@
     dispatch.dispatch_waiting(board)
 
 
-def has_open(board: EntryBoard, job: str) -> bool:
-    """Whether a job that is not kept is open here, or was forwarded."""
+def cancel_for_all(board: EntryBoard, job: str, reason: str) -> bool:
+    """Cancels a job that is not kept, whoever else waits for it.
+
+    Returns:
+        Whether it was open here, or was forwarded.
+    """
     open_job = board.jobs.get(job)
-    if open_job is not None:
-        return not open_job.spec.kept
-    return job in board.forwarding.sent
+    if open_job is None and job not in board.forwarding.sent:
+        return False
+    if open_job is not None and open_job.spec.kept:
+        return False
+    received = board.forwarding.received.get(job)
+    if received is not None:
+        received.is_joined = False
+    cancel(board, job, reason)
+    return True
 
 
 def on_operators(board: EntryBoard, state: OperatorState) -> None:
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -299,12 +299,18 @@
             or len(self.cancelled_s) > MAX_CANCELLED
         ):
             del self.cancelled_s[oldest]
-        is_open = entryengine.has_open(self.board, job)
-        if is_open:
-            entryengine.cancel(self.board, job, CANCELLED_REASON)
-            self._process_output()
+        is_open = entryengine.cancel_for_all(self.board, job, CANCELLED_REASON)
+        self._process_output()
         return is_open
 
+    def tell_cancelled(self, job: str) -> None:
+        """Has a job that was open here cancelled at the other entries too.
+
+        Another entry may have forwarded it, or got a repeated submission.
+        """
+        self.last_question += 1
+        self._send_to_entries(JobQuestion(self.last_question, job, True))
+
     async def cancel_elsewhere(self, job: str) -> bool:
         """Cancels a job that is not kept at the other entries.
 
@@ -666,7 +672,9 @@
         self.sent_hello, self.hello_sent_s = hello, now_s
         self._send_to_entries(hello)
 
-    def _send_to_entries(self, message: EntryHello | ServerCrash) -> None:
+    def _send_to_entries(
+        self, message: EntryHello | ServerCrash | JobQuestion
+    ) -> None:
         """Sends a message to all other entries."""
         for client in self.entry_clients.values():
             if client.peer:
--- a/tests/scheduling/test_entryengine.py
+++ b/tests/scheduling/test_entryengine.py
@@ -1,5 +1,7 @@
 """Tests of the scheduling engine of an entry."""
 
+import dataclasses
+
 import testtools
 
 from egretthread.scheduling import (
@@ -8,7 +10,9 @@
     keptjobs,
     leaserule,
 )
+from egretthread.scheduling.forwardboard import ReceivedJob
 from egretthread.scheduling.jobspec import OperatorState
+from tests.scheduling import region
 
 
 class TestRestartedAgent(testtools.TestCase):
@@ -82,3 +86,29 @@
         entryengine.on_link_open(board, "agent#1")
         agentviews.send_heartbeat_reply(board, view)
         self.assertEqual(("lookup", "match"), sent())
+
+
+class TestCancellation(testtools.TestCase):
+    # Guards against UNASKED: a cancelled job went on for another caller.
+    def test_a_forwarded_job_is_cancelled_for_all_its_callers(self):
+        world = region.Region(entries=1, agents=1, work_s=lambda name: 5.0)
+        world.run(2.0)
+        world.submit(region.job("j"), "e0", 9.0)
+        world.run(0.2)
+        board = world.entries["e0"].board
+        board.forwarding.received["j"] = ReceivedJob(
+            1, "e1#1", 100.0, board.now_s, is_joined=True
+        )
+        self.assertTrue(entryengine.cancel_for_all(board, "j", "cancelled"))
+        self.assertEqual({}, board.jobs)
+        self.assertEqual({}, board.forwarding.received)
+        self.assertFalse(entryengine.cancel_for_all(board, "j", "cancelled"))
+
+    def test_a_kept_job_is_not_cancelled_without_the_store(self):
+        world = region.Region(entries=1, agents=1, work_s=lambda name: 5.0)
+        world.run(6.0)
+        world.submit_kept(dataclasses.replace(region.job("k"), kept=True))
+        world.run(0.2)
+        board = world.entries["e0"].board
+        self.assertFalse(entryengine.cancel_for_all(board, "k", "cancelled"))
+        self.assertIn("k", board.jobs)
