--- a/egretthread/scheduling/agentboard.py
+++ b/egretthread/scheduling/agentboard.py
@@ -311,8 +311,8 @@
         void_ends: Sequence numbers of held ends that may be acknowledged once
             the lease has expired.
         held_ends_sent_s: When the held ends were last sent to entries.
-        wanted_entries: Until when a link is wanted with an entry that needs the
-            ends held here, or this agent, by address.
+        wanted_links: Until when a link with an entry outside the selection is
+            wanted, by address.
         runs: Runs held, by coordinator and attempt.
         runs_by_task: The live run of each task.
         run_numbers: Highest run number used for a task, and when it was used.
@@ -365,7 +365,7 @@
     held_ends: dict[int, HeldEnd] = dataclasses.field(default_factory=dict)
     void_ends: set[int] = dataclasses.field(default_factory=set)
     held_ends_sent_s: float = 0.0
-    wanted_entries: dict[str, float] = dataclasses.field(default_factory=dict)
+    wanted_links: dict[str, float] = dataclasses.field(default_factory=dict)
     runs: dict[tuple[str, int], Run] = dataclasses.field(default_factory=dict)
     runs_by_task: dict[TaskName, Run] = dataclasses.field(default_factory=dict)
     run_numbers: dict[TaskName, tuple[int, float]] = dataclasses.field(
--- a/egretthread/scheduling/agentengine.py
+++ b/egretthread/scheduling/agentengine.py
@@ -9,6 +9,7 @@
     servercrash,
     serveridentity,
     serverpoll,
+    wantedlinks,
 )
 from egretthread.scheduling.agentboard import (
     AgentBoard,
@@ -88,7 +89,7 @@
         leaserule.coordinator_lease_end_s(heartbeat.echo_ms),
     )
     _send_operator_record(board, coordinator, heartbeat)
-    heldends.want_links(board, heartbeat.coordinators)
+    wantedlinks.want(board, heartbeat.coordinators)
     if heartbeat.services:
         _on_services(board, heartbeat)
     if heartbeat.operator_offset >= board.operator_offset:
--- a/egretthread/scheduling/agentserver.py
+++ b/egretthread/scheduling/agentserver.py
@@ -7,9 +7,9 @@
 from egretthread import background, clock, link, logs, nodeid, routes
 from egretthread.scheduling import (
     agentengine,
-    heldends,
     linkchoice,
     serverpoll,
+    wantedlinks,
 )
 from egretthread.scheduling.agentboard import (
     AgentBoard,
@@ -301,7 +301,7 @@
         selected = linkchoice.choose(
             self.settings.name, self._known_entries(), unreachable
         )
-        selected += heldends.wanted_entries(self.board)
+        selected += wantedlinks.addresses(self.board)
         for address in selected:
             if address in self.entry_clients:
                 continue
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -19,11 +19,7 @@
 )
 from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
-from egretthread.scheduling.jobrecord import (
-    JobState,
-    Progress,
-    Submission,
-)
+from egretthread.scheduling.jobrecord import JobState, Progress, Submission
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
 from egretthread.scheduling.keptboard import Partition, ProgressBatch
 from egretthread.scheduling.nodesettings import NodeSettings
@@ -291,14 +287,7 @@
         It is not started again if a repeated submission arrives later.
         """
         self._update_time()
-        self.cancelled_s.pop(job, None)
-        self.cancelled_s[job] = self.board.now_s
-        oldest = next(iter(self.cancelled_s))
-        if (
-            not self._is_cancelled(oldest)
-            or len(self.cancelled_s) > MAX_CANCELLED
-        ):
-            del self.cancelled_s[oldest]
+        self._remember_cancelled(job)
         is_open = entryengine.cancel_for_all(self.board, job, CANCELLED_REASON)
         self._process_output()
         return is_open
@@ -326,6 +315,14 @@
         # Earlier releases take it for a question for the state of a kept job.
         return JobState.CANCELLED in replies
 
+    def _remember_cancelled(self, job: str) -> None:
+        self.cancelled_s.pop(job, None)
+        self.cancelled_s[job] = self.board.now_s
+        oldest = next(iter(self.cancelled_s))
+        is_full = len(self.cancelled_s) > MAX_CANCELLED
+        if is_full or not self._is_cancelled(oldest):
+            del self.cancelled_s[oldest]
+
     def _is_cancelled(self, job: str) -> bool:
         cancelled_s = self.cancelled_s.get(job, -math.inf)
         return self.board.now_s - cancelled_s < CANCEL_MEMORY_S
--- a/egretthread/scheduling/heldends.py
+++ b/egretthread/scheduling/heldends.py
@@ -6,9 +6,8 @@
 is acknowledged only after the backend server's lease has expired.
 """
 
-from collections.abc import Iterable
-
 from egretthread import logs
+from egretthread.scheduling import wantedlinks
 from egretthread.scheduling.agentboard import AgentBoard, Coordinator, Run
 from egretthread.scheduling.runmessage import (
     HeldEnd,
@@ -21,9 +20,6 @@
 # Interval between sends of the same ends to all entries. A coordinator writes
 # them to the store within a few ms.
 RESEND_S = 0.3
-# Time for which a link with an entry outside the selection is kept after the
-# agent was last told of its need.
-WANTED_LINK_S = 15.0
 # Maximum number of ends that the backend server has to list. It lists 500 at a
 # time, and further ones would not be seen. Entries settle the ends long before,
 # unless no entry can reach the store.
@@ -136,10 +132,13 @@
 def on_settle_ends(
     board: AgentBoard, coordinator: Coordinator, settled: SettleEnds
 ) -> None:
-    """Releases the ends that an entry has written, and marks the void ones."""
+    """Releases the ends that an entry has written, and marks the void ones.
+
+    For the others, the agent links with their coordinators.
+    """
     if board.server is None or board.server.incarnation != settled.server:
         return
-    want_links(board, settled.coordinators)
+    wantedlinks.want(board, settled.coordinators)
     for sequence in settled.taken:
         if sequence not in board.void_ends:
             board.held_ends.pop(sequence, None)
@@ -160,20 +159,6 @@
         board.void_ends.clear()
 
 
-def want_links(board: AgentBoard, addresses: Iterable[str]) -> None:
-    """Records entries with which links are wanted for some time."""
-    for address in addresses:
-        board.wanted_entries[address] = board.now_s + WANTED_LINK_S
-
-
-def wanted_entries(board: AgentBoard) -> tuple[str, ...]:
-    """Returns the addresses of entries with which links are wanted."""
-    for address, until_s in tuple(board.wanted_entries.items()):
-        if until_s < board.now_s:
-            del board.wanted_entries[address]
-    return tuple(board.wanted_entries)
-
-
 def clear(board: AgentBoard) -> None:
     """Removes all ends after the backend server's incarnation has ended."""
     board.last_processed = board.acked_last_seen = 0
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -476,15 +476,17 @@
     for task in tasks:
         if task.state is TaskState.DONE:
             done.setdefault(task.step, set()).add(task.index)
+    superseded_all, superseded = runnumbers.record(kept_job.job)
     return Progress(
-        kept_job.state,
-        {step: frozenset(indices) for step, indices in done.items()},
-        {(t.step, t.index): t.failures for t in tasks if t.failures},
-        kept_job.ended_unix_s,
-        _crashes(board, kept_job.job),
-        *runnumbers.record(kept_job.job),
-        tuple(kept_job.ends),
-        kept_job.has_begun,
+        state=kept_job.state,
+        done={step: frozenset(indices) for step, indices in done.items()},
+        failures={(t.step, t.index): t.failures for t in tasks if t.failures},
+        ended_unix_s=kept_job.ended_unix_s,
+        crashes=_crashes(board, kept_job.job),
+        superseded_all=superseded_all,
+        superseded=superseded,
+        ends=tuple(kept_job.ends),
+        has_begun=kept_job.has_begun,
     )
 
 
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -14,7 +14,6 @@
     agentengine,
     entryengine,
     forwardedjobs,
-    heldends,
     isolation,
     jobrecord,
     keptjobs,
@@ -22,6 +21,7 @@
     pendingcounts,
     serverneeds,
     serverpoll,
+    wantedlinks,
 )
 from egretthread.scheduling.agentboard import StartCall
 from egretthread.scheduling.entryboard import Outcome
@@ -583,7 +583,7 @@
             for number in tuple(board.kept.partitions):
                 self.write(process, number)
             return
-        for name in heldends.wanted_entries(board):
+        for name in wantedlinks.addresses(board):
             self._link(self.entries[name], process, is_wanted=True)
         calls, board.calls = board.calls, []
         for call in calls:
--- a/tests/scheduling/test_agentserver.py
+++ b/tests/scheduling/test_agentserver.py
@@ -104,7 +104,7 @@
         entry = entries[min(wanted)]
         entry.agent_links.send(agent.board.node, told)
         await until(lambda: self.linked(agent) == wanted | {other})
-        agent.board.wanted_entries[other] = 0.0
+        agent.board.wanted_links[other] = 0.0
         await until(lambda: self.linked(agent) == wanted)
         await agent.close()
         for entry in entries.values():
--- a/tests/scheduling/test_heldends.py
+++ b/tests/scheduling/test_heldends.py
@@ -4,7 +4,12 @@
 
 import testtools
 
-from egretthread.scheduling import agentengine, heldends, serverpoll
+from egretthread.scheduling import (
+    agentengine,
+    heldends,
+    serverpoll,
+    wantedlinks,
+)
 from egretthread.scheduling.agentboard import ServerRecord, TaskName
 from egretthread.scheduling.room import Room
 from egretthread.scheduling.runmessage import EntryBeat, HeldEnds, SettleEnds
@@ -141,7 +146,7 @@
     def test_an_agent_wants_links_with_the_coordinators_of_its_ends(self):
         told = SettleEnds(SERVER, (), (), ("e2:7600",))
         agentengine.on_message(self.board, "e#1", told)
-        self.assertEqual(("e2:7600",), heldends.wanted_entries(self.board))
+        self.assertEqual(("e2:7600",), wantedlinks.addresses(self.board))
         self.assertEqual({1, 3}, self.board.held_ends.keys())
-        self.board.now_s += heldends.WANTED_LINK_S + 0.1
-        self.assertEqual((), heldends.wanted_entries(self.board))
+        self.board.now_s += wantedlinks.KEEP_S + 0.1
+        self.assertEqual((), wantedlinks.addresses(self.board))
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -345,7 +345,7 @@
         world.run(6.0)
         self.assertEqual(1, len(serverneeds.unmet(board)))
         for agent in world.agents.values():
-            self.assertEqual({}, agent.board.wanted_entries)
+            self.assertEqual({}, agent.board.wanted_links)
 
     def test_the_needs_that_are_told_are_bounded(self):
         world, board = self.start_region()
