Test refusals once the backend server is confirmed

test_a_refusal_names_its_reason_and_the_remedy failed at times (400 != 200), as the review traced: before a poll has confirmed the backend server, a leave of another id is acknowledged, since it can't be told from a leave of the server itself. The test waited for the services only. It waits for the poll too, and asserts the same.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -262,7 +262,9 @@
     def test_a_refusal_names_its_reason_and_the_remedy(self):
         async def scenario(cluster):
             server = cluster.backend.server
-            await until(lambda: cluster.agent.server.board.services)
+            board = cluster.agent.server.board
+            # Before a poll, another writer's leave can't be told from its own.
+            await until(lambda: board.services and board.is_confirmed)
             for path, table, kind in (
                 (f"Heartbeat/{server.id}", [1], "bad_body"),
                 (f"Leave/{server.id}", [1], "bad_body"),
