--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -120,9 +120,40 @@
         (
             "count jobs as begun once they are ordered",
             "pendingcounts.py",
-            "        and view.last_received_s > received_s\n",
+            " and view.last_received_s > task.start_by_s + DELIVERY_S\n",
+            "\n",
+        ),
+        (
+            "accept the ends of superseded runs",
+            "keptjobs.py",
+            "    if _is_superseded(board, kept_job, task, end):\n"
+            "        return False\n",
             "",
         ),
+        (
+            "start tasks before their numbers are stored",
+            "jobs.py",
+            "        task.state = TaskState.RECORDING\n",
+            "        enqueue(board, task)\n",
+        ),
+        (
+            "forget which ends are included in the progress",
+            "keptjobs.py",
+            "(end.step, end.index, end.run) in kept_job.loaded.ends:",
+            "False:",
+        ),
+        (
+            "number the runs of a job that was taken over from the beginning",
+            "runnumbers.py",
+            "    job.first_run = max(progress.superseded_all, known) + 2",
+            "    pass",
+        ),
+        (
+            "start a run again whose start is refused as old",
+            "runorders.py",
+            "    if run.number == run.ordered_number:",
+            "    if False:",
+        ),
     )
 )
 # Mutations of the appends to the log of kept jobs.
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -351,17 +351,20 @@
             self._link(entry, process)
         return process
 
-    def _link(self, entry, agent, is_wanted=False):
-        """Opens a link soon, if the agent selects the entry or wants it."""
-        pair = (entry.board.node, agent.board.node)
-        if pair in self.linked:
-            return
-        if self.is_partly_linked and not is_wanted:
+    def _link(self, entry, agent):
+        """Opens a link soon, if the agent selects the entry."""
+        if self.is_partly_linked:
             chosen = linkchoice.choose(agent.name, self.entry_names, ())
             if entry.name not in chosen:
                 return
-        self.linked.add(pair)
-        self.at(0.005, self.connect, entry, agent)
+        self._link_pair(entry, agent)
+
+    def _link_pair(self, entry, agent):
+        """Opens a link soon, unless the two link with each other already."""
+        pair = (entry.board.node, agent.board.node)
+        if pair not in self.linked:
+            self.linked.add(pair)
+            self.at(0.005, self.connect, entry, agent)
 
     def kill(self, process, back_s):
         """Kills a process; a new one replaces it after `back_s`."""
@@ -584,7 +587,7 @@
                 self.write(process, number)
             return
         for name in wantedlinks.addresses(board):
-            self._link(self.entries[name], process, is_wanted=True)
+            self._link_pair(self.entries[name], process)
         calls, board.calls = board.calls, []
         for call in calls:
             self.send_call(process, call)
--- a/tests/scheduling/test_takeovers.py
+++ b/tests/scheduling/test_takeovers.py
@@ -153,6 +153,13 @@
             if name.job == "k"
         ][0]
 
+    def has_lapsed(self):
+        """Whether the lease of the server of agent a0 has lapsed."""
+        return any(
+            name.job == "f" and end == "lapsed"
+            for name, _, _, _, end in self.world.servers["a0"].history
+        )
+
     def finish(self):
         """Runs until the job has ended; returns the violations."""
         self.world.finish(30.0)
@@ -299,4 +306,27 @@
             counted = [how for how in ends if how in ("done", "failed")]
             if found or state != "completed" or counted != expected:
                 broken[case] = (state, ends, found)
+            elif takeover.has_lapsed() and case[3] != "restart of the agent":
+                broken[case] = "the lease has lapsed"
         self.assertEqual({}, broken)
+
+
+class TestUnstoredRuns(testtools.TestCase):
+    """The coordinator loses the store, then the run, and then the job."""
+
+    # Guards against TWICE: a task was started again before the store had the
+    # number of its last run, so that the successor took the end of that.
+    def test_a_task_is_not_started_again_without_the_store(self):
+        takeover = Takeover()
+        world = takeover.world
+        takeover.start(-1.9)
+        takeover.isolate("e0", "a0")
+        # It notices the loss of the run before that of its partition.
+        world.run(1.2)
+        world.log.cut_s["e0"] = world.now_s + 30.0
+        world.log.preferred[takeover.part] = "e1"
+        found = takeover.finish()
+        self.assertEqual([], found)
+        ends = [end for _, _, end in takeover.runs()]
+        self.assertEqual(1, len(ends), ends)
+        self.assertEqual({"k": "completed"}, world.log.states())
