Test compatibility with the schema before run numbers, and the bounds of progress

Cause: that the former release reads the changed messages and records, and the reverse, was shown by a trial script only, and no test held the bounds of progress.

Change: the tests read frames of random messages with the former schema, and decode frames built with it; progress keeps the fields that former releases read; the ends in the progress of a job and in a batch are bounded. Entries log ends that are void, as end_superseded, and agents the links that they are told to open, as link_wanted.

Measured: the new tests pass; 200 random messages each way, of the six types that have got fields.

--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -339,6 +339,15 @@
             _list_end(kept_job, end)
             board.kept.mark_dirty(kept_job)
         else:
+            logs.info(
+                "end_superseded",
+                job=end.job,
+                step=end.step,
+                index=end.index,
+                run=end.run,
+                end=end.end,
+                agent=view.node,
+            )
             void.append(end.sequence)
     if settled or void or elsewhere:
         settle = SettleEnds(
--- a/egretthread/scheduling/wantedlinks.py
+++ b/egretthread/scheduling/wantedlinks.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 
+from egretthread import logs
 from egretthread.scheduling.agentboard import AgentBoard
 
 # Time for which such a link is kept after the agent was last told of the entry.
@@ -15,6 +16,8 @@
 def want(board: AgentBoard, addresses: Iterable[str]) -> None:
     """Records entries that need a link, by their addresses."""
     for address in addresses:
+        if address not in board.wanted_links:
+            logs.info("link_wanted", address=address)
         board.wanted_links[address] = board.now_s + KEEP_S
 
 
--- a/tests/scheduling/test_jobrecord.py
+++ b/tests/scheduling/test_jobrecord.py
@@ -44,6 +44,28 @@
         value = jobrecord.encode_progress(progress)
         self.assertEqual(progress, jobrecord.decode_progress(value))
 
+    def test_progress_has_the_fields_that_earlier_releases_read(self):
+        progress = Progress(
+            JobState.FAILED,
+            {0: frozenset((0, 2))},
+            {(0, 1): 3},
+            4.5,
+            {(0, 1): ("i@1",)},
+            5,
+            {(0, 1): 7},
+            ((0, 1, 7),),
+            True,
+        )
+        table = orjson.loads(jobrecord.encode_progress(progress))
+        earlier = {
+            "state": "failed",
+            "done": {"0": "BQ=="},
+            "failures": [[0, 1, 3]],
+            "ended_unix_s": 4.5,
+            "crashes": [[0, 1, ["i@1"]]],
+        }
+        self.assertEqual(earlier, {key: table[key] for key in earlier})
+
     def test_progress_of_earlier_releases_can_be_read(self):
         value = orjson.dumps(
             {
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -359,6 +359,38 @@
         self.assertEqual(serverneeds.MAX_NEEDS, len(needs))
 
 
+class TestBounds(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = region.Region(entries=1, agents=2)
+        self.world.run(6.0)
+
+    def test_the_ends_in_progress_are_bounded(self):
+        self.world.submit_kept(kept_job("k", count=2 * keptjobs.MAX_ENDS))
+        self.world.finish(10.0)
+        progress = jobrecord.decode_progress(self.world.log.progress["k"])
+        self.assertEqual(jobrecord.JobState.COMPLETED, progress.state)
+        self.assertEqual(keptjobs.MAX_ENDS, len(progress.ends))
+        self.assertEqual({}, progress.superseded)
+
+    def test_the_ends_in_a_batch_are_bounded(self):
+        self.patch(keptjobs, "MAX_BATCH_ENDS", 6)
+        board = self.world.entries["e0"].board
+        for number in range(12):
+            self.world.submit_kept(kept_job(f"k{number}"))
+        self.world.finish(5.0)
+        for partition in board.kept.partitions.values():
+            for job in partition.jobs.values():
+                board.kept.mark_dirty(job)
+        sizes = []
+        for number in board.kept.partitions:
+            while (batch := keptjobs.take_batch(board, number)) is not None:
+                sizes.append(len(batch.progress))
+        self.assertEqual(12, sum(sizes))
+        # Four ends a job: the second one reaches the limit.
+        self.assertLessEqual(max(sizes), 2)
+
+
 class TestUnreadJobs(testtools.TestCase):
     """A coordinator is offered the end of a job that it has not read yet."""
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,11 +1,13 @@
 """Tests of encoding messages as frames and decoding them."""
 
 import enum
+import pathlib
 import subprocess
 import sys
 import types
 import typing
 
+import capnp
 import hypothesis
 import testtools
 from hypothesis import strategies as st
@@ -13,6 +15,7 @@
 from egretthread import message, wire
 from egretthread.jobkey import JobRef
 from egretthread.outcome import done
+from egretthread.scheduling import runmessage
 
 PLAIN = {
     bool: st.booleans(),
@@ -162,3 +165,52 @@
                 check=True,
             ).stdout
             self.assertEqual("[]", output.strip())
+
+
+# The schema of the release before entries numbered the runs of kept jobs.
+EARLIER_SCHEMA = capnp.SchemaParser().load(
+    str(pathlib.Path(__file__).parent / "data" / "earlierwire.capnp")
+)
+# Messages that have got fields since.
+EXTENDED = (
+    runmessage.StartRuns,
+    runmessage.HeldEnds,
+    runmessage.SettleEnds,
+    runmessage.EntryBeat,
+    runmessage.EntryHello,
+    runmessage.JobQuestion,
+)
+
+
+def fields(schema, frame):
+    """Returns the messages of a frame as tables, read with a schema."""
+    with schema.Batch.from_bytes(frame) as batch:
+        return [reader.to_dict() for reader in batch.messages]
+
+
+def common(table, earlier):
+    """Returns a table without the fields that an earlier one lacks."""
+    if isinstance(table, dict):
+        return {key: common(table[key], earlier[key]) for key in earlier}
+    if isinstance(table, list):
+        return [common(*rows) for rows in zip(table, earlier, strict=True)]
+    return table
+
+
+class TestEarlierRelease(testtools.TestCase):
+    @hypothesis.given(st.one_of(*[values(cls) for cls in EXTENDED]))
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    def test_an_earlier_release_reads_what_it_knows(self, outgoing):
+        frame = wire.encode([outgoing])
+        tables = fields(EARLIER_SCHEMA, frame)
+        self.assertEqual(common(fields(wire.schema, frame), tables), tables)
+
+    @hypothesis.given(st.one_of(*[values(cls) for cls in EXTENDED]))
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    def test_messages_of_an_earlier_release_can_be_read(self, outgoing):
+        tables = fields(EARLIER_SCHEMA, wire.encode([outgoing]))
+        earlier = EARLIER_SCHEMA.Batch.new_message(
+            version=wire.WIRE_VERSION, messages=tables
+        )
+        decoded = wire.decode(earlier.to_bytes())
+        self.assertEqual(tables, fields(EARLIER_SCHEMA, wire.encode(decoded)))
