--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import dataclasses
-import math
 
 from egretthread import background, clock, link, logs, nodeid, routes, util
 from egretthread.listeners import Listeners
 from egretthread.scheduling import (
+    cancelbook,
     dispatch,
     entryengine,
     forwardedjobs,
@@ -55,11 +55,7 @@
 # Timeout of a question to another entry about the state of a job. It allows for
 # a few round trips; after that the store is queried.
 QUESTION_TIMEOUT_S = 0.3
-# How long a cancelled job that is not kept is remembered, and how many are. A
-# submission may be repeated some seconds later, and other entries may be
-# unreachable for a time.
-CANCEL_MEMORY_S = 10.0
-MAX_CANCELLED = 5000
+# Reason of the answer to a job that was cancelled by a DELETE.
 CANCELLED_REASON = "cancelled by its caller"
 # Age beyond which the last hello of another entry is ignored.
 MAX_HELLO_AGE_S = 3.0
@@ -103,8 +99,7 @@
         is_drained: Whether jobs are no longer accepted.
         sent_hello: The hello that was last sent to all entries.
         hello_sent_s: When it was sent.
-        cancelled_s: When a job that is not kept was cancelled lately, by id,
-            the oldest first.
+        cancelled: Jobs that are not kept and were cancelled lately.
         hellos: Last hello of each other entry and when it arrived, by address.
         known_entry_nodes: When the first hello of each process of an entry
             arrived, by node id.
@@ -151,7 +146,7 @@
         self.is_drained = False
         self.sent_hello: EntryHello | None = None
         self.hello_sent_s = 0.0
-        self.cancelled_s: dict[str, float] = {}
+        self.cancelled = cancelbook.CancelBook()
         self.hellos: dict[str, tuple[EntryHello, float]] = {}
         self.known_entry_nodes: dict[str, float] = {}
         self.questions: dict[int, asyncio.Future] = {}
@@ -235,7 +230,7 @@
             logs.info("caller_left", job=spec.job, route=route.name)
             waiter.set_result(Answer(spec.job, Outcome.REFUSED, "caller left"))
             return waiter
-        if self._is_cancelled(spec.job):
+        if self.cancelled.holds(spec.job, self.board.now_s):
             waiter.set_result(
                 Answer(spec.job, Outcome.CANCELLED, CANCELLED_REASON)
             )
@@ -287,7 +282,7 @@
         It is not started again if a repeated submission arrives later.
         """
         self._update_time()
-        self._remember_cancelled(job)
+        self.cancelled.add(job, self.board.now_s)
         is_open = entryengine.cancel_for_all(self.board, job, CANCELLED_REASON)
         self._process_output()
         return is_open
@@ -315,18 +310,6 @@
         # Earlier releases take it for a question for the state of a kept job.
         return JobState.CANCELLED in replies
 
-    def _remember_cancelled(self, job: str) -> None:
-        self.cancelled_s.pop(job, None)
-        self.cancelled_s[job] = self.board.now_s
-        oldest = next(iter(self.cancelled_s))
-        is_full = len(self.cancelled_s) > MAX_CANCELLED
-        if is_full or not self._is_cancelled(oldest):
-            del self.cancelled_s[oldest]
-
-    def _is_cancelled(self, job: str) -> bool:
-        cancelled_s = self.cancelled_s.get(job, -math.inf)
-        return self.board.now_s - cancelled_s < CANCEL_MEMORY_S
-
     def assign_partitions(
         self, generation: int, numbers: tuple[int, ...], until_s: float
     ) -> list[Partition]:
@@ -618,10 +601,9 @@
         self.unreachable_since_s.pop(peer.address, None)
         peer.send(self._make_hello())
         self._update_time()
-        for job in self.cancelled_s:
-            if self._is_cancelled(job):
-                self.last_question += 1
-                peer.send(JobQuestion(self.last_question, job, cancels=True))
+        for job in self.cancelled.jobs(self.board.now_s):
+            self.last_question += 1
+            peer.send(JobQuestion(self.last_question, job, cancels=True))
         self.entry_links.add(peer)
         forwardedjobs.on_link_open(self.board, peer.node)
 
