Say in two comments how coordinators tell ends apart and find them

Cause: the module comments of keptjobs and heldends described the state before the numbers of runs and the wanted links. Change: comments only.

--- a/egretthread/scheduling/heldends.py
+++ b/egretthread/scheduling/heldends.py
@@ -85,7 +85,11 @@
 
 
 def resend(board: AgentBoard) -> None:
-    """Sends the held ends to all entries, as their coordinator may be lost."""
+    """Sends the held ends to all linked entries.
+
+    Their coordinator may be lost. An entry that is not the coordinator names
+    the one that is, and the agent links with it (see `wantedlinks`).
+    """
     if (
         board.last_processed - board.last_seen > MAX_LISTED
         and not board.void_ends
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -5,7 +5,8 @@
 limited time. The coordinator reads the log, dispatches the tasks, and writes
 the progress of each job before the backend server that ran a task may discard
 the end of that run. A new coordinator waits until all runs ordered by earlier
-coordinators have ended, and learns from the agents how they ended.
+coordinators have ended, and learns from the agents how they ended. Which of
+these ends still count follows from the numbers of the runs (see `runnumbers`).
 """
 
 from collections.abc import Collection, Iterable
