Give the scripted HTTP server of the tests an address of its own

Cause: two requests of another program. The log of that run has two connections on which a header had arrived and no body; the pool writes both at once, and always a body of two bytes. Ports at 127.0.0.1 are drawn from one range by all runs, and some programs go on asking a port whose owner has ended. Ruled out: connections that the pool opens again, which would have a body.

Change: the server listens at an address of 127.9.0.0/16 that follows from the id of the process.

--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client connection and its pool."""
 
 import asyncio
+import os
 
 import testtools
 
@@ -9,6 +10,10 @@
 
 MAX_BODY_BYTES = 1000
 
+# An address of this process alone. Requests that other programs still send to
+# the former owner of a port would count as connections.
+HOST = "127.9.{}.{}".format(*divmod(os.getpid() % 65_000 + 256, 256))
+
 
 class ScriptedServer:
     """Answers each request with the next scripted parts, sent apart.
@@ -26,7 +31,7 @@
         self.connections = 0
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.serve, HOST, 0)
         return self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
@@ -53,7 +58,7 @@
     async def scenario():
         port = await server.start()
         pool = backendpool.ConnectionPool(
-            f"http://127.0.0.1:{port}", 1, MAX_BODY_BYTES
+            f"http://{HOST}:{port}", 1, MAX_BODY_BYTES
         )
         results = []
         timeout_s = first_timeout_s
@@ -190,7 +195,7 @@
             server = ScriptedServer(*([(reply,)] * 4), (), (reply,))
             port = await server.start()
             pool = backendpool.ConnectionPool(
-                f"http://127.0.0.1:{port}", 4, MAX_BODY_BYTES, closes_idle=True
+                f"http://{HOST}:{port}", 4, MAX_BODY_BYTES, closes_idle=True
             )
 
             def request(timeout_s=TEST_TIMEOUT_S):
@@ -217,7 +222,7 @@
             server = ScriptedServer((reply,), (reply,), ())
             port = await server.start()
             pool = backendpool.ConnectionPool(
-                f"http://127.0.0.1:{port}", 2, MAX_BODY_BYTES
+                f"http://{HOST}:{port}", 2, MAX_BODY_BYTES
             )
             await asyncio.gather(
                 *(pool.request("/x", b"{}", TEST_TIMEOUT_S) for _ in range(2))
@@ -239,7 +244,7 @@
             server.server.close()
             await server.server.wait_closed()
             pool = backendpool.ConnectionPool(
-                f"http://127.0.0.1:{port}", 1, MAX_BODY_BYTES
+                f"http://{HOST}:{port}", 1, MAX_BODY_BYTES
             )
             with self.assertRaises(ConnectionRefusedError):
                 await pool.request("/x", b"{}", 1.0)
