--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -242,9 +242,36 @@
             for row in keptjobs.pending(entry.board)
         )
 
-    # Guards against MIXED: urgent tasks are queued at an agent whose server is
+    # Guards against MIXED: urgent tasks are queued at agents whose servers are
     # full, and refused after some time; their jobs counted as begun.
-    def test_urgent_jobs_that_wait_for_a_full_server_are_counted(self):
+    def test_urgent_jobs_that_wait_for_full_servers_are_counted(self):
+        world = region.Region(
+            entries=3,
+            agents=4,
+            work_s=lambda name: 14.0 if name.job == "filler" else 1.8,
+        )
+        world.run(6.0)
+        world.submit_kept(kept_job("filler", count=32, estimated_s=14.0))
+        world.run(0.5)
+        for number in range(12):
+            world.submit_kept(kept_job(f"k{number}", count=1, estimated_s=1.8))
+            world.run(0.05)
+        counts = set()
+        for _ in range(900):
+            world.run(0.01)
+            counts.add(self.pending(world))
+        self.assertEqual({12}, counts)
+        refused = sum(
+            agent.board.counters["runs_refused"]
+            for agent in world.agents.values()
+        )
+        self.assertGreater(refused, 100)
+        world.finish(12.0)
+        self.assertEqual(0, self.pending(world))
+        self.assertEqual([], world.violations())
+
+    # Guards against a count that falls below the truth as runs begin.
+    def test_urgent_jobs_are_counted_until_they_begin(self):
         world = self.start_region()
         for number in range(12):
             world.submit_kept(kept_job(f"k{number}", count=1, estimated_s=4.0))
