Use plainer words in comments of kept jobs and cancellations

Cause: "tells of", "hears of" and "lately" where the usual words are reports, receives and recently. Change: comments, the name of a method of the entry and of a test class; no behaviour.

--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -347,7 +347,7 @@
             return
         caller = self.caller(route)
         if self.server.cancel_open(self.job):
-            self.server.tell_cancelled(self.job)
+            self.server.announce_cancellation(self.job)
             self.reply(200, {"state": "cancelled"})
             return
         state = await self.job_state(caller)
--- a/egretthread/scheduling/cancelbook.py
+++ b/egretthread/scheduling/cancelbook.py
@@ -11,7 +11,7 @@
 
 @dataclasses.dataclass
 class CancelBook:
-    """Jobs that were cancelled lately.
+    """Jobs that were cancelled recently.
 
     Attributes:
         cancelled_s: When each job was cancelled, by id, the oldest first.
@@ -28,11 +28,11 @@
             del self.cancelled_s[oldest]
 
     def holds(self, job: str, now_s: float) -> bool:
-        """Whether a job was cancelled lately."""
+        """Whether a job was cancelled recently."""
         return (
             job in self.cancelled_s and now_s - self.cancelled_s[job] < MEMORY_S
         )
 
     def jobs(self, now_s: float) -> list[str]:
-        """Returns the ids of the jobs that were cancelled lately."""
+        """Returns the ids of the jobs that were cancelled recently."""
         return [job for job in self.cancelled_s if self.holds(job, now_s)]
--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -119,7 +119,7 @@
 
 
 def cancel_for_all(board: EntryBoard, job: str, reason: str) -> bool:
-    """Cancels a job that is not kept, whoever else waits for it.
+    """Cancels a job that is not kept, also for its other callers.
 
     Returns:
         Whether it was open here, or was forwarded.
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -99,7 +99,7 @@
         is_drained: Whether jobs are no longer accepted.
         sent_hello: The hello that was last sent to all entries.
         hello_sent_s: When it was sent.
-        cancelled: Jobs that are not kept and were cancelled lately.
+        cancelled: Jobs that are not kept and were cancelled recently.
         hellos: Last hello of each other entry and when it arrived, by address.
         known_entry_nodes: When the first hello of each process of an entry
             arrived, by node id.
@@ -287,7 +287,7 @@
         self._process_output()
         return is_open
 
-    def tell_cancelled(self, job: str) -> None:
+    def announce_cancellation(self, job: str) -> None:
         """Has a job that was open here cancelled at the other entries too.
 
         Another entry may have forwarded it, or got a repeated submission.
@@ -298,7 +298,7 @@
     async def cancel_elsewhere(self, job: str) -> bool:
         """Cancels a job that is not kept at the other entries.
 
-        Entries that can't be reached now are told once they can.
+        Unreachable entries are notified when their link opens.
 
         Returns:
             Whether one of them had it open.
--- a/egretthread/scheduling/pendingcounts.py
+++ b/egretthread/scheduling/pendingcounts.py
@@ -22,8 +22,8 @@
 
 # Maximum number of former counts that are kept.
 MAX_FORMER = 500
-# Time after which an agent that is heard of has received an order, or reported
-# that a run which could not start in time is refused.
+# Time in which an agent receives an order, or reports that a run is refused
+# because it could not start in time.
 DELIVERY_S = 0.1
 
 
--- a/egretthread/scheduling/runnumbers.py
+++ b/egretthread/scheduling/runnumbers.py
@@ -57,7 +57,7 @@
 
 
 def record(job: Job) -> tuple[int, dict[tuple[int, int], int]]:
-    """Returns what the progress of a job tells of superseded runs.
+    """Returns the fields on superseded runs in the progress of a job.
 
     Returns:
         `superseded_all` and `superseded` of the progress.
--- a/egretthread/scheduling/serverneeds.py
+++ b/egretthread/scheduling/serverneeds.py
@@ -1,17 +1,18 @@
 """Needs of kept jobs' tasks that no linked agent meets.
 
-With many entries, an agent links with some of them only. A coordinator tells
-the others what its waiting tasks need, and they tell the agents that meet it.
+With many entries, an agent links with some of them only. A coordinator sends
+the needs of its waiting tasks to the others, which name it to the agents that
+meet them.
 """
 
 from egretthread.scheduling.entryboard import AgentView, EntryBoard, Task
 from egretthread.scheduling.room import Room
 from egretthread.scheduling.runmessage import ServerNeed
 
-# Time that a task has waited for before its need is told. An agent that has
+# Time that a task has waited for before its need is sent. An agent that has
 # just started, or that is linked again, is known by then.
 MIN_WAIT_S = 1.0
-# Maximum number of needs that are told.
+# Maximum number of needs that are sent.
 MAX_NEEDS = 20
 
 
--- a/egretthread/scheduling/wantedlinks.py
+++ b/egretthread/scheduling/wantedlinks.py
@@ -9,7 +9,7 @@
 from egretthread import logs
 from egretthread.scheduling.agentboard import AgentBoard
 
-# Time for which such a link is kept after the agent was last told of the entry.
+# Time for which such a link is kept after the entry was last named.
 KEEP_S = 15.0
 
 
--- a/tests/scheduling/pendingcheck.py
+++ b/tests/scheduling/pendingcheck.py
@@ -1,4 +1,4 @@
-"""Compares the counts of waiting kept jobs that entries tell with the truth."""
+"""Compares reported counts of waiting kept jobs with the true ones."""
 
 from egretthread.scheduling import jobrecord
 from tests.scheduling import region
@@ -15,8 +15,8 @@
 
     Attributes:
         world: The region.
-        low: Counts under half of the truth: time, entry, route, the count told,
-            and the jobs that have waited for so long.
+        low: Counts under half of the true ones: time, entry, route, the
+            reported count, and the jobs that have waited for so long.
         accepted_s: When each kept job was accepted.
         disturbed_s: When the log was last disturbed.
         seen: Each entry's process, and when that was last disturbed, by name.
@@ -51,9 +51,11 @@
             if now_s - max(since_s, self.disturbed_s) < CONTACT_S:
                 continue
             for route, jobs in waiting.items():
-                told = world.pending_jobs(process, route)
-                if told < jobs / 2:
-                    self.low.append((now_s, process.name, route, told, jobs))
+                reported = world.pending_jobs(process, route)
+                if reported < jobs / 2:
+                    self.low.append(
+                        (now_s, process.name, route, reported, jobs)
+                    )
 
     def _waiting(self):
         """Returns the number of jobs that have to be counted, by route."""
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -274,7 +274,7 @@
                 pendingcounts.on_hello(process.board, hello, gone)
 
     def pending_jobs(self, process, route):
-        """Returns the number of waiting kept jobs that an entry tells."""
+        """Returns the number of waiting kept jobs that an entry reports."""
         hellos = [hello for hello, _ in process.hellos.values()]
         return pendingcounts.total(process.board, route, hellos)
 
--- a/tests/scheduling/test_takeovers.py
+++ b/tests/scheduling/test_takeovers.py
@@ -1,8 +1,8 @@
 """Tests of kept jobs whose coordinator is lost around the end of a run.
 
 The task of a kept job runs near its data, at the server of agent a0. Around the
-end of that run its partition moves to an entry that can't hear of the end, and
-later to one that can. A job of another entry keeps the lease of that server
+end of that run its partition moves to an entry that doesn't receive the end,
+and later to one that does. A job of another entry keeps the lease of that server
 renewed, so that its ends are never void for want of a lease.
 """
 
@@ -166,7 +166,7 @@
         return self.world.violations()
 
 
-class TestUnheardEnds(testtools.TestCase):
+class TestUndeliveredEnds(testtools.TestCase):
     """The first successor has no link with the agent that holds the end."""
 
     def play(self, step, how, has_failed, then):
@@ -226,7 +226,7 @@
 
 
 class TestLostRuns(testtools.TestCase):
-    """The first coordinator gives the run up before it hears of its end."""
+    """The first coordinator gives the run up before it receives its end."""
 
     def play(self, how, after_s, has_failed, lost, then):
         takeover = Takeover(has_failed)
@@ -269,7 +269,7 @@
 
 
 class TestCountedEnds(testtools.TestCase):
-    """The successors hear of the end, which may have been written before."""
+    """The successors receive the end, which may have been written before."""
 
     def play(self, step, how, has_failed, then):
         takeover = Takeover(has_failed)
