--- a/tests/scheduling/test_takeovers.py
+++ b/tests/scheduling/test_takeovers.py
@@ -2,8 +2,8 @@
 
 The task of a kept job runs near its data, at the server of agent a0. Around the
 end of that run its partition moves to an entry that doesn't receive the end,
-and later to one that does. A job of another entry keeps the lease of that server
-renewed, so that its ends are never void for want of a lease.
+and later to one that does. A job of another entry keeps the lease of that
+server renewed, so that its ends are never void for want of a lease.
 """
 
 import dataclasses
