--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,78 +1,143 @@
-"""An accepted job never runs, as its coordinator takes a lost server for one
-that can run it (see claim.txt)."""
+"""Two runs of a task at once after the partitions were reassigned (see
+claim.txt)."""
 
 import asyncio
 import pathlib
+import signal
+import time
 
 import kit3
-from egretthread.scheduling import linkchoice
 from egretthread_standins.platformsite import site as sites
 
-ENTRIES, AGENTS = 6, 8
-# The two backend servers of kind "b".
-FIRST, SECOND = "agent-3", "agent-6"
-FINISH_S, STILL_S = 14.0, 3.0
+ENTRIES, AGENTS = 3, 8
+WORK_S = 8.0
+# The old coordinator is killed so long after the reassignment.
+KILL_S = 2.1
+# Longest time between the last join of the old coordinator and the first of
+# the new one, after which the old one would stop by itself before it is killed.
+MAX_GAP_S = 0.15
+WAIT_S = 20.0
 
 
-def make_site(folder):
-    """Returns a site, at a port at which some entry has a link with the agent
-    of the first server of kind "b" and none with that of the second."""
-    while True:
-        site = kit3.LabelledSite(
-            sites.SiteSettings(
-                lambda task: 0.4, folder, ENTRIES, AGENTS, keep_logs=False
-            ),
-            kinds={FIRST: "b", SECOND: "b"},
+class Joins:
+    """Sees the joins at the store, and moves all partitions at one of them."""
+
+    def __init__(self, site):
+        self.site = site
+        self.last_s: dict[str, float] = {}
+        self.pair: tuple[str, str] | None = None
+        self.moved_s = 0.0
+        self.on_join = site.store._on_join
+        site.store._on_join = self.join
+
+    async def join(self, machine, request):
+        """Answers a join; before it, moves the partitions if it is time."""
+        now_s = time.monotonic()
+        if self.pair and not self.moved_s and machine == self.pair[1]:
+            gap_s = now_s - self.last_s.get(self.pair[0], 0.0)
+            if gap_s < MAX_GAP_S:
+                self.moved_s = now_s
+                if kit3.has_trouble():
+                    self.move(gap_s)
+        self.last_s[machine] = now_s
+        return await self.on_join(machine, request)
+
+    def move(self, gap_s):
+        """Reassigns all partitions, and turns the old coordinator away."""
+        old, new = self.pair
+        (group,) = self.site.store.groups.values()
+        members = {name.partition("#")[0]: name for name in group.members}
+        (third,) = members.keys() - {old, new}
+        after = {old: new, new: third, third: old}
+        group.generation += 1
+        for part, name in group.target.items():
+            target = members[after[name.partition("#")[0]]]
+            group.target[part] = group.owner[part] = target
+        self.site.store.modes[old] = "busy"
+        self.site.log(
+            "platform",
+            "all partitions reassigned",
+            old=old,
+            new=new,
+            last_join_before_s=f"{gap_s:.3f}",
         )
-        if half_linked(site):
-            return site
-        site.record.close()
-        site.folder.cleanup()
-
-
-def half_linked(site) -> list[str]:
-    """Returns the entries that the agent of the first server selects, and that
-    of the second does not."""
-    addresses = {
-        f"{site.hosts[name]}:{site.link_port}": name for name in site.names
-    }
-    first, second = (
-        {addresses[a] for a in linkchoice.choose(agent, addresses, ())}
-        for agent in (FIRST, SECOND)
+
+
+def make_site(folder):
+    """Returns the site."""
+    return kit3.LabelledSite(
+        sites.SiteSettings(lambda task: WORK_S, folder, ENTRIES, AGENTS)
     )
-    return sorted(first - second)
+
+
+async def closest_pair(joins) -> tuple[str, str]:
+    """Returns two entries of which one joins shortly after the other."""
+    await asyncio.sleep(1.5)
+    at_s = joins.last_s
+    period_s = 0.606
+    pairs = [(a, b) for a in at_s for b in at_s if a != b]
+    return min(pairs, key=lambda p: (at_s[p[1]] - at_s[p[0]]) % period_s)
 
 
 async def play(site):
-    """Loses a server for good, and submits a job to each partition."""
-    await asyncio.sleep(3.0)
-    site.log("script", "entries linked with the first only", n=half_linked(site))
-    if kit3.has_trouble():
-        site.log("platform", "server lost for good", agent=FIRST)
-        await site.servers[FIRST].close()
-    await asyncio.sleep(3.0)
-    owners, jobs = {}, {}
-    for part in range(sites.PARTS):
-        job = site.job_id(part, 100 + part)
-        table = sites.job(1, 400, required_label="b")
-        status, _ = await site.request(site.names[part % 4], "POST", job, table)
-        if status == 200:
-            jobs[job] = site.now_s()
-            owners[job] = site.store.owner(part).partition("#")[0]
-    if len(jobs) < sites.PARTS:
-        raise sites.Unavailable("a job was not accepted")
-    await asyncio.sleep(FINISH_S + STILL_S)
-    broken = []
-    for job, at_s in jobs.items():
-        states = [await kit3.state_of(site, n, job) for n in site.names[:3]]
-        if "completed" in states or kit3.starts(site, job):
-            continue
-        broken.append(
-            f"LOST: job {job}, accepted at {at_s:.1f} s, has not started at"
-            f" {site.now_s():.1f} s (shown as {states}; its coordinator is"
-            f" {owners[job]}); {SECOND}'s server has kind b and is idle"
+    """Moves the partitions of a coordinator that is then killed."""
+    joins = Joins(site)
+    old, new = await closest_pair(joins)
+    parts = [n for n in range(sites.PARTS) if site.member_of(old, n)]
+    jobs = []
+    for number in range(16):
+        job = site.job_id(parts[number % len(parts)], 200 + number)
+        status, _ = await site.request(
+            site.names[number % ENTRIES],
+            "POST",
+            job,
+            sites.job(2, int(1000 * WORK_S)),
         )
-    return broken
+        if status != 200:
+            raise sites.Unavailable("a job was not accepted")
+        jobs.append(job)
+    await asyncio.sleep(1.0)
+    joins.pair = (old, new)
+    end_s = time.monotonic() + WAIT_S
+    while not joins.moved_s:
+        if time.monotonic() > end_s:
+            raise sites.Unavailable("no two entries join one after the other")
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(joins.moved_s + KILL_S - time.monotonic())
+    if kit3.has_trouble():
+        site.signal(old, signal.SIGKILL)
+        await asyncio.sleep(1.0)
+        site.start_process(old)
+    await asyncio.sleep(4.0)
+    site.store.modes[old] = ""
+    await asyncio.sleep(WORK_S + 4.0)
+    return overlaps(site, joins.moved_s - site.begin_s)
+
+
+def overlaps(site, moved_s: float) -> list[str]:
+    """Returns the runs that began while another of the same task ran."""
+    running, broken = {}, []
+    for event in sorted(site.events, key=lambda each: each.at_s):
+        task = event.fields.get("task")
+        if event.what == "start":
+            if task in running:
+                since = running[task]
+                broken.append([event, since, None])
+            running[task] = event
+        elif event.what in ("end", "run crashed"):
+            since = running.get(task)
+            if since is not None and since.who == event.who:
+                del running[task]
+            for row in broken:
+                if (row[1].who, row[1].fields["task"]) == (event.who, task):
+                    row[2] = row[2] or event
+    return [
+        f"TWICE: {event.fields['task']} started on {event.who} at"
+        f" {event.at_s:.3f} s, {event.at_s - moved_s:.3f} s after the"
+        f" reassignment; its run on {since.who} from {since.at_s:.3f} s went on"
+        f" until {end.at_s if end else float('inf'):.3f} s"
+        for event, since, end in broken
+    ]
 
 
 if __name__ == "__main__":
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,5 +1,4 @@
-"""A queue's accepted jobs that no server has begun are not counted as pending
-(see claim.txt)."""
+"""A job runs on although its cancelling was acknowledged (see claim.txt)."""
 
 import asyncio
 import pathlib
@@ -7,61 +6,73 @@
 import kit3
 from egretthread_standins.platformsite import site as sites
 
-ENTRIES, AGENTS = 3, 8
-LOST = "agent-4"
-JOBS = 6
-VISIBLE_S, OLD_S = 3.0, 2.0
+ENTRIES, AGENTS = 3, 4
+WORK_S = 9.0
+TURNED_AWAY_S = 1.0
+LEAVES_S, CANCELS_S = 0.4, 0.5
+DEADLINE_MS = 3000
+CANCEL_S, STOP_S, CONTACT_S = 3.0, 0.05, 3.0
+# Allowance for the stand-ins on a busy machine.
+SLACK_S = 0.3
 
 
 def make_site(folder):
-    """Returns a site with one backend server of kind "b"."""
+    """Returns the site."""
     return kit3.LabelledSite(
-        sites.SiteSettings(lambda task: 60.0, folder, ENTRIES, AGENTS),
-        kinds={LOST: "b"},
+        sites.SiteSettings(lambda task: WORK_S, folder, ENTRIES, AGENTS)
     )
 
 
-def lose_silently(site) -> None:
-    """Ends a backend server for good, as by a loss of power: nothing answers
-    at its address, and nothing refuses."""
-    server = site.servers[LOST]
-    site.log("platform", "server lost without power", agent=LOST)
-    server.lost_paths |= {"/run-start", "/run-stop", "/hold"}
-    server.server.mute()
-    for task in server.tasks:
-        task.cancel()
+async def leave(site, entry: str, job: str) -> int:
+    """Submits a job and leaves before the deadline; returns the status."""
+    try:
+        async with asyncio.timeout(LEAVES_S):
+            table = sites.job(1, int(1000 * WORK_S))
+            status, _ = await site.request(
+                entry, "POST", job, table, DEADLINE_MS
+            )
+            return status
+    except TimeoutError:
+        site.log("client", "left without an answer", job=job, entry=entry)
+        return 0
 
 
 async def play(site):
-    """Submits jobs for the kind of a server that has gone silent."""
-    await asyncio.sleep(2.0)
+    """The store turns one entry away while a job is handed in there."""
+    entry, other = "entry-1", "entry-2"
+    part = next(n for n in range(12) if not site.member_of(entry, n))
+    job = site.job_id(part, 9)
+    begin_s = site.now_s()
     if kit3.has_trouble():
-        lose_silently(site)
-    await asyncio.sleep(0.5)
-    for number in range(JOBS):
-        job = site.job_id(2 * number, 50 + number)
-        table = sites.job(1, 400, required_label="b")
-        entry = site.names[number % ENTRIES]
-        status, _ = await site.request(entry, "POST", job, table)
-        if status != 200:
-            raise sites.Unavailable("a job was not accepted")
-    await asyncio.sleep(VISIBLE_S + OLD_S + 4.0)
-    broken = []
-    for entry in site.names:
-        asked_s = site.now_s()
-        status, body = await site.request(entry, "GET", "")
-        begun = {
-            event.fields["task"].partition(".")[0]
-            for event in site.events
-            if event.what == "start"
-        }
-        left = JOBS - len(begun)
-        if status == 200 and body["pending_jobs"] < left / 2:
-            broken.append(
-                f"MIXED: {entry} gives {body['pending_jobs']} pending jobs at"
-                f" {asked_s:.1f} s; {left} accepted jobs have not begun"
-            )
-    return broken
+        site.log("platform", "the store is silent for", entry=entry)
+        site.store.modes[entry] = "silent"
+    submitting = asyncio.create_task(leave(site, entry, job))
+    await asyncio.sleep(CANCELS_S)
+    cancelled, _ = await site.request(other, "DELETE", job)
+    acknowledged_s = site.now_s()
+    await submitting
+    await asyncio.sleep(begin_s + TURNED_AWAY_S - site.now_s())
+    site.store.modes[entry] = ""
+    site.log("platform", "the store serves all again")
+    calm_s = site.now_s() + CONTACT_S
+    if cancelled not in (200, 204, 410):
+        raise sites.Unavailable("the cancelling was not acknowledged")
+    await asyncio.sleep(WORK_S + 4.0)
+    state = await kit3.state_of(site, other, job)
+    limit_s = max(acknowledged_s + CANCEL_S, calm_s) + STOP_S + SLACK_S
+    ends = {
+        event.fields["task"]: event.at_s
+        for event in site.events
+        if event.what == "end" and event.fields["task"].startswith(job)
+    }
+    return [
+        f"UNASKED: {event.fields['task']} started at {event.at_s:.2f} s and ran"
+        f" until {ends[event.fields['task']]:.2f} s; the DELETE was answered"
+        f" {cancelled} at {acknowledged_s:.2f} s, and the store has served all"
+        f" since {calm_s - CONTACT_S:.2f} s; the job is shown as {state}"
+        for event in kit3.starts(site, job)
+        if ends.get(event.fields["task"], float("inf")) > limit_s
+    ]
 
 
 if __name__ == "__main__":
