--- a/review/11/case.py
+++ b/review/11/case.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import pathlib
+import random
 import signal
 import time
 
@@ -11,12 +12,18 @@
 
 ENTRIES, AGENTS = 3, 8
 WORK_S = 8.0
-# The old coordinator is killed so long after the reassignment.
+# The old coordinator is killed so long after the reassignment, or earlier: so
+# long after its last call to join. It would stop its runs by itself 2.3 s
+# after that call.
 KILL_S = 2.1
-# Longest time between the last join of the old coordinator and the first of
-# the new one, after which the old one would stop by itself before it is killed.
-MAX_GAP_S = 0.15
+KILL_AFTER_JOIN_S = 2.18
+# Longest time between that call and the first call of the new coordinator.
+MAX_GAP_S = 0.25
 WAIT_S = 20.0
+# Time between two joins of an entry, the gap that is sought, and how often.
+JOIN_PERIOD_S = 0.606
+ALIGNED_S = 0.09
+ALIGN_TRIES = 4
 
 
 class Joins:
@@ -27,6 +34,7 @@
         self.last_s: dict[str, float] = {}
         self.pair: tuple[str, str] | None = None
         self.moved_s = 0.0
+        self.kill_s = 0.0
         self.on_join = site.store._on_join
         site.store._on_join = self.join
 
@@ -37,6 +45,9 @@
             gap_s = now_s - self.last_s.get(self.pair[0], 0.0)
             if gap_s < MAX_GAP_S:
                 self.moved_s = now_s
+                self.kill_s = min(
+                    now_s + KILL_S, now_s - gap_s + KILL_AFTER_JOIN_S
+                )
                 if kit3.has_trouble():
                     self.move(gap_s)
         self.last_s[machine] = now_s
@@ -70,19 +81,35 @@
     )
 
 
-async def closest_pair(joins) -> tuple[str, str]:
-    """Returns two entries of which one joins shortly after the other."""
-    await asyncio.sleep(1.5)
-    at_s = joins.last_s
-    period_s = 0.606
-    pairs = [(a, b) for a in at_s for b in at_s if a != b]
-    return min(pairs, key=lambda p: (at_s[p[1]] - at_s[p[0]]) % period_s)
+async def closest_pair(site, joins) -> tuple[str, str]:
+    """Returns two entries of which one joins shortly after the other.
+
+    If there are none, an entry is restarted before any job is submitted.
+    """
+    for _ in range(ALIGN_TRIES):
+        await asyncio.sleep(1.5)
+        at_s = joins.last_s
+        gaps = {
+            (at_s[b] - at_s[a]) % JOIN_PERIOD_S: (a, b)
+            for a in site.names
+            for b in site.names
+            if a != b
+        }
+        if min(gaps) < ALIGNED_S:
+            break
+        name = site.names[-1]
+        site.signal(name, signal.SIGTERM)
+        await site.wait_for_end(name, 8.0)
+        await asyncio.sleep(random.uniform(0.0, JOIN_PERIOD_S))
+        site.start_process(name)
+        await asyncio.sleep(6.0)
+    return gaps[min(gaps)]
 
 
 async def play(site):
     """Moves the partitions of a coordinator that is then killed."""
     joins = Joins(site)
-    old, new = await closest_pair(joins)
+    old, new = await closest_pair(site, joins)
     parts = [n for n in range(sites.PARTS) if site.member_of(old, n)]
     jobs = []
     for number in range(16):
@@ -103,7 +130,7 @@
         if time.monotonic() > end_s:
             raise sites.Unavailable("no two entries join one after the other")
         await asyncio.sleep(0.01)
-    await asyncio.sleep(joins.moved_s + KILL_S - time.monotonic())
+    await asyncio.sleep(joins.kill_s - time.monotonic())
     if kit3.has_trouble():
         site.signal(old, signal.SIGKILL)
         await asyncio.sleep(1.0)
