--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,5 +1,4 @@
-"""Two runs of a task at once after the partitions were reassigned (see
-claim.txt)."""
+"""Two runs of a task at once after a reassignment (see claim.txt)."""
 
 import asyncio
 import pathlib
@@ -8,6 +7,7 @@
 import time
 
 import kit3
+
 from egretthread_standins.platformsite import site as sites
 
 ENTRIES, AGENTS = 3, 8
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,10 +1,12 @@
 """An accepted job never runs, as its coordinator takes a lost server for one
-that can run it (see claim.txt)."""
+that can run it (see claim.txt).
+"""
 
 import asyncio
 import pathlib
 
 import kit3
+
 from egretthread.scheduling import linkchoice
 from egretthread_standins.platformsite import site as sites
 
@@ -16,7 +18,8 @@
 
 def make_site(folder):
     """Returns a site, at a port at which some entry has a link with the agent
-    of the first server of kind "b" and none with that of the second."""
+    of the first server of kind "b" and none with that of the second.
+    """
     while True:
         site = kit3.LabelledSite(
             sites.SiteSettings(
@@ -32,7 +35,8 @@
 
 def half_linked(site) -> list[str]:
     """Returns the entries that the agent of the first server selects, and that
-    of the second does not."""
+    of the second does not.
+    """
     addresses = {
         f"{site.hosts[name]}:{site.link_port}": name for name in site.names
     }
@@ -46,7 +50,9 @@
 async def play(site):
     """Loses a server for good, and submits a job to each partition."""
     await asyncio.sleep(3.0)
-    site.log("script", "entries linked with the first only", n=half_linked(site))
+    site.log(
+        "script", "entries linked with the first only", n=half_linked(site)
+    )
     if kit3.has_trouble():
         site.log("platform", "server lost for good", agent=FIRST)
         await site.servers[FIRST].close()
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -4,6 +4,7 @@
 import pathlib
 
 import kit3
+
 from egretthread_standins.platformsite import site as sites
 
 ENTRIES, AGENTS = 3, 4
