--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,4 @@
-"""An accepted job never runs, as its coordinator takes a lost server for one
-that can run it (see claim.txt).
-"""
+"""An accepted job never runs beside an idle server (see claim.txt)."""
 
 import asyncio
 import pathlib
@@ -17,8 +15,10 @@
 
 
 def make_site(folder):
-    """Returns a site, at a port at which some entry has a link with the agent
-    of the first server of kind "b" and none with that of the second.
+    """Returns a site.
+
+    Some entry has a link with the agent of the first server of kind "b" and
+    none with that of the second, which depends on the port.
     """
     while True:
         site = kit3.LabelledSite(
@@ -34,9 +34,7 @@
 
 
 def half_linked(site) -> list[str]:
-    """Returns the entries that the agent of the first server selects, and that
-    of the second does not.
-    """
+    """Returns the entries that only the agent of the first server selects."""
     addresses = {
         f"{site.hosts[name]}:{site.link_port}": name for name in site.names
     }
