--- a/review/11/case.py
+++ b/review/11/case.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import pathlib
-import random
 import signal
 import time
 
+import joins3
 import kit3
 
 from egretthread_standins.platformsite import site as sites
@@ -17,61 +17,6 @@
 # after that call.
 KILL_S = 2.1
 KILL_AFTER_JOIN_S = 2.18
-# Longest time between that call and the first call of the new coordinator.
-MAX_GAP_S = 0.25
-WAIT_S = 20.0
-# Time between two joins of an entry, the gap that is sought, and how often.
-JOIN_PERIOD_S = 0.606
-ALIGNED_S = 0.09
-ALIGN_TRIES = 4
-
-
-class Joins:
-    """Sees the joins at the store, and moves all partitions at one of them."""
-
-    def __init__(self, site):
-        self.site = site
-        self.last_s: dict[str, float] = {}
-        self.pair: tuple[str, str] | None = None
-        self.moved_s = 0.0
-        self.kill_s = 0.0
-        self.on_join = site.store._on_join
-        site.store._on_join = self.join
-
-    async def join(self, machine, request):
-        """Answers a join; before it, moves the partitions if it is time."""
-        now_s = time.monotonic()
-        if self.pair and not self.moved_s and machine == self.pair[1]:
-            gap_s = now_s - self.last_s.get(self.pair[0], 0.0)
-            if gap_s < MAX_GAP_S:
-                self.moved_s = now_s
-                self.kill_s = min(
-                    now_s + KILL_S, now_s - gap_s + KILL_AFTER_JOIN_S
-                )
-                if kit3.has_trouble():
-                    self.move(gap_s)
-        self.last_s[machine] = now_s
-        return await self.on_join(machine, request)
-
-    def move(self, gap_s):
-        """Reassigns all partitions, and turns the old coordinator away."""
-        old, new = self.pair
-        (group,) = self.site.store.groups.values()
-        members = {name.partition("#")[0]: name for name in group.members}
-        (third,) = members.keys() - {old, new}
-        after = {old: new, new: third, third: old}
-        group.generation += 1
-        for part, name in group.target.items():
-            target = members[after[name.partition("#")[0]]]
-            group.target[part] = group.owner[part] = target
-        self.site.store.modes[old] = "busy"
-        self.site.log(
-            "platform",
-            "all partitions reassigned",
-            old=old,
-            new=new,
-            last_join_before_s=f"{gap_s:.3f}",
-        )
 
 
 def make_site(folder):
@@ -81,35 +26,10 @@
     )
 
 
-async def closest_pair(site, joins) -> tuple[str, str]:
-    """Returns two entries of which one joins shortly after the other.
-
-    If there are none, an entry is restarted before any job is submitted.
-    """
-    for _ in range(ALIGN_TRIES):
-        await asyncio.sleep(1.5)
-        at_s = joins.last_s
-        gaps = {
-            (at_s[b] - at_s[a]) % JOIN_PERIOD_S: (a, b)
-            for a in site.names
-            for b in site.names
-            if a != b
-        }
-        if min(gaps) < ALIGNED_S:
-            break
-        name = site.names[-1]
-        site.signal(name, signal.SIGTERM)
-        await site.wait_for_end(name, 8.0)
-        await asyncio.sleep(random.uniform(0.0, JOIN_PERIOD_S))
-        site.start_process(name)
-        await asyncio.sleep(6.0)
-    return gaps[min(gaps)]
-
-
 async def play(site):
     """Moves the partitions of a coordinator that is then killed."""
-    joins = Joins(site)
-    old, new = await closest_pair(site, joins)
+    joins = joins3.Joins(site, kit3.has_trouble())
+    old, new = await joins.closest_pair()
     parts = [n for n in range(sites.PARTS) if site.member_of(old, n)]
     jobs = []
     for number in range(16):
@@ -124,13 +44,15 @@
             raise sites.Unavailable("a job was not accepted")
         jobs.append(job)
     await asyncio.sleep(1.0)
-    joins.pair = (old, new)
-    end_s = time.monotonic() + WAIT_S
-    while not joins.moved_s:
-        if time.monotonic() > end_s:
-            raise sites.Unavailable("no two entries join one after the other")
-        await asyncio.sleep(0.01)
-    await asyncio.sleep(joins.kill_s - time.monotonic())
+    if not await joins.wait_for_move((old, new)):
+        raise sites.Unavailable("no two entries join one after the other")
+    if kit3.has_trouble():
+        site.store.modes[old] = "busy"
+    kill_s = min(
+        joins.moved_s + KILL_S,
+        joins.moved_s - joins.gap_s + KILL_AFTER_JOIN_S,
+    )
+    await asyncio.sleep(kill_s - time.monotonic())
     if kit3.has_trouble():
         site.signal(old, signal.SIGKILL)
         await asyncio.sleep(1.0)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -12,6 +12,7 @@
 import egretthread_standins.platformsite.site
 import egretthread_standins.platformsite.store
 import egretthread_standins.platformsite.web
+import joins3
 import kit3
 
 print("stand-ins ready on Python", sys.version.split()[0])
