--- a/review/standins-3/joins3.py
+++ b/review/standins-3/joins3.py
@@ -1,17 +1,17 @@
 """Reassignment of all partitions at a chosen moment, by the store stand-in."""
 
 import asyncio
-import random
 import signal
 import time
 
 # Time between two joins of an entry, the gap that is sought, and how often.
 JOIN_PERIOD_S = 0.606
-ALIGNED_S = 0.09
-ALIGN_TRIES = 4
+ALIGNED_S = 0.07
+AIM_S = 0.03
+ALIGN_TRIES = 7
 # Longest gap between the last join of the old coordinator and the first of the
 # new one.
-MAX_GAP_S = 0.25
+MAX_GAP_S = 0.1
 WAIT_S = 20.0
 
 
@@ -25,6 +25,8 @@
         moves: Whether they move then; otherwise only the time is noted.
         moved_s: When they moved; 0 before.
         gap_s: How long before that the old coordinator had called.
+        start_up_s: How long the last entry took from its start to its first
+            call.
     """
 
     def __init__(self, site, moves: bool):
@@ -34,6 +36,7 @@
         self.pair: tuple[str, str] | None = None
         self.moved_s = 0.0
         self.gap_s = 0.0
+        self.start_up_s = 0.35
         self.on_join = site.store._on_join
         site.store._on_join = self.join
 
@@ -85,14 +88,25 @@
             }
             if min(gaps) < ALIGNED_S:
                 break
-            name = site.names[-1]
-            site.signal(name, signal.SIGTERM)
-            await site.wait_for_end(name, 8.0)
-            await asyncio.sleep(random.uniform(0.0, JOIN_PERIOD_S))
-            site.start_process(name)
+            await self.restart(site.names[-1], site.names[0])
             await asyncio.sleep(6.0)
         return gaps[min(gaps)]
 
+    async def restart(self, name: str, other: str) -> None:
+        """Restarts an entry so that it joins shortly after another one."""
+        site = self.site
+        site.signal(name, signal.SIGKILL)
+        await site.wait_for_end(name, 8.0)
+        await asyncio.sleep(0.1)
+        due_s = self.last_s[other] + AIM_S - self.start_up_s
+        await asyncio.sleep((due_s - time.monotonic()) % JOIN_PERIOD_S)
+        del self.last_s[name]
+        begin_s = time.monotonic()
+        site.start_process(name)
+        while name not in self.last_s:
+            await asyncio.sleep(0.002)
+        self.start_up_s = self.last_s[name] - begin_s
+
     async def wait_for_move(self, pair: tuple[str, str]) -> bool:
         """Has the partitions move; returns whether they did."""
         self.pair = pair
