Review case 12: six tasks a job, so that each run shows it

One run in a fresh clone held with one task a job: all four tasks were started again, but the first ends were offered only after the second runs, and voided.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -12,6 +12,8 @@
 ENTRIES, AGENTS = 3, 6
 TASK_S, LONG_S = 0.05, 25.0
 LONG_JOBS = 24
+# Tasks of each job that is looked at.
+TASKS = 6
 # Seconds after the reassignment: a job that the new coordinator reads, begin
 # and end of the store's silence towards it, and the jobs that are looked at.
 READ_S, SILENT_S, JOBS_S, SERVES_S = 0.40, 0.46, 0.48, 1.30
@@ -25,13 +27,13 @@
 def make_site(folder):
     """Returns the site."""
     return kit3.LabelledSite(
-        sites.SiteSettings(work_s, folder, ENTRIES, AGENTS)
+        sites.SiteSettings(work_s, folder, ENTRIES, AGENTS, server_cpu=(16000,))
     )
 
 
-async def submit(site, entry: str, job: str) -> str:
-    """Submits a kept job of one task; returns its id if it was accepted."""
-    status, _ = await site.request(entry, "POST", job, sites.job(1, 50))
+async def submit(site, entry: str, job: str, tasks: int) -> str:
+    """Submits a kept job; returns its id if it was accepted."""
+    status, _ = await site.request(entry, "POST", job, sites.job(tasks, 50))
     return job if status == 200 else ""
 
 
@@ -64,7 +66,7 @@
         raise sites.Unavailable("no two entries join one after the other")
     await until(joins, READ_S)
     await asyncio.gather(
-        *(submit(site, third, site.job_id(p, 384 + p)) for p in parts)
+        *(submit(site, third, site.job_id(p, 384 + p), 1) for p in parts)
     )
     await until(joins, SILENT_S)
     if kit3.has_trouble():
@@ -72,7 +74,7 @@
         site.log("platform", "the store is silent for", entry=new)
     await until(joins, JOBS_S)
     jobs = await asyncio.gather(
-        *(submit(site, third, site.job_id(p, 768 + p)) for p in parts)
+        *(submit(site, third, site.job_id(p, 768 + p), TASKS) for p in parts)
     )
     await until(joins, SERVES_S)
     site.store.modes[new] = ""
