Wait for the end of an unaware coordinator's runs before a takeover

Cause: a new coordinator started tasks 2.61 s after its own assignment, which covers orders that were sent before it. The former coordinator does not learn of such a reassignment if the store turns it away. It renews leases and orders runs for 2.3 s after its last answered call to the group, and its runs outlive it by 0.8 s of lease and the time for their stops. If it is killed or paused at the end of its tenure, or cut off from its agents, nothing stops them earlier.

Fix: the wait is the tenure, plus the lease that an order or a renewal at its end may give, plus the limit of the stops: 3.71 s. The tenure is one constant of the lease rule, and the group's time to live follows from it. The simulation let coordinators go on for 2.4 s instead of 2.3 s.

A takeover stands still for 1.1 s longer than before.

--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from egretthread import clock, logs
-from egretthread.scheduling import jobrecord
+from egretthread.scheduling import jobrecord, leaserule
 from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.jobrecord import JobState, Progress, Submission
@@ -31,14 +31,14 @@
 # Topic of progress by job, which only the coordinator of a partition writes.
 PROGRESS = "progress"
 GROUP = "coordinators"
+# A coordinator stops this much earlier than the store may reassign a partition.
+TTL_MARGIN_S = 0.2
 # Time without a call to join after which the store assigns the partitions of a
 # coordinator to others. Some calls may be lost or slow, so it spans several of
 # them; on the other hand a job waits that long when its coordinator is lost.
-TTL_S = 2.5
+TTL_S = leaserule.TENURE_S + TTL_MARGIN_S
 # Time between two calls to join, which renew the assignment.
 JOIN_INTERVAL_S = 0.6
-# A coordinator stops this much earlier than the store may reassign a partition.
-TTL_MARGIN_S = 0.2
 # Delay before an append or a call to join is repeated after a failure.
 RETRY_S = 0.1
 # Share of the store's write rate that the job logs of all entries may use.
@@ -293,7 +293,7 @@
             new_partitions = self.server.assign_partitions(
                 assignment.generation,
                 assignment.partitions,
-                sent_s + TTL_S - TTL_MARGIN_S,
+                sent_s + leaserule.TENURE_S,
             )
             for partition in new_partitions:
                 self._spawn(self._hold(partition))
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -89,7 +89,7 @@
         if number not in numbers:
             release(board, number, "assigned elsewhere")
     for number in sorted(numbers - kept_board.partitions.keys()):
-        ready_s = leaserule.fence_s(board.now_s, ordered=True)
+        ready_s = leaserule.takeover_s(leaserule.tenure_end_s(board.now_s))
         epoch = kept_board.new_epoch(number, generation)
         kept_board.partitions[number] = Partition(
             number, generation, epoch, ready_s
--- a/egretthread/scheduling/leaserule.py
+++ b/egretthread/scheduling/leaserule.py
@@ -4,6 +4,12 @@
 echoes the last reading it received. An order or heartbeat reply is therefore no
 older than the reading that it echoes. An entry may assume that all runs of an
 unreachable agent have ended at `fence_s`.
+
+The store may assign the partitions of a coordinator to another one without the
+former's knowledge. The former one goes on for up to `TENURE_S` after its last
+call to the group that was answered, renewing leases and ordering runs, and its
+runs may outlive it. The next one may assume that all of them have ended at
+`takeover_s`.
 """
 
 # An order whose echoed reading is older was delayed in transit and is refused.
@@ -36,6 +42,9 @@
 CLOCK_DRIFT = 0.02
 # Maximum time in which an agent notices the end of a lease.
 STOP_MARGIN_S = 0.2
+# How long a coordinator may act for its partitions after it sent the last call
+# to the group that was answered.
+TENURE_S = 2.3
 
 
 def order_is_fresh(clock_ms: int, echo_ms: int) -> bool:
@@ -83,6 +92,29 @@
     return echo_received_s + lease_s + max_server_lease_s() + STOP_MARGIN_S
 
 
+def tenure_end_s(assigned_s: float) -> float:
+    """Returns when all earlier coordinators of a partition have given it up.
+
+    Args:
+        assigned_s: When its coordinator learned that it is assigned to it. No
+            earlier coordinator has had its assignment renewed since.
+    """
+    return assigned_s + TENURE_S
+
+
+def takeover_s(ended_s: float) -> float:
+    """Returns when all runs of a former coordinator have certainly ended.
+
+    Args:
+        ended_s: When it ordered and renewed nothing any longer.
+    """
+    lease_s = max(
+        COORDINATOR_LEASE_S, MAX_ORDER_TRANSIT_MS / 1000 + ACCEPTED_GRACE_S
+    )
+    stop_s = LAPSED_STOP_LIMIT_S * (1 + CLOCK_DRIFT)
+    return ended_s + lease_s + stop_s + STOP_MARGIN_S
+
+
 def fence_after_restart_s(restarted_s: float) -> float:
     """Returns when all runs of a restarted agent's old process have ended.
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -100,9 +100,9 @@
         ),
         (
             "coordinate adopted jobs before the fence has passed",
-            "keptjobs.py",
-            "        ready_s = leaserule.fence_s(board.now_s, ordered=True)",
-            "        ready_s = board.now_s",
+            "leaserule.py",
+            "    return ended_s + lease_s + stop_s + STOP_MARGIN_S",
+            "    return 0.0",
         ),
         (
             "continue to coordinate after the assignment has expired",
--- a/tests/scheduling/fakelog.py
+++ b/tests/scheduling/fakelog.py
@@ -116,6 +116,11 @@
                     self.wanted[number] = name
         self._transfer()
 
+    def reassign_at_once(self):
+        """Reassigns all partitions without waiting for their owners."""
+        self.reassign()
+        self.owners.update(self.wanted)
+
     def _transfer(self):
         """Transfers partitions whose former owners know the new generation."""
         for number, wanted in self.wanted.items():
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -17,6 +17,7 @@
     isolation,
     jobrecord,
     keptjobs,
+    leaserule,
     linkchoice,
     pendingcounts,
     serverneeds,
@@ -36,7 +37,7 @@
 from egretthread.scheduling.runmessage import EntryHello
 from egretthread.scheduling.servercall import CallResult, PollResult, Verdict
 from tests.scheduling import guarantees
-from tests.scheduling.fakelog import TTL_S, FakeLog
+from tests.scheduling.fakelog import FakeLog
 from tests.scheduling.fakeserver import FakeServer
 
 TICK_S = 0.02
@@ -609,7 +610,7 @@
         )
         if self.log.loses_answer(process.name, self.now_s):
             return
-        until_s = self.now_s + TTL_S - 0.1
+        until_s = self.now_s + leaserule.TENURE_S
         self.at(
             STORE_DELAY_S,
             self.run_event,
--- a/tests/scheduling/test_leaserule.py
+++ b/tests/scheduling/test_leaserule.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from egretthread.scheduling import forwarding, leaserule
+from egretthread.scheduling import forwarding, joblog, leaserule
 
 # A caller resubmits its job this long after its connection broke.
 RESUBMIT_S = 1.3
@@ -67,6 +67,21 @@
         )
         self.assertGreater(leaserule.fence_s(0.0, ordered=False), heartbeat_s)
 
+    # Guards against TWICE: a coordinator that did not know of its loss renewed
+    # its leases to the end of its tenure, while its successor had begun.
+    def test_a_takeover_outlasts_the_runs_of_the_former_coordinator(self):
+        ended_s = leaserule.tenure_end_s(0.0)
+        stop_s = leaserule.LAPSED_STOP_LIMIT_S * (1 + leaserule.CLOCK_DRIFT)
+        renewed_s = leaserule.COORDINATOR_LEASE_S
+        ordered_s = (
+            leaserule.MAX_ORDER_TRANSIT_MS / 1000 + leaserule.ACCEPTED_GRACE_S
+        )
+        for lease_s in (renewed_s, ordered_s):
+            lapsed_s = ended_s + lease_s + stop_s
+            self.assertGreater(leaserule.takeover_s(ended_s), lapsed_s)
+        self.assertLess(joblog.JOIN_INTERVAL_S, leaserule.TENURE_S)
+        self.assertLess(leaserule.TENURE_S, joblog.TTL_S)
+
     def test_a_slow_server_clock_lengthens_the_lease(self):
         self.assertGreater(
             leaserule.max_server_lease_s(), leaserule.SERVER_LEASE_S
