Open a partition only after its last owner's jobs have been read

Cause: a job that is read after its partition was opened was taken for a new one, "No earlier coordinator can have started it". The runs of both have the number 1, so that the end of the first was taken for that of the second and acknowledged.

Fix: a partition is opened once it was read by a request that was sent after the tenure of all earlier coordinators. Whatever they have read is then known, and is taken over with higher run numbers; what is read later was stored after their last read. A read that waits for a record ends at the end of the tenure, and the next one does not wait, so that the opening is not delayed without trouble.

--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -4,14 +4,13 @@
 import dataclasses
 
 from egretthread import clock, logs
-from egretthread.scheduling import jobrecord, leaserule
+from egretthread.scheduling import jobrecord, keptjobs, leaserule
 from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.jobrecord import JobState, Progress, Submission
 from egretthread.scheduling.keptboard import Partition, ProgressBatch
 from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.storecall import (
-    POLL_WAIT_S,
     Appended,
     AppendOrderError,
     FencedError,
@@ -315,8 +314,9 @@
                 if offset is None:
                     offset = await self._load(partition)
                 else:
-                    wait_s = 0.0 if failures else POLL_WAIT_S
-                    offset = await self._follow(partition, offset, wait_s)
+                    offset = await self._follow(
+                        partition, offset, may_wait=not failures
+                    )
             except FencedError as error:
                 self.server.release_partition(partition, error.message)
                 return
@@ -363,16 +363,17 @@
         return batch.end
 
     async def _follow(
-        self, partition: Partition, offset: int, wait_s: float
+        self, partition: Partition, offset: int, may_wait: bool
     ) -> int:
         """Applies new records; returns the offset to follow from.
 
         Args:
             partition: The partition.
             offset: Offset of the next record to read.
-            wait_s: How long to wait for a record if there is none yet.
+            may_wait: Whether to wait for a record if there is none yet.
         """
         sent_s = clock.monotonic_s()
+        wait_s = keptjobs.read_wait_s(partition, sent_s) if may_wait else 0.0
         batch = await self.store.read(JOBS, offset, wait_s, partition.number)
         for record in batch.records:
             submission = _decode_submission(record)
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -74,6 +74,8 @@
         generation: Generation of the group when it was assigned.
         epoch: Epoch of its appends of progress. It orders the coordinators of
             the partition, and is new after each loss of the partition.
+        tenure_end_s: When earlier coordinators have given it up: they read
+            submissions and order runs no longer.
         ready_s: When all runs ordered by earlier coordinators have ended.
         last_append: Number of the last append of progress.
         progress_end: Offset after the newest progress that is known here. Only
@@ -92,6 +94,7 @@
     number: int
     generation: int
     epoch: int
+    tenure_end_s: float
     ready_s: float
     last_append: int = 0
     progress_end: int = 0
@@ -105,6 +108,14 @@
     dirty: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
     dropped: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def has_read_former(self) -> bool:
+        """Whether all submissions that an earlier coordinator read are known.
+
+        Submissions that are read later have not been started by any.
+        """
+        return self.read_s >= self.tenure_end_s
+
 
 @dataclasses.dataclass(frozen=True)
 class ProgressBatch:
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -48,6 +48,7 @@
     ServerCrash,
     SettleEnds,
 )
+from egretthread.scheduling.storecall import POLL_WAIT_S
 
 # Time for which callers may ask for the state of a job that has ended. It
 # exceeds the operators' `status_s`, which is 120 s.
@@ -89,10 +90,14 @@
         if number not in numbers:
             release(board, number, "assigned elsewhere")
     for number in sorted(numbers - kept_board.partitions.keys()):
-        ready_s = leaserule.takeover_s(leaserule.tenure_end_s(board.now_s))
+        tenure_end_s = leaserule.tenure_end_s(board.now_s)
         epoch = kept_board.new_epoch(number, generation)
         kept_board.partitions[number] = Partition(
-            number, generation, epoch, ready_s
+            number,
+            generation,
+            epoch,
+            tenure_end_s,
+            leaserule.takeover_s(tenure_end_s),
         )
         logs.info("partition_assigned", part=number, generation=generation)
 
@@ -173,6 +178,17 @@
         partition.read_s = max(partition.read_s, read_s)
 
 
+def read_wait_s(partition: Partition, now_s: float) -> float:
+    """Returns how long a read of a partition may wait for a record.
+
+    A read that begins at the end of the earlier coordinators' tenure is needed
+    before the partition is opened.
+    """
+    if partition.has_read_former:
+        return POLL_WAIT_S
+    return max(0.0, min(POLL_WAIT_S, partition.tenure_end_s - now_s))
+
+
 def on_cancelled(board: EntryBoard, number: int, epoch: int, job: str) -> None:
     """Cancels an open job whose cancellation was read from the log."""
     partition = _find_partition(board, number, epoch)
@@ -211,7 +227,7 @@
         kept_job.ended_unix_s = progress.ended_unix_s
         _restore(board, job, progress)
     if partition.is_open:
-        # No earlier coordinator can have started it.
+        # It was stored after the last read of any earlier coordinator.
         _open(board, kept_job)
 
 
@@ -233,9 +249,10 @@
 def _open_if_ready(board: EntryBoard, partition: Partition) -> None:
     """Takes a partition's jobs over once earlier runs of them have ended.
 
-    The jobs are opened when the store has the numbers of their runs to come.
+    All jobs that an earlier coordinator may have started have to be known by
+    then. They are opened when the store has the numbers of their runs to come.
     """
-    if board.now_s >= partition.ready_s:
+    if board.now_s >= partition.ready_s and partition.has_read_former:
         partition.is_open = True
         for kept_job in partition.jobs.values():
             if kept_job.state not in FINAL_STATES:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -104,6 +104,12 @@
             "    return ended_s + lease_s + stop_s + STOP_MARGIN_S",
             "    return 0.0",
         ),
+        (
+            "open a partition before the jobs of its last owner are read",
+            "keptboard.py",
+            "        return self.read_s >= self.tenure_end_s",
+            "        return True",
+        ),
         (
             "continue to coordinate after the assignment has expired",
             "keptjobs.py",
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -82,6 +82,8 @@
         hellos: The last hello from each other entry and when it arrived, by
             the entry's name.
         sent_hello: The hello that it last sent; None before the first one.
+        late_reads: Number of records that an entry has yet to read, as its
+            reads are not answered.
     """
 
     def __init__(self, name, kind, board):
@@ -95,6 +97,7 @@
         self.writing = set()
         self.hellos = {}
         self.sent_hello = None
+        self.late_reads = 0
 
 
 class Link:
@@ -133,6 +136,8 @@
         lost_share: Share of calls to backend servers that are not answered.
         late_share: Share of these calls that are carried out seconds later.
         log: The log of kept jobs.
+        unread_until_s: Until when the reads of an entry are not answered, by
+            its name.
         is_partly_linked: Whether each agent links only with the entries that
             it selects, as agents do, instead of with all.
         crashes: Crashes of backend servers under a task: time, agent and task.
@@ -176,6 +181,7 @@
             offset=1, version=1, routes=(ROUTE, LONG_ROUTE)
         )
         self.log = FakeLog(3, random.Random(seed + 1))
+        self.unread_until_s = {}
         self.entries = {}
         self.agents = {}
         self.servers = {}
@@ -629,7 +635,7 @@
         for partition in board.kept.partitions.values():
             if not partition.is_loaded:
                 self.at(STORE_DELAY_S, self.load, process, partition)
-            elif self.log.reaches(process.name, self.now_s):
+            elif self._reads(process) and not process.late_reads:
                 # Submissions are read STORE_DELAY_S after they were stored.
                 keptjobs.on_read(
                     board,
@@ -638,6 +644,12 @@
                     self.now_s - STORE_DELAY_S,
                 )
 
+    def _reads(self, process):
+        """Whether the reads of an entry are answered."""
+        return self.log.reaches(
+            process.name, self.now_s
+        ) and self.now_s >= self.unread_until_s.get(process.name, 0.0)
+
     def load(self, process, partition):
         """Reads a partition for its new coordinator."""
         log = self.log
@@ -726,6 +738,28 @@
             )
 
     def _read(self, process, number, handler, change):
+        if not self._reads(process):
+            process.late_reads += 1
+            self._read_late(process, number, handler, change)
+            return
+        self._apply(process, number, handler, change)
+
+    def _read_late(self, *arguments):
+        """Applies a record once the reads of an entry are answered again."""
+        process, *record = arguments
+        if not self._reads(process):
+            self.at(
+                STORE_RETRY_S,
+                self.run_event,
+                process,
+                self._read_late,
+                *arguments,
+            )
+            return
+        process.late_reads -= 1
+        self._apply(process, *record)
+
+    def _apply(self, process, number, handler, change):
         partition = process.board.kept.partitions.get(number)
         if partition is not None and partition.is_loaded:
             handler(process.board, number, partition.epoch, change)
--- a/tests/scheduling/test_reassignments.py
+++ b/tests/scheduling/test_reassignments.py
@@ -9,13 +9,17 @@
 
 import testtools
 
+from egretthread.scheduling import keptjobs, leaserule
 from egretthread.scheduling.jobspec import JobSpec, StepSpec
+from egretthread.scheduling.keptboard import Partition
 from egretthread.scheduling.room import Room
+from egretthread.scheduling.storecall import POLL_WAIT_S
 from tests.scheduling import fakelog, region
 
 OLD, NEW, THIRD = "e0", "e1", "e2"
 JOB = "k"
 OUTAGE_S = 9.0
+FILLER_S = 90.0
 # When the former coordinator is disturbed, after the reassignment.
 MOMENTS_S = tuple(step * 0.15 for step in range(1, 23))
 
@@ -30,7 +34,10 @@
 
     def __init__(self, work_s=8.0, count=6, entries=3, agents=4, cpu=8000):
         self.world = region.Region(
-            entries=entries, agents=agents, cpu=cpu, work_s=lambda name: work_s
+            entries=entries,
+            agents=agents,
+            cpu=cpu,
+            work_s=lambda name: work_s if name.job == JOB else FILLER_S,
         )
         self.work_s, self.count = work_s, count
         self.part = self.world.log.partition_of(JOB)
@@ -42,6 +49,18 @@
         step = StepSpec(self.count, Room(1000, 64, 0), self.work_s)
         self.world.submit_kept(JobSpec(JOB, "payload", (step,), kept=True))
 
+    def fill(self):
+        """Starts other work, which keeps the leases of all servers renewed."""
+        for number, server in enumerate(self.world.servers.values()):
+            server.rack = f"r{number + 1}"
+        self.world.run(2.0)
+        for number, server in enumerate(self.world.servers.values()):
+            room = Room(1000, 64, 0)
+            step = StepSpec(1, room, FILLER_S, required_label=server.rack)
+            job = JobSpec(f"f{number}", "payload", (step,))
+            self.world.submit(job, THIRD, 2 * FILLER_S)
+        self.world.run(0.5)
+
     def reassign(self, new=NEW):
         """Reassigns the partition just before an entry calls the group."""
         world = self.world
@@ -121,3 +140,56 @@
             ("kill", "pause", "cut from agents", "restart agents"),
             MOMENTS_S,
         )
+
+
+class TestLateReads(testtools.TestCase):
+    """The successor reads a submission late, which the former one has run."""
+
+    def play(self, submitted_s, unread_s, has_failed, how):
+        move = Move(work_s=0.25, count=3)
+        move.fill()
+        move.reassign()
+        world = move.world
+        world.run(submitted_s)
+        world.unread_until_s[NEW] = world.now_s + unread_s
+        for server in world.servers.values():
+            server.failing = has_failed
+        move.submit()
+        world.run(0.3)
+        for server in world.servers.values():
+            server.failing = False
+        move.disturb(OLD, how)
+        return move.finish()
+
+    # Guards against TWICE: the successor took a job for new that it had read
+    # after it opened the partition, and started the tasks that were done.
+    def test_a_job_that_is_read_late_is_not_started_again(self):
+        broken = {}
+        for case in itertools.product(
+            (0.02, 0.15),
+            (1.0, 2.7, 3.5, 5.0, 8.0),
+            (False, True),
+            ("", "kill", "pause", "restart agents"),
+        ):
+            found = self.play(*case)
+            if found:
+                broken[case] = found[:3]
+        self.assertEqual({}, broken)
+
+
+class TestReadWaits(testtools.TestCase):
+    # Guards against a takeover that waits for a read that began too early.
+    def test_a_read_begins_when_the_former_coordinators_have_ended(self):
+        end_s = leaserule.tenure_end_s(10.0)
+        partition = Partition(0, 1, 1, end_s, leaserule.takeover_s(end_s))
+        for now_s, wait_s in (
+            (10.0, POLL_WAIT_S),
+            (end_s - 0.2, 0.2),
+            (end_s + 0.1, 0.0),
+        ):
+            waited_s = keptjobs.read_wait_s(partition, now_s)
+            self.assertAlmostEqual(wait_s, waited_s)
+        partition.read_s = end_s
+        self.assertEqual(
+            POLL_WAIT_S, keptjobs.read_wait_s(partition, end_s + 0.1)
+        )
