Store the cancellation of an unknown job before answering 410

Cause: the answer tells that there is no such job, and so that it won't run, but nothing held a submission back that was still on its way: an entry repeats an append without an answer until its caller's deadline, and the store may carry one out late. The coordinator ignored cancellations of jobs that it did not know.

Fix: the entry that gives the answer first stores a cancellation in the log of the job's partition, with its time. The order in the log decides: a coordinator remembers a cancellation of an unknown job for 30 s, also across takeovers, and cancels the job before it starts if its submission comes meanwhile. A later submission is of a new job. Outdated cancellations are deleted, and a partition keeps 2,000 at most. A DELETE that can't be stored is not acknowledged. Earlier releases read the new records as before; cancellations of theirs have no time, and apply to known jobs only.

--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -353,16 +353,18 @@
         state = await self.job_state(caller)
         if state is None:
             return
-        if not state:
-            if await self.server.cancel_elsewhere(self.job):
-                self.reply(200, {"state": "cancelled"})
-            else:
-                self.refuse(410, "no such job")
+        if not state and await self.server.cancel_elsewhere(self.job):
+            self.reply(200, {"state": "cancelled"})
             return
-        if await self.wait_until_stored(
+        # Without a state, its submission may still be on its way.
+        if not await self.wait_until_stored(
             functools.partial(self.log.cancel, self.job, caller)
         ):
+            return
+        if state:
             self.reply(200, {"state": "cancelled"})
+        else:
+            self.refuse(410, "no such job")
 
     async def job_state(self, caller: Caller) -> str | None:
         """Returns the state of a job; empty when there is no such job.
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -374,14 +374,27 @@
         """Records that all submissions stored before a time were read."""
         keptjobs.on_read(self.board, partition.number, partition.epoch, read_s)
 
-    def apply_cancellation(self, partition: Partition, job: str) -> None:
-        """Cancels a job whose cancellation was read from the log."""
+    def apply_cancellation(
+        self, partition: Partition, job: str, unix_s: float
+    ) -> None:
+        """Cancels a job whose cancellation was read from the log.
+
+        Args:
+            partition: The partition.
+            job: Id of the job.
+            unix_s: When it was cancelled.
+        """
         self._update_time()
         keptjobs.on_cancelled(
-            self.board, partition.number, partition.epoch, job
+            self.board, partition.number, partition.epoch, job, unix_s
         )
         self._process_output()
 
+    def outdated_cancellations(self, partition: Partition) -> tuple[str, ...]:
+        """Returns ids of unknown jobs whose cancellations may be deleted."""
+        self._update_time()
+        return keptjobs.outdated_cancellations(self.board, partition)
+
     def take_batch(self, number: int) -> ProgressBatch | None:
         """Returns the next batch to write for a partition; None if empty."""
         return keptjobs.take_batch(self.board, number)
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -159,8 +159,11 @@
     async def cancel(self, job: str, caller: Caller) -> None:
         """Stores a cancellation of a job and returns once it is stored.
 
+        The job may be unknown: its submission may be stored later, by another
+        entry or by an append that was not answered, and is cancelled then.
+
         Args:
-            job: The job.
+            job: Id of the job.
             caller: The caller that waits for it.
 
         Raises:
@@ -168,7 +171,8 @@
             StoreUnavailableError: It may be stored, or may be later.
             TimeoutError: The same.
         """
-        record = Record(job + jobrecord.CANCEL_SUFFIX, b"1")
+        value = jobrecord.encode_cancellation(clock.unix_s())
+        record = Record(job + jobrecord.CANCEL_SUFFIX, value)
         await self._append(record, caller)
 
     async def state(self, job: str) -> str:
@@ -314,6 +318,7 @@
                 if offset is None:
                     offset = await self._load(partition)
                 else:
+                    await self._delete_cancellations(partition)
                     offset = await self._follow(
                         partition, offset, may_wait=not failures
                     )
@@ -389,9 +394,31 @@
     ) -> None:
         """Applies the cancellations among some records."""
         for record in records:
-            if record.value and record.key.endswith(jobrecord.CANCEL_SUFFIX):
-                job = record.key.removesuffix(jobrecord.CANCEL_SUFFIX)
-                self.server.apply_cancellation(partition, job)
+            if not record.value or not record.key.endswith(
+                jobrecord.CANCEL_SUFFIX
+            ):
+                continue
+            try:
+                unix_s = jobrecord.decode_cancellation(record.value)
+            except jobrecord.RecordError as error:
+                logs.error(
+                    "cancellation_malformed", key=record.key, error=error
+                )
+                continue
+            job = record.key.removesuffix(jobrecord.CANCEL_SUFFIX)
+            self.server.apply_cancellation(partition, job, unix_s)
+
+    async def _delete_cancellations(self, partition: Partition) -> None:
+        """Deletes cancellations of unknown jobs that are out of date."""
+        outdated = self.server.outdated_cancellations(partition)
+        ids = outdated[:MAX_APPEND_RECORDS]
+        if ids:
+            keys = [job + jobrecord.CANCEL_SUFFIX for job in ids]
+            await self.store.append(
+                JOBS, partition.number, [Record(key, None) for key in keys]
+            )
+        for job in ids:
+            partition.cancelled.pop(job, None)
 
     async def _write_loop(self) -> None:
         """Writes new progress, one batch per partition at a time."""
--- a/egretthread/scheduling/jobrecord.py
+++ b/egretthread/scheduling/jobrecord.py
@@ -13,6 +13,12 @@
 
 # Suffix of a job id that makes the key of the record that cancels the job.
 CANCEL_SUFFIX = "/cancel"
+# How long after a cancellation a submission of the job may be stored that was
+# on its way then. A later one is of a new job with the same id.
+CANCEL_MEMORY_S = 30.0
+# Time of a cancellation that does not tell it, as earlier releases write it.
+# They cancel only jobs whose submission is stored.
+UNKNOWN_TIME = -1.0
 
 
 class RecordError(util.EgretthreadError):
@@ -116,6 +122,37 @@
         raise _malformed(error) from error
 
 
+def encode_cancellation(unix_s: float) -> bytes:
+    """Returns the value of a cancellation record.
+
+    Args:
+        unix_s: When the job was cancelled.
+    """
+    return orjson.dumps({"unix_s": unix_s})
+
+
+def decode_cancellation(value: bytes) -> float:
+    """Returns when the job of a cancellation record was cancelled.
+
+    It is UNKNOWN_TIME in the record of an earlier release.
+
+    Raises:
+        RecordError: The record is malformed.
+    """
+    try:
+        table = orjson.loads(value)
+        return UNKNOWN_TIME if table == 1 else float(table["unix_s"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise _malformed(error) from error
+
+
+def is_cancelled(submission: Submission, cancelled_unix_s: float) -> bool:
+    """Whether a cancellation of a job's id is one of this submission."""
+    if cancelled_unix_s == UNKNOWN_TIME:
+        return True
+    return submission.accepted_unix_s - cancelled_unix_s < CANCEL_MEMORY_S
+
+
 def _decode_step(fields: dict) -> StepSpec:
     fields["room"] = Room(**fields["room"])
     fields["after"] = tuple(fields["after"])
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -89,6 +89,8 @@
         jobs: Its jobs by id.
         dirty: Jobs whose progress has to be written, by id.
         dropped: Ids of jobs whose records have to be deleted.
+        cancelled: When jobs were cancelled that are not known, by id: their
+            submissions may still be on their way. The oldest is the first.
     """
 
     number: int
@@ -107,6 +109,7 @@
     jobs: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
     dirty: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
     dropped: set[str] = dataclasses.field(default_factory=set)
+    cancelled: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def has_read_former(self) -> bool:
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -14,6 +14,7 @@
 from egretthread import logs
 from egretthread.scheduling import (
     crashbook,
+    jobrecord,
     jobs,
     leaserule,
     pendingcounts,
@@ -64,6 +65,8 @@
 # Time after which an end for an unknown job is forgotten unless it was settled.
 # Agents offer it again every 0.3 s, and partitions are read every 1.5 s.
 UNKNOWN_END_S = 10.0
+# Maximum number of cancellations of unknown jobs that are kept in a partition.
+MAX_CANCELLATIONS = 2000
 # Time between two removals of jobs that ended more than STATUS_S ago.
 SWEEP_INTERVAL_S = 1.0
 
@@ -167,8 +170,12 @@
 ) -> None:
     """Adds the job of a submission read from the log."""
     partition = _find_partition(board, number, epoch)
-    if partition is not None and submission.spec.job not in partition.jobs:
-        _add(board, partition, submission, None)
+    if partition is None or submission.spec.job in partition.jobs:
+        return
+    _add(board, partition, submission, None)
+    cancelled_unix_s = partition.cancelled.pop(submission.spec.job, None)
+    if cancelled_unix_s is not None:
+        _cancel(board, partition, submission.spec.job, cancelled_unix_s)
 
 
 def on_read(board: EntryBoard, number: int, epoch: int, read_s: float) -> None:
@@ -189,16 +196,58 @@
     return max(0.0, min(POLL_WAIT_S, partition.tenure_end_s - now_s))
 
 
-def on_cancelled(board: EntryBoard, number: int, epoch: int, job: str) -> None:
-    """Cancels an open job whose cancellation was read from the log."""
+def on_cancelled(
+    board: EntryBoard, number: int, epoch: int, job: str, unix_s: float
+) -> None:
+    """Cancels a job whose cancellation was read from the log.
+
+    Its caller may have been told that there is no such job. If the job is not
+    known, its submission may be stored later, and must not be started then.
+
+    Args:
+        board: The blackboard.
+        number: Number of the partition.
+        epoch: Epoch of the partition when it was read.
+        job: Id of the job.
+        unix_s: When the job was cancelled, or UNKNOWN_TIME.
+    """
     partition = _find_partition(board, number, epoch)
-    kept_job = partition.jobs.get(job) if partition else None
-    if kept_job is None or kept_job.state in FINAL_STATES:
+    if partition is None:
+        return
+    if job in partition.jobs:
+        _cancel(board, partition, job, unix_s)
+    elif unix_s != jobrecord.UNKNOWN_TIME:
+        partition.cancelled.pop(job, None)
+        partition.cancelled[job] = unix_s
+
+
+def _cancel(
+    board: EntryBoard, partition: Partition, job: str, unix_s: float
+) -> None:
+    """Cancels a known job, unless it has ended or was submitted anew."""
+    kept_job = partition.jobs[job]
+    if kept_job.state in FINAL_STATES:
+        return
+    if not jobrecord.is_cancelled(kept_job.submission, unix_s):
+        logs.info("cancellation_outdated", job=job, cancelled_unix_s=unix_s)
         return
     answer = Answer(job, Outcome.CANCELLED, "cancelled by its caller")
     jobs.close(board, kept_job.job, answer)
 
 
+def outdated_cancellations(
+    board: EntryBoard, partition: Partition
+) -> tuple[str, ...]:
+    """Returns ids of unknown jobs whose cancellations need not be kept."""
+    cutoff_unix_s = board.unix_s - jobrecord.CANCEL_MEMORY_S
+    excess = len(partition.cancelled) - MAX_CANCELLATIONS
+    return tuple(
+        job
+        for number, (job, unix_s) in enumerate(partition.cancelled.items())
+        if number < excess or unix_s < cutoff_unix_s
+    )
+
+
 def _find_partition(
     board: EntryBoard, number: int, epoch: int
 ) -> Partition | None:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -104,6 +104,12 @@
             "    return ended_s + lease_s + stop_s + STOP_MARGIN_S",
             "    return 0.0",
         ),
+        (
+            "forget cancellations of jobs that are not stored yet",
+            "keptjobs.py",
+            "        partition.cancelled[job] = unix_s",
+            "        pass",
+        ),
         (
             "open a partition before the jobs of its last owner are read",
             "keptboard.py",
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -8,7 +8,11 @@
 from egretthread import metrics
 from egretthread.platform import entryprogram
 from egretthread.scheduling import entryserver, joblog, jobrecord
-from egretthread.scheduling.storecall import POLL_WAIT_S, Record
+from egretthread.scheduling.storecall import (
+    POLL_WAIT_S,
+    Record,
+    StoreRefusedError,
+)
 from tests.platform import fakes, test_path
 from tests.platform.test_operators import until
 
@@ -351,6 +355,54 @@
 
         self.run_scenario(scenario)
 
+    # Guards against UNASKED: a DELETE was answered 410 while a submission of
+    # the job was on its way, which was stored and ran after that.
+    def test_a_job_that_is_stored_after_its_delete_does_not_run(self):
+        async def scenario(cluster):
+            path = f"/p/{1:016x}"
+            cluster.store.mode = "silent"
+            waiting = asyncio.ensure_future(cluster.submit(1, KEPT))
+            await asyncio.sleep(0.3)
+            cluster.store.mode = ""
+            code, _, _ = await cluster.fetch(cluster.callers, path, "DELETE")
+            self.assertEqual(410, code)
+            await waiting
+            await self.wait_for(cluster, 1, "cancelled")
+            self.assertEqual(0, self.run_count(cluster))
+            self.assertEqual({}, cluster.backend.server.runs)
+
+        self.run_scenario(scenario)
+
+    # Guards against UNASKED: a DELETE was acknowledged that nothing had stored.
+    def test_a_delete_that_is_not_stored_is_not_acknowledged(self):
+        async def scenario(cluster):
+            path = f"/p/{1:016x}"
+            append = cluster.entry.store.append
+
+            async def refuse(topic, *arguments):
+                if topic == joblog.JOBS:
+                    raise StoreRefusedError("busy", "retry later")
+                return await append(topic, *arguments)
+
+            cluster.entry.store.append = refuse
+            code, _, _ = await cluster.fetch(cluster.callers, path, "DELETE")
+            self.assertEqual(503, code)
+
+        self.run_scenario(scenario)
+
+    def test_outdated_cancellations_are_deleted(self):
+        self.patch(jobrecord, "CANCEL_MEMORY_S", 0.5)
+
+        async def scenario(cluster):
+            path = f"/p/{1:016x}"
+            code, _, _ = await cluster.fetch(cluster.callers, path, "DELETE")
+            self.assertEqual(410, code)
+            part = jobrecord.partition_of(f"{1:016x}", fakes.PARTITIONS)
+            self.assertEqual(1, len(cluster.store.newest("jobs", part)))
+            await until(lambda: not cluster.store.newest("jobs", part))
+
+        self.run_scenario(scenario)
+
     # Guards against LOST: GET was answered 410 for an accepted job by an entry
     # that was cut from the store.
     def test_without_the_store_an_unknown_job_gets_an_error_to_retry(self):
--- a/tests/scheduling/fakelog.py
+++ b/tests/scheduling/fakelog.py
@@ -37,7 +37,7 @@
         lost_share: Share of the calls that are applied but not answered.
         deaf_s: Until when an entry gets no answers, by name.
         submissions: Encoded submissions by job.
-        cancelled: Ids of cancelled jobs.
+        cancelled: When jobs were cancelled, in Unix time, by id.
         progress: Encoded progress by job.
         epochs: Epoch of the last writer of each partition.
         members: Members of the group by name, the node ids of entries.
@@ -56,7 +56,7 @@
         self.lost_share = 0.0
         self.deaf_s = {}
         self.submissions = {}
-        self.cancelled = set()
+        self.cancelled = {}
         self.progress = {}
         self.epochs = [0] * count
         self.members = {}
@@ -147,7 +147,9 @@
             if self.partition_of(job) == number
         }
         cancelled = [
-            job for job in self.cancelled if self.partition_of(job) == number
+            (job, unix_s)
+            for job, unix_s in self.cancelled.items()
+            if self.partition_of(job) == number
         ]
         return submissions, progress, cancelled
 
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -678,8 +678,8 @@
         ):
             return
         keptjobs.on_loaded(board, *key, submissions, progress)
-        for job_id in cancelled:
-            keptjobs.on_cancelled(board, *key, job_id)
+        for job_id, unix_s in cancelled:
+            keptjobs.on_cancelled(board, *key, job_id, unix_s)
         # Records that were written since the read are read next.
         for submission in self.log.read(partition.number)[0]:
             keptjobs.on_submitted(board, *key, submission)
@@ -713,17 +713,19 @@
 
     def submit_kept(self, spec, route=ROUTE):
         """Submits a kept job; it may be submitted again."""
-        submission = jobrecord.Submission(spec, route, self.now_s)
+        unix_s = self.now_s + UNIX_START_S
+        submission = jobrecord.Submission(spec, route, unix_s)
         value = jobrecord.encode_submission(submission)
         self.log.submissions.setdefault(spec.job, value)
         self._publish(spec.job, keptjobs.on_submitted, submission)
 
     def cancel_kept(self, job_id):
         """Cancels a kept job."""
-        self.log.cancelled.add(job_id)
-        self._publish(job_id, keptjobs.on_cancelled, job_id)
+        unix_s = self.now_s + UNIX_START_S
+        self.log.cancelled[job_id] = unix_s
+        self._publish(job_id, keptjobs.on_cancelled, job_id, unix_s)
 
-    def _publish(self, job_id, handler, change):
+    def _publish(self, job_id, handler, *change):
         number = self.log.partition_of(job_id)
         for process in self.entries.values():
             self.at(
@@ -734,15 +736,15 @@
                 process,
                 number,
                 handler,
-                change,
+                *change,
             )
 
-    def _read(self, process, number, handler, change):
+    def _read(self, process, number, handler, *change):
         if not self._reads(process):
             process.late_reads += 1
-            self._read_late(process, number, handler, change)
+            self._read_late(process, number, handler, *change)
             return
-        self._apply(process, number, handler, change)
+        self._apply(process, number, handler, *change)
 
     def _read_late(self, *arguments):
         """Applies a record once the reads of an entry are answered again."""
@@ -759,10 +761,10 @@
         process.late_reads -= 1
         self._apply(process, *record)
 
-    def _apply(self, process, number, handler, change):
+    def _apply(self, process, number, handler, *change):
         partition = process.board.kept.partitions.get(number)
         if partition is not None and partition.is_loaded:
-            handler(process.board, number, partition.epoch, change)
+            handler(process.board, number, partition.epoch, *change)
 
     def heartbeat(self, name):
         """Sends the periodic heartbeat of a backend server to its agent."""
--- a/tests/scheduling/test_jobrecord.py
+++ b/tests/scheduling/test_jobrecord.py
@@ -78,6 +78,12 @@
         expected = Progress(JobState.RUNNING, {}, {(0, 1): 1})
         self.assertEqual(expected, jobrecord.decode_progress(value))
 
+    def test_cancellations_of_earlier_releases_can_be_read(self):
+        unix_s = jobrecord.decode_cancellation(b"1")
+        self.assertEqual(jobrecord.UNKNOWN_TIME, unix_s)
+        value = jobrecord.encode_cancellation(1.7e9)
+        self.assertEqual(1.7e9, jobrecord.decode_cancellation(value))
+
     @hypothesis.given(strategies.binary(max_size=40))
     @hypothesis.settings(derandomize=True, deadline=None)
     def test_malformed_records_raise_record_errors(self, value):
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -222,6 +222,89 @@
         self.check(world)
 
 
+class TestEarlyCancellations(testtools.TestCase):
+    """A cancellation is stored before the submission of its job."""
+
+    def setUp(self):
+        super().setUp()
+        self.world = region.Region(work_s=lambda name: 9.0)
+        self.world.log.preferred[self.world.log.partition_of("k")] = "e0"
+        self.world.run(6.0)
+
+    def move(self):
+        """Moves the partition to another entry."""
+        self.world.log.preferred[self.world.log.partition_of("k")] = "e1"
+        self.world.log.reassign_at_once()
+        self.world.run(6.0)
+
+    # Guards against UNASKED: a job whose DELETE had been answered 410 ran, as
+    # its submission was stored after that.
+    def test_a_job_that_is_stored_after_its_cancellation_does_not_run(self):
+        self.world.cancel_kept("k")
+        self.world.run(1.0)
+        self.world.submit_kept(kept_job("k"))
+        self.world.run(1.0)
+        self.assertEqual({"k": "cancelled"}, self.world.log.states())
+        self.assertEqual({}, self.world.runs())
+
+    # The same with a successor, which reads one of the records or both.
+    def test_the_cancellation_is_remembered_by_the_next_coordinator(self):
+        self.world.cancel_kept("k")
+        self.move()
+        self.world.submit_kept(kept_job("k"))
+        self.world.run(1.0)
+        self.assertEqual({"k": "cancelled"}, self.world.log.states())
+        self.assertEqual({}, self.world.runs())
+
+    def test_a_job_that_is_loaded_with_its_cancellation_does_not_run(self):
+        for entry in self.world.entries:
+            self.world.unread_until_s[entry] = self.world.now_s + 20.0
+        self.world.cancel_kept("k")
+        self.world.run(1.0)
+        self.world.submit_kept(kept_job("k"))
+        self.move()
+        self.assertEqual({"k": "cancelled"}, self.world.log.states())
+        self.assertEqual({}, self.world.runs())
+
+    # Guards against LOST: a job that nobody has cancelled is cancelled.
+    def test_a_job_with_an_id_that_was_cancelled_long_ago_runs(self):
+        self.world.cancel_kept("k")
+        self.world.run(jobrecord.CANCEL_MEMORY_S + 1.0)
+        self.world.submit_kept(kept_job("k"))
+        self.world.run(1.0)
+        self.move()
+        self.world.finish(12.0)
+        self.assertEqual({"k": "completed"}, self.world.log.states())
+
+    def test_the_memory_of_cancellations_is_bounded(self):
+        self.patch(keptjobs, "MAX_CANCELLATIONS", 3)
+        entry = self.world.entries["e0"]
+        partition = entry.board.kept.partitions[
+            self.world.log.partition_of("k")
+        ]
+        for number in range(5):
+            keptjobs.on_cancelled(
+                entry.board,
+                partition.number,
+                partition.epoch,
+                f"k{number}",
+                entry.board.unix_s,
+            )
+        outdated = keptjobs.outdated_cancellations(entry.board, partition)
+        self.assertEqual(("k0", "k1"), outdated)
+
+    def test_a_cancellation_of_an_earlier_release_is_not_remembered(self):
+        entry = self.world.entries["e0"]
+        partition = entry.board.kept.partitions[
+            self.world.log.partition_of("k")
+        ]
+        unix_s = jobrecord.decode_cancellation(b"1")
+        keptjobs.on_cancelled(
+            entry.board, partition.number, partition.epoch, "k", unix_s
+        )
+        self.assertEqual({}, partition.cancelled)
+
+
 class TestPendingCounts(testtools.TestCase):
     """Urgent jobs wait for a full server, or lose their runs."""
 
