Let a coordinator hand its partitions over when its runs have ended

Cause: a takeover stood still for 3.71 s in any case, though a coordinator that learns of its loss stops its runs within 0.1 s, at its next call to the group or when it is shut down.

Change: the append that begins an epoch of a partition now holds a record that names the coordinator by that epoch. A coordinator that has released a partition writes a handover with its epoch into the log of submissions, when all runs that it ordered are reported as ended or fenced, and when the wait for those before it is over. The successor opens the partition when it reads the handover of the coordinator before it; all submissions that one has read stand before it in the log. Without a handover, or if another coordinator may have been in between, it waits as before. A coordinator of an earlier release does not write its name, but its epoch refuses an empty append in that of the one before it. Earlier releases read the two records as progress and as a cancellation of jobs that don't exist. One record of each kind is retained in a partition.

--- a/egretthread/platform/store.py
+++ b/egretthread/platform/store.py
@@ -126,15 +126,27 @@
     async def find(self, topic: str, partition: int, key: str) -> bytes | None:
         """Returns the newest value of one key, or None if there is none.
 
+        Raises:
+            StoreUnavailableError: The store did not answer or refused the
+                request.
+        """
+        value, _ = await self.find_newest(topic, partition, key)
+        return value
+
+    async def find_newest(
+        self, topic: str, partition: int, key: str
+    ) -> tuple[bytes | None, int]:
+        """Returns the newest value of one key, and the partition's end.
+
         Raises:
             StoreUnavailableError: The store did not answer or refused the
                 request.
         """
         # The store lists keys in order, starting after the given one. The key
         # without its last character sorts before the key itself.
-        page, _, _ = await self._page(topic, partition, key[:-1])
+        page, end, _ = await self._page(topic, partition, key[:-1])
         values = [record.value for record in page if record.key == key]
-        return values[0] if values else None
+        return (values[0] if values else None), end
 
     async def _page(
         self,
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -21,7 +21,11 @@
 from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
 from egretthread.scheduling.jobrecord import JobState, Progress, Submission
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
-from egretthread.scheduling.keptboard import Partition, ProgressBatch
+from egretthread.scheduling.keptboard import (
+    Handover,
+    Partition,
+    ProgressBatch,
+)
 from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.runmessage import (
     CrashSummary,
@@ -395,6 +399,18 @@
         self._update_time()
         return keptjobs.outdated_cancellations(self.board, partition)
 
+    def apply_handover(self, partition: Partition, former_epoch: int) -> None:
+        """Ends the wait for the former coordinator of a partition."""
+        self._update_time()
+        keptjobs.on_handover(
+            self.board, partition.number, partition.epoch, former_epoch
+        )
+
+    def take_handovers(self) -> list[Handover]:
+        """Returns the handovers of released partitions without runs."""
+        self._update_time()
+        return keptjobs.take_handovers(self.board)
+
     def take_batch(self, number: int) -> ProgressBatch | None:
         """Returns the next batch to write for a partition; None if empty."""
         return keptjobs.take_batch(self.board, number)
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -8,7 +8,12 @@
 from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryserver import EntryServer
 from egretthread.scheduling.jobrecord import JobState, Progress, Submission
-from egretthread.scheduling.keptboard import Partition, ProgressBatch
+from egretthread.scheduling.keptboard import (
+    UNKNOWN_EPOCH,
+    Handover,
+    Partition,
+    ProgressBatch,
+)
 from egretthread.scheduling.nodesettings import NodeSettings
 from egretthread.scheduling.storecall import (
     Appended,
@@ -44,8 +49,12 @@
 WRITE_SHARE = 0.7
 # Maximum number of records of a partition that wait to be appended.
 MAX_PENDING = 2000
+# Time between two looks for partitions that can be handed over.
+HANDOVER_INTERVAL_S = 0.05
 # Part of the time that a caller waits, reserved for sending the response.
 RESPONSE_MARGIN_S = 0.1
+# Maximum number of records of progress that are searched for coordinators.
+MAX_CHECKED = 500
 # Maximum number of records in one append.
 MAX_APPEND_RECORDS = 200
 
@@ -102,6 +111,7 @@
         """Starts the background tasks."""
         self.join_task = self._spawn(self._join_loop())
         self._spawn(self._write_loop())
+        self._spawn(self._handover_loop())
 
     async def close(self) -> None:
         """Cancels the background tasks and waits for their end."""
@@ -346,10 +356,7 @@
             # and what this one has sent before it lost the partition. Each
             # attempt has an epoch of its own: an earlier one may be applied
             # late.
-            self.server.begin_epoch(partition)
-            await self.store.append(
-                PROGRESS, partition.number, (), Writer(partition.epoch, 0)
-            )
+            await self._take_over(partition)
         progress = await self.store.newest(PROGRESS, partition.number)
         partition.progress_end = max(partition.progress_end, progress.end)
         sent_s = clock.monotonic_s()
@@ -365,8 +372,45 @@
         )
         self._apply_cancellations(partition, batch.records)
         self.server.record_read(partition, sent_s)
+        self._apply_handovers(partition, batch.records)
         return batch.end
 
+    async def _take_over(self, partition: Partition) -> None:
+        """Begins an epoch as coordinator; finds the coordinator before."""
+        number = partition.number
+        partition.first_epoch = partition.former_epoch = UNKNOWN_EPOCH
+        value, end = await self.store.find_newest(
+            PROGRESS, number, jobrecord.COORDINATOR_KEY
+        )
+        former_epoch = _decode_epoch(value)
+        if former_epoch != UNKNOWN_EPOCH:
+            try:
+                # Coordinators of earlier releases do not write their names.
+                await self.store.append(
+                    PROGRESS, number, (), Writer(former_epoch, 0)
+                )
+            except FencedError:
+                former_epoch = UNKNOWN_EPOCH
+            except AppendOrderError:
+                pass
+        self.server.begin_epoch(partition)
+        epoch = partition.epoch
+        record = Record(
+            jobrecord.COORDINATOR_KEY, jobrecord.encode_coordinator(epoch)
+        )
+        appended = await self.store.append(
+            PROGRESS, number, [record], Writer(epoch, 0)
+        )
+        partition.first_epoch = epoch
+        if former_epoch == UNKNOWN_EPOCH or appended.end - end > MAX_CHECKED:
+            return
+        between = await self.store.read(PROGRESS, end, 0.0, number)
+        if between.end >= appended.end and not any(
+            each.key == jobrecord.COORDINATOR_KEY
+            for each in between.records[: appended.first - end]
+        ):
+            partition.former_epoch = former_epoch
+
     async def _follow(
         self, partition: Partition, offset: int, may_wait: bool
     ) -> int:
@@ -387,6 +431,7 @@
         self._apply_cancellations(partition, batch.records)
         if not batch.has_more:
             self.server.record_read(partition, sent_s)
+        self._apply_handovers(partition, batch.records)
         return batch.end
 
     def _apply_cancellations(
@@ -394,9 +439,11 @@
     ) -> None:
         """Applies the cancellations among some records."""
         for record in records:
-            if not record.value or not record.key.endswith(
-                jobrecord.CANCEL_SUFFIX
-            ):
+            is_cancellation = (
+                record.key.endswith(jobrecord.CANCEL_SUFFIX)
+                and record.key != jobrecord.HANDOVER_KEY
+            )
+            if not record.value or not is_cancellation:
                 continue
             try:
                 unix_s = jobrecord.decode_cancellation(record.value)
@@ -408,6 +455,41 @@
             job = record.key.removesuffix(jobrecord.CANCEL_SUFFIX)
             self.server.apply_cancellation(partition, job, unix_s)
 
+    def _apply_handovers(
+        self, partition: Partition, records: tuple[Record, ...]
+    ) -> None:
+        """Applies the handovers among some records."""
+        for record in records:
+            if record.key == jobrecord.HANDOVER_KEY:
+                epoch = _decode_epoch(record.value)
+                self.server.apply_handover(partition, epoch)
+
+    async def _handover_loop(self) -> None:
+        """Tells the next coordinators of partitions that no run goes on."""
+        while True:
+            await asyncio.sleep(HANDOVER_INTERVAL_S)
+            if not self.server.board.kept.handovers:
+                continue
+            for handover in self.server.take_handovers():
+                self._spawn(self._hand_over(handover))
+
+    async def _hand_over(self, handover: Handover) -> None:
+        """Stores a handover, with retries while it is of use."""
+        record = Record(
+            jobrecord.HANDOVER_KEY, jobrecord.encode_handover(handover.epoch)
+        )
+        end_s = handover.released_s + keptjobs.HANDOVER_S
+        while clock.monotonic_s() < end_s:
+            try:
+                await self.store.append(JOBS, handover.number, [record])
+            except StoreUnavailableError as error:
+                logs.info(
+                    "handover_not_stored", part=handover.number, error=error
+                )
+                await asyncio.sleep(RETRY_S)
+            else:
+                return
+
     async def _delete_cancellations(self, partition: Partition) -> None:
         """Deletes cancellations of unknown jobs that are out of date."""
         outdated = self.server.outdated_cancellations(partition)
@@ -533,8 +615,8 @@
 
 
 def _decode_progress(record: Record) -> tuple[str, Progress] | None:
-    """Returns the job id and progress in a record; None when malformed."""
-    if not record.value:
+    """Returns the job id and progress in a record, or None."""
+    if not record.value or record.key == jobrecord.COORDINATOR_KEY:
         return None
     try:
         return record.key, jobrecord.decode_progress(record.value)
@@ -543,6 +625,17 @@
         return None
 
 
+def _decode_epoch(value: bytes | None) -> int:
+    """Returns the epoch in a record; UNKNOWN_EPOCH if there is none."""
+    if not value:
+        return UNKNOWN_EPOCH
+    try:
+        return jobrecord.decode_epoch(value)
+    except jobrecord.RecordError as error:
+        logs.error("coordinator_malformed", error=error)
+        return UNKNOWN_EPOCH
+
+
 def _deletions(ids: list[str]) -> list[Record]:
     """Returns the records that delete jobs and their cancellations."""
     keys = [key for job in ids for key in (job, job + jobrecord.CANCEL_SUFFIX)]
--- a/egretthread/scheduling/jobrecord.py
+++ b/egretthread/scheduling/jobrecord.py
@@ -13,6 +13,12 @@
 
 # Suffix of a job id that makes the key of the record that cancels the job.
 CANCEL_SUFFIX = "/cancel"
+# Key of the record of the progress topic that names the last coordinator of a
+# partition, and of that of the topic of submissions in which a coordinator
+# tells that it has handed the partition over. Earlier releases read them as the
+# progress and as a cancellation of jobs that do not exist.
+COORDINATOR_KEY = "coordinator"
+HANDOVER_KEY = "handover" + CANCEL_SUFFIX
 # How long after a cancellation a submission of the job may be stored that was
 # on its way then. A later one is of a new job with the same id.
 CANCEL_MEMORY_S = 30.0
@@ -153,6 +159,33 @@
     return submission.accepted_unix_s - cancelled_unix_s < CANCEL_MEMORY_S
 
 
+def encode_coordinator(epoch: int) -> bytes:
+    """Returns the value of the record that names a coordinator.
+
+    Args:
+        epoch: Its first epoch of the partition.
+    """
+    progress = orjson.loads(encode_progress(Progress()))
+    return orjson.dumps({**progress, "epoch": epoch})
+
+
+def encode_handover(epoch: int) -> bytes:
+    """Returns the value of the record of a handover by that coordinator."""
+    return orjson.dumps({"epoch": epoch})
+
+
+def decode_epoch(value: bytes) -> int:
+    """Returns the epoch in a record of a coordinator or of a handover.
+
+    Raises:
+        RecordError: The record is malformed.
+    """
+    try:
+        return int(orjson.loads(value)["epoch"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise _malformed(error) from error
+
+
 def _decode_step(fields: dict) -> StepSpec:
     fields["room"] = Room(**fields["room"])
     fields["after"] = tuple(fields["after"])
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -13,6 +13,8 @@
 # coordinator is lost, the store assigns them to another entry within 2.5 s, and
 # that learns of it within 0.6 s and loads them.
 MEMORY_S = 3.5
+# Epoch of a coordinator that is not known.
+UNKNOWN_EPOCH = -1
 # Upper bound of the epochs of a partition in one generation of the group.
 EPOCHS_PER_GENERATION = 2**24
 
@@ -77,6 +79,10 @@
         tenure_end_s: When earlier coordinators have given it up: they read
             submissions and order runs no longer.
         ready_s: When all runs ordered by earlier coordinators have ended.
+        first_epoch: Epoch under which the store names this entry as its
+            coordinator; UNKNOWN_EPOCH before.
+        former_epoch: The same of the coordinator before; UNKNOWN_EPOCH if there
+            may have been another one since.
         last_append: Number of the last append of progress.
         progress_end: Offset after the newest progress that is known here. Only
             the coordinator appends, so its next append begins there or later.
@@ -98,6 +104,8 @@
     epoch: int
     tenure_end_s: float
     ready_s: float
+    first_epoch: int = UNKNOWN_EPOCH
+    former_epoch: int = UNKNOWN_EPOCH
     last_append: int = 0
     progress_end: int = 0
     is_loaded: bool = False
@@ -139,6 +147,26 @@
     settles: dict[tuple[str, str], tuple[int, ...]]
 
 
+@dataclasses.dataclass(frozen=True)
+class Handover:
+    """A partition that this entry has released.
+
+    Attributes:
+        number: Number of the partition.
+        epoch: Epoch under which the store names this entry as its coordinator.
+        released_s: When it was released.
+        ready_s: When all runs ordered by earlier coordinators have ended.
+        jobs: Jobs with runs that this entry has ordered, which may not have
+            ended at its release.
+    """
+
+    number: int
+    epoch: int
+    released_s: float
+    ready_s: float
+    jobs: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True)
 class FormerCounts:
     """Jobs that waited in partitions when their coordinator released them.
@@ -170,6 +198,8 @@
         until_s: When its assignment expires unless it is renewed.
         dirty: Numbers of partitions with progress that has to be written.
         last_sweep_s: When records of expired jobs were last removed.
+        handovers: Released partitions whose next coordinator has not been told
+            that all their runs have ended.
         former_counts: Last counts of partitions that have not been loaded by
             their next coordinator.
     """
@@ -187,6 +217,7 @@
     until_s: float = 0.0
     dirty: set[int] = dataclasses.field(default_factory=set)
     last_sweep_s: float = 0.0
+    handovers: list[Handover] = dataclasses.field(default_factory=list)
     former_counts: list[FormerCounts] = dataclasses.field(default_factory=list)
 
     @property
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -38,7 +38,13 @@
     Submission,
     partition_of,
 )
-from egretthread.scheduling.keptboard import KeptJob, Partition, ProgressBatch
+from egretthread.scheduling.keptboard import (
+    UNKNOWN_EPOCH,
+    Handover,
+    KeptJob,
+    Partition,
+    ProgressBatch,
+)
 from egretthread.scheduling.runmessage import (
     EntryHello,
     HeldEnd,
@@ -67,6 +73,8 @@
 UNKNOWN_END_S = 10.0
 # Maximum number of cancellations of unknown jobs that are kept in a partition.
 MAX_CANCELLATIONS = 2000
+# Time after which the next coordinator of a partition does without a handover.
+HANDOVER_S = 5.0
 # Time between two removals of jobs that ended more than STATUS_S ago.
 SWEEP_INTERVAL_S = 1.0
 
@@ -131,6 +139,62 @@
     )
     for kept_job in open_jobs:
         jobs.drop(board, kept_job.job)
+    if partition.first_epoch != UNKNOWN_EPOCH:
+        handover = Handover(
+            number,
+            partition.first_epoch,
+            board.now_s,
+            board.now_s if partition.is_open else partition.ready_s,
+            frozenset(partition.jobs.keys() & board.orphaned_runs.keys()),
+        )
+        board.kept.handovers.append(handover)
+
+
+def take_handovers(board: EntryBoard) -> list[Handover]:
+    """Returns the handovers of partitions of which no run goes on.
+
+    Handovers that are no longer of use are dropped.
+    """
+    ready = []
+    for handover in tuple(board.kept.handovers):
+        has_runs = any(job in board.orphaned_runs for job in handover.jobs)
+        if board.now_s - handover.released_s > HANDOVER_S:
+            board.kept.handovers.remove(handover)
+        elif board.now_s >= handover.ready_s and not has_runs:
+            board.kept.handovers.remove(handover)
+            ready.append(handover)
+    return ready
+
+
+def on_handover(
+    board: EntryBoard, number: int, epoch: int, former_epoch: int
+) -> None:
+    """Ends the wait for the former coordinator of a partition.
+
+    It read no submissions any longer when it wrote the record of the handover,
+    and all submissions before that record have been read here.
+
+    Args:
+        board: The blackboard.
+        number: Number of the partition.
+        epoch: Epoch of the partition when the record was read.
+        former_epoch: Epoch of the coordinator that has written it.
+    """
+    partition = _find_partition(board, number, epoch)
+    if (
+        partition is None
+        or partition.is_open
+        or former_epoch == UNKNOWN_EPOCH
+        or former_epoch != partition.former_epoch
+    ):
+        return
+    logs.info(
+        "partition_handed_over",
+        part=number,
+        before_s=partition.ready_s - board.now_s,
+    )
+    partition.tenure_end_s = min(partition.tenure_end_s, partition.read_s)
+    partition.ready_s = min(partition.ready_s, board.now_s)
 
 
 def begin_epoch(board: EntryBoard, partition: Partition) -> None:
--- a/egretthread/scheduling/storecall.py
+++ b/egretthread/scheduling/storecall.py
@@ -153,6 +153,11 @@
     async def find(self, topic: str, partition: int, key: str) -> bytes | None:
         """Returns the newest value of one key; None when there is none."""
 
+    async def find_newest(
+        self, topic: str, partition: int, key: str
+    ) -> tuple[bytes | None, int]:
+        """Returns the newest value of a key, and the partition's end offset."""
+
     async def read(
         self, topic: str, offset: int, wait_s: float, partition: int = 0
     ) -> Batch:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -104,6 +104,18 @@
             "    return ended_s + lease_s + stop_s + STOP_MARGIN_S",
             "    return 0.0",
         ),
+        (
+            "take the handover of any coordinator",
+            "keptjobs.py",
+            "        or former_epoch != partition.former_epoch",
+            "        or False",
+        ),
+        (
+            "hand a partition over while runs go on",
+            "keptjobs.py",
+            "        elif board.now_s >= handover.ready_s and not has_runs:",
+            "        else:",
+        ),
         (
             "forget cancellations of jobs that are not stored yet",
             "keptjobs.py",
--- a/tests/platform/test_keptpath.py
+++ b/tests/platform/test_keptpath.py
@@ -5,9 +5,13 @@
 
 import testtools
 
-from egretthread import metrics
+from egretthread import clock, metrics
 from egretthread.platform import entryprogram
 from egretthread.scheduling import entryserver, joblog, jobrecord
+from egretthread.scheduling.keptboard import (
+    EPOCHS_PER_GENERATION,
+    UNKNOWN_EPOCH,
+)
 from egretthread.scheduling.storecall import (
     POLL_WAIT_S,
     Record,
@@ -355,6 +359,49 @@
 
         self.run_scenario(scenario)
 
+    async def replace_entry(self, cluster):
+        """Replaces the entry by another process; returns its partitions."""
+        await cluster.entry.close()
+        cluster.entry = entryprogram.Entry(cluster.entry.settings)
+        await cluster.entry.start()
+        partitions = cluster.entry.server.board.kept.partitions
+        await until(lambda: len(partitions) == fakes.PARTITIONS)
+        await until(lambda: all(p.is_loaded for p in partitions.values()))
+        return partitions
+
+    def test_a_stopped_entry_hands_its_partitions_over(self):
+        async def scenario(cluster):
+            await cluster.submit(1, KEPT)
+            await self.wait_for(cluster, 1, "completed")
+            partitions = await self.replace_entry(cluster)
+            begin_s = clock.monotonic_s()
+            await until(lambda: all(p.is_open for p in partitions.values()))
+            self.assertLess(clock.monotonic_s() - begin_s, 1.0)
+
+        self.run_scenario(scenario)
+
+    # Guards against TWICE: the last coordinator was of a release that does not
+    # write its name, and the handover is of the one before.
+    def test_an_unnamed_coordinator_is_waited_for(self):
+        async def scenario(cluster):
+            partitions = cluster.entry.server.board.kept.partitions
+            await until(lambda: len(partitions) == fakes.PARTITIONS)
+            await until(lambda: all(p.is_open for p in partitions.values()))
+            await cluster.entry.close()
+            number = 3
+            epoch = (cluster.store.generation + 1) * EPOCHS_PER_GENERATION
+            cluster.store.append(joblog.PROGRESS, number, (), (epoch, 0))
+            cluster.store.generation += 2
+            cluster.entry = entryprogram.Entry(cluster.entry.settings)
+            await cluster.entry.start()
+            partitions = cluster.entry.server.board.kept.partitions
+            await until(lambda: len(partitions) == fakes.PARTITIONS)
+            await until(lambda: partitions[0].is_open)
+            self.assertFalse(partitions[number].is_open)
+            self.assertEqual(UNKNOWN_EPOCH, partitions[number].former_epoch)
+
+        self.run_scenario(scenario)
+
     # Guards against UNASKED: a DELETE was answered 410 while a submission of
     # the job was on its way, which was stored and ran after that.
     def test_a_job_that_is_stored_after_its_delete_does_not_run(self):
--- a/tests/scheduling/fakelog.py
+++ b/tests/scheduling/fakelog.py
@@ -40,6 +40,8 @@
         cancelled: When jobs were cancelled, in Unix time, by id.
         progress: Encoded progress by job.
         epochs: Epoch of the last writer of each partition.
+        handovers: Epoch of the last coordinator that has handed each partition
+            over.
         members: Members of the group by name, the node ids of entries.
         owners: Name of the member that owns each partition; None for none.
         wanted: Name of the member that each partition is to be assigned to.
@@ -59,6 +61,7 @@
         self.cancelled = {}
         self.progress = {}
         self.epochs = [0] * count
+        self.handovers = {}
         self.members = {}
         self.owners = dict.fromkeys(range(count))
         self.wanted = {}
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -593,6 +593,15 @@
                         )
             for number in tuple(board.kept.partitions):
                 self.write(process, number)
+            for handover in keptjobs.take_handovers(board):
+                self.at(
+                    STORE_DELAY_S,
+                    self.run_event,
+                    process,
+                    self._hand_over,
+                    process,
+                    handover,
+                )
             return
         for name in wantedlinks.addresses(board):
             self._link_pair(self.entries[name], process)
@@ -658,6 +667,8 @@
         keptjobs.begin_epoch(process.board, partition)
         if partition.epoch < log.epochs[partition.number]:
             return
+        partition.former_epoch = log.epochs[partition.number]
+        partition.first_epoch = partition.epoch
         log.epochs[partition.number] = partition.epoch
         submissions, progress, cancelled = log.read(partition.number)
         self.run_event(
@@ -684,6 +695,25 @@
         for submission in self.log.read(partition.number)[0]:
             keptjobs.on_submitted(board, *key, submission)
         keptjobs.on_read(board, *key, self.now_s)
+        handover = self.log.handovers.get(partition.number, -1)
+        keptjobs.on_handover(board, *key, handover)
+
+    def _hand_over(self, process, handover):
+        """Stores the handover of a partition, with retries."""
+        if not self.log.reaches(process.name, self.now_s):
+            if self.now_s - handover.released_s < keptjobs.HANDOVER_S:
+                self.at(
+                    STORE_RETRY_S,
+                    self.run_event,
+                    process,
+                    self._hand_over,
+                    process,
+                    handover,
+                )
+            return
+        number = handover.number
+        self.log.handovers[number] = handover.epoch
+        self._publish_to(number, keptjobs.on_handover, handover.epoch)
 
     def write(self, process, number):
         """Writes the progress of a partition, one batch at a time."""
@@ -726,7 +756,9 @@
         self._publish(job_id, keptjobs.on_cancelled, job_id, unix_s)
 
     def _publish(self, job_id, handler, *change):
-        number = self.log.partition_of(job_id)
+        self._publish_to(self.log.partition_of(job_id), handler, *change)
+
+    def _publish_to(self, number, handler, *change):
         for process in self.entries.values():
             self.at(
                 STORE_DELAY_S,
--- a/tests/scheduling/test_jobrecord.py
+++ b/tests/scheduling/test_jobrecord.py
@@ -84,10 +84,22 @@
         value = jobrecord.encode_cancellation(1.7e9)
         self.assertEqual(1.7e9, jobrecord.decode_cancellation(value))
 
+    def test_earlier_releases_can_read_the_record_of_a_coordinator(self):
+        value = jobrecord.encode_coordinator(7)
+        self.assertEqual(7, jobrecord.decode_epoch(value))
+        self.assertEqual(Progress(), jobrecord.decode_progress(value))
+        self.assertEqual(
+            7, jobrecord.decode_epoch(jobrecord.encode_handover(7))
+        )
+
     @hypothesis.given(strategies.binary(max_size=40))
     @hypothesis.settings(derandomize=True, deadline=None)
     def test_malformed_records_raise_record_errors(self, value):
-        for decode in (jobrecord.decode_progress, jobrecord.decode_submission):
+        for decode in (
+            jobrecord.decode_progress,
+            jobrecord.decode_submission,
+            jobrecord.decode_epoch,
+        ):
             self.assertRaises(jobrecord.RecordError, decode, value)
 
     def test_jobs_are_distributed_over_all_partitions(self):
--- a/tests/scheduling/test_reassignments.py
+++ b/tests/scheduling/test_reassignments.py
@@ -193,3 +193,71 @@
         self.assertEqual(
             POLL_WAIT_S, keptjobs.read_wait_s(partition, end_s + 0.1)
         )
+
+
+class TestHandovers(testtools.TestCase):
+    """The former coordinator tells its successor that no run goes on."""
+
+    def setUp(self):
+        super().setUp()
+        self.move = Move()
+        self.move.submit()
+        self.world = self.move.world
+        self.world.run(1.0)
+
+    def partition(self):
+        """Returns the partition at its successor."""
+        return self.world.entries[NEW].board.kept.partitions[self.move.part]
+
+    # Guards against jobs that stand still for the fence of a coordinator that
+    # has stopped their runs.
+    def test_a_job_goes_on_soon_after_its_partition_was_handed_over(self):
+        self.move.reassign()
+        self.world.run(1.0)
+        runs = [
+            run
+            for server in self.world.servers.values()
+            for run in server.runs.values()
+        ]
+        self.assertEqual(self.move.count, len(runs))
+        self.assertEqual([], self.move.finish())
+
+    # Guards against TWICE: a handover is of the coordinator before the last.
+    def test_a_handover_of_another_coordinator_is_ignored(self):
+        self.move.reassign()
+        self.move.turn_away(OLD, "turned away")
+        self.world.run(0.1)
+        partition = self.partition()
+        ready_s = partition.ready_s
+        for epoch in (partition.former_epoch - 1, partition.epoch, -1):
+            keptjobs.on_handover(
+                self.world.entries[NEW].board,
+                partition.number,
+                partition.epoch,
+                epoch,
+            )
+        self.assertEqual(ready_s, partition.ready_s)
+
+    # Guards against TWICE: a coordinator hands over what runs of its
+    # predecessor still work on.
+    def test_a_coordinator_that_was_not_ready_does_not_hand_over(self):
+        self.move.reassign()
+        self.move.turn_away(OLD, "turned away")
+        self.world.run(0.3)
+        self.move.reassign(THIRD)
+        self.world.run(0.7)
+        board = self.world.entries[NEW].board
+        self.assertEqual(1, len(board.kept.handovers))
+        self.assertEqual([], keptjobs.take_handovers(board))
+        self.assertEqual([], self.move.finish())
+
+    # Guards against TWICE: the stop of a run is not answered.
+    def test_a_partition_with_a_run_is_not_handed_over(self):
+        for agent in self.world.agents.values():
+            self.world.freeze(agent, 1.0)
+        self.move.reassign()
+        self.world.run(0.7)
+        board = self.world.entries[OLD].board
+        self.assertEqual(1, len(board.kept.handovers))
+        self.assertEqual([], self.move.finish())
+        self.assertEqual([], board.kept.handovers)
