Wait for the last held ends before a handed-over partition is opened

Cause: agents offer the ends that the former coordinator could not write to the next one within a tick if they are linked with it, and else after they have been told its address. A partition that is opened at the handover may start such a task again. That end is then void, and the lease of its server has to lapse.

Change: the wait after a handover is 1 s instead of none, for the offers and a new link.

--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -75,6 +75,9 @@
 MAX_CANCELLATIONS = 2000
 # Time after which the next coordinator of a partition does without a handover.
 HANDOVER_S = 5.0
+# Time in which agents offer the ends that they hold to a partition's next
+# coordinator, and link with it first if they have to.
+OFFER_S = 1.0
 # Time between two removals of jobs that ended more than STATUS_S ago.
 SWEEP_INTERVAL_S = 1.0
 
@@ -169,10 +172,11 @@
 def on_handover(
     board: EntryBoard, number: int, epoch: int, former_epoch: int
 ) -> None:
-    """Ends the wait for the former coordinator of a partition.
+    """Shortens the wait for the former coordinator of a partition.
 
     It read no submissions any longer when it wrote the record of the handover,
-    and all submissions before that record have been read here.
+    and all submissions before that record have been read here. Ends that it has
+    not written may still be offered: after a new start they would be void.
 
     Args:
         board: The blackboard.
@@ -194,7 +198,7 @@
         before_s=partition.ready_s - board.now_s,
     )
     partition.tenure_end_s = min(partition.tenure_end_s, partition.read_s)
-    partition.ready_s = min(partition.ready_s, board.now_s)
+    partition.ready_s = min(partition.ready_s, board.now_s + OFFER_S)
 
 
 def begin_epoch(board: EntryBoard, partition: Partition) -> None:
