Let only servers that take runs meet the need of a waiting task

A coordinator names the needs of its waiting tasks to the other entries only if no linked agent meets them, and an agent whose server is lost, leaves, or is in a withdrawn zone counted as meeting them, since it keeps the facts of that server.

On the commit before this one, test_a_lost_server_does_not_meet_a_need fails: {'k': 'completed'} != {'k': 'open'}.

Fix: an agent meets a need only while its server is ready and its zone is not withdrawn; else the need is told, and other agents link with the coordinator.

A linked agent that is full for long still counts as meeting a need.

--- a/egretthread/scheduling/serverneeds.py
+++ b/egretthread/scheduling/serverneeds.py
@@ -7,7 +7,7 @@
 
 from egretthread.scheduling.entryboard import AgentView, EntryBoard, Task
 from egretthread.scheduling.room import Room
-from egretthread.scheduling.runmessage import ServerNeed
+from egretthread.scheduling.runmessage import ServerNeed, ServerState
 
 # Time that a task has waited for before its need is sent. An agent that has
 # just started, or that is linked again, is known by then.
@@ -17,7 +17,7 @@
 
 
 def unmet(board: EntryBoard) -> tuple[ServerNeed, ...]:
-    """Returns the needs of waiting tasks that no linked agent meets."""
+    """Returns the needs of waiting tasks that no usable linked agent meets."""
     since_s = board.now_s - MIN_WAIT_S
     needs = {
         _need(task): None
@@ -28,7 +28,7 @@
         need
         for need in needs
         if not any(
-            view.is_connected and _meets(view, need)
+            _may_take_runs(board, view) and _meets(view, need)
             for view in board.agents.values()
         )
     ]
@@ -44,6 +44,19 @@
     )
 
 
+def _may_take_runs(board: EntryBoard, view: AgentView) -> bool:
+    """Whether an agent is linked and its backend server takes runs.
+
+    An agent keeps the facts of a backend server that is lost or leaves.
+    """
+    return (
+        view.is_connected
+        and view.state is ServerState.READY
+        and view.facts is not None
+        and view.facts.zone not in board.operator_state.withdrawn
+    )
+
+
 def _need(task: Task) -> ServerNeed:
     room = task.spec.room
     return ServerNeed(
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -449,6 +449,31 @@
         self.assertEqual([], world.violations())
         self.assertEqual((), serverneeds.unmet(board))
 
+    # Guards against LOST: the need counted as met by an agent with such a
+    # backend server, which was lost for good.
+    def test_a_lost_server_does_not_meet_a_need(self):
+        world = region.Region(entries=9, agents=4, is_partly_linked=True)
+        sound, *others = (
+            set(linkchoice.choose(name, world.entry_names, ()))
+            for name in sorted(world.agents)
+        )
+        lost, linked = next(
+            (f"a{number}", entries - sound)
+            for number, entries in enumerate(others, 1)
+            if entries - sound
+        )
+        for name in ("a0", lost):
+            world.servers[name].rack = "r9"
+        for number in range(world.log.count):
+            world.log.preferred[number] = min(linked)
+        world.run(6.0)
+        world.crash_server(lost, 200.0)
+        world.run(1.0)
+        self.submit(world)
+        world.finish(8.0)
+        self.assertEqual({"k": "completed"}, world.log.states())
+        self.assertEqual([], world.violations())
+
     def test_an_agent_that_is_too_small_is_not_told(self):
         world, board = self.start_region()
         self.submit(world, cpu=9000)
