Count jobs whose runs are not known to have started as waiting

Cause: each job was ordered once. The agent's start call was not answered, and it reported the run as stopped, with a run time of 0. The entry took that for unknown and judged by the agent's heartbeats, which show only that a run that can't start in time would have been refused.

Fix: an agent that reports an end knows whether the run has started, and its run time of 0 means that it is not known to have. The heartbeats decide only where no agent reports the end. A run that has started without an answer may then be counted as waiting until it is started again.

--- a/egretthread/scheduling/entryengine.py
+++ b/egretthread/scheduling/entryengine.py
@@ -23,6 +23,7 @@
 )
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
 from egretthread.scheduling.runmessage import (
+    UNKNOWN_RUN_MS,
     AgentBeat,
     HeldEnds,
     LiveRuns,
@@ -228,7 +229,9 @@
         task = view.tasks.pop(attempt, None)
         if task is not None:
             shares.on_ended(board, task)
-            report = RunReport(task.job.id, attempt, RunEnd.STOPPED, 0, 0)
+            report = RunReport(
+                task.job.id, attempt, RunEnd.STOPPED, UNKNOWN_RUN_MS, 0
+            )
             jobs.on_run_ended(board, view, task, report)
     view.unconfirmed = frozenset()
     for run in live.rows:
@@ -369,7 +372,9 @@
             lost, view.tasks = view.tasks, {}
             for attempt, task in lost.items():
                 shares.on_ended(board, task)
-                report = RunReport(task.job.id, attempt, RunEnd.STOPPED, 0, 0)
+                report = RunReport(
+                    task.job.id, attempt, RunEnd.STOPPED, UNKNOWN_RUN_MS, 0
+                )
                 jobs.on_run_ended(board, view, task, report)
         disconnected_s = board.now_s - max(
             view.last_received_s, view.closed_at_s
--- a/egretthread/scheduling/pendingcounts.py
+++ b/egretthread/scheduling/pendingcounts.py
@@ -18,7 +18,11 @@
     KeptJob,
     Partition,
 )
-from egretthread.scheduling.runmessage import EntryHello, PendingJobs
+from egretthread.scheduling.runmessage import (
+    UNKNOWN_RUN_MS,
+    EntryHello,
+    PendingJobs,
+)
 
 # Maximum number of former counts that are kept.
 MAX_FORMER = 500
@@ -69,10 +73,13 @@
     Args:
         board: The blackboard.
         task: The task.
-        run_ms: How long it has run; 0 if that is not known.
+        run_ms: How long it has run by the report of its agent, 0 if it is not
+            known to have started, or UNKNOWN_RUN_MS without a report.
     """
     kept_job = board.kept.find(task.job.id)
-    if kept_job is not None and (run_ms or _has_started(board, task)):
+    is_unknown = run_ms == UNKNOWN_RUN_MS
+    has_begun = run_ms > 0 or (is_unknown and _has_started(board, task))
+    if kept_job is not None and has_begun:
         kept_job.has_begun = True
 
 
--- a/egretthread/scheduling/runmessage.py
+++ b/egretthread/scheduling/runmessage.py
@@ -11,6 +11,9 @@
 from egretthread.scheduling.jobspec import JobSpec
 from egretthread.scheduling.room import Room
 
+# Run time in the report of a run whose agent has not told of its end.
+UNKNOWN_RUN_MS = -1
+
 
 class ServerState(enum.StrEnum):
     """State of a backend server, as reported by its agent."""
@@ -272,7 +275,7 @@
         job: Id of the job.
         attempt: Number of the attempt within the job.
         end: How it ended, or SLOW or STALLED while it is running.
-        run_ms: How long it has run.
+        run_ms: How long it has run; 0 if it is not known to have started.
         percent: Share of its work done, for SLOW.
     """
 
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -22,6 +22,7 @@
     SettleEnds,
     StartRuns,
 )
+from egretthread.scheduling.servercall import CallResult, PollResult, Verdict
 from tests.scheduling import pendingcheck, region, test_region
 
 
@@ -383,6 +384,25 @@
                 counts.add(self.pending(world))
             self.assertEqual({0}, counts, stop)
 
+    # Guards against MIXED: a run that was ordered once to a silent server was
+    # reported as stopped, and its job counted as begun for good.
+    def test_jobs_ordered_to_a_silent_server_are_counted(self):
+        world = region.Region(entries=3, agents=1)
+        world.run(6.0)
+        server = world.servers["a0"]
+        server.start = server.stop = lambda call, now_s: CallResult(
+            Verdict.NO_ANSWER
+        )
+        server.poll = lambda call, now_s: PollResult(Verdict.NO_ANSWER)
+        for number in range(6):
+            world.submit_kept(kept_job(f"k{number}", count=1))
+        world.run(5.0)
+        counts = set()
+        for _ in range(200):
+            world.run(0.02)
+            counts.add(self.pending(world))
+        self.assertEqual({6}, counts)
+
     # Guards against a count that is too high after a takeover.
     def test_a_job_that_has_lost_a_run_has_begun_for_the_successor(self):
         world = self.start_region()
