Apply a cancellation only to jobs of the queue it was requested in

What callers saw: a DELETE through the prefix of one queue cancelled a kept job of another queue, and, since cancellations of unknown jobs are remembered, also one that was submitted later.

Cause: a cancellation named the id of a job alone.

Fix: the record of a cancellation names its route and that route's host and prefix. It applies to submissions with the same name or the same host and prefix, so that callers of a route that was renamed or moved still reach their jobs.

--- a/egretthread/platform/callers.py
+++ b/egretthread/platform/callers.py
@@ -358,7 +358,7 @@
             return
         # Without a state, its submission may still be on its way.
         if not await self.wait_until_stored(
-            functools.partial(self.log.cancel, self.job, caller)
+            functools.partial(self.log.cancel, self.job, route, caller)
         ):
             return
         if state:
--- a/egretthread/scheduling/entryserver.py
+++ b/egretthread/scheduling/entryserver.py
@@ -19,7 +19,12 @@
 )
 from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryboard import Answer, EntryBoard, Outcome
-from egretthread.scheduling.jobrecord import JobState, Progress, Submission
+from egretthread.scheduling.jobrecord import (
+    Cancellation,
+    JobState,
+    Progress,
+    Submission,
+)
 from egretthread.scheduling.jobspec import JobSpec, OperatorState, Route
 from egretthread.scheduling.keptboard import (
     Handover,
@@ -379,18 +384,18 @@
         keptjobs.on_read(self.board, partition.number, partition.epoch, read_s)
 
     def apply_cancellation(
-        self, partition: Partition, job: str, unix_s: float
+        self, partition: Partition, job: str, cancellation: Cancellation
     ) -> None:
         """Cancels a job whose cancellation was read from the log.
 
         Args:
             partition: The partition.
             job: Id of the job.
-            unix_s: When it was cancelled.
+            cancellation: The cancellation.
         """
         self._update_time()
         keptjobs.on_cancelled(
-            self.board, partition.number, partition.epoch, job, unix_s
+            self.board, partition.number, partition.epoch, job, cancellation
         )
         self._process_output()
 
--- a/egretthread/scheduling/joblog.py
+++ b/egretthread/scheduling/joblog.py
@@ -7,7 +7,13 @@
 from egretthread.scheduling import jobrecord, keptjobs, leaserule
 from egretthread.scheduling.caller import Caller
 from egretthread.scheduling.entryserver import EntryServer
-from egretthread.scheduling.jobrecord import JobState, Progress, Submission
+from egretthread.scheduling.jobrecord import (
+    Cancellation,
+    JobState,
+    Progress,
+    Submission,
+)
+from egretthread.scheduling.jobspec import Route
 from egretthread.scheduling.keptboard import (
     UNKNOWN_EPOCH,
     Handover,
@@ -166,7 +172,7 @@
         value = jobrecord.encode_submission(submission)
         await self._append(Record(submission.spec.job, value), caller)
 
-    async def cancel(self, job: str, caller: Caller) -> None:
+    async def cancel(self, job: str, route: Route, caller: Caller) -> None:
         """Stores a cancellation of a job and returns once it is stored.
 
         The job may be unknown: its submission may be stored later, by another
@@ -174,6 +180,7 @@
 
         Args:
             job: Id of the job.
+            route: The route on which its cancellation was requested.
             caller: The caller that waits for it.
 
         Raises:
@@ -181,7 +188,9 @@
             StoreUnavailableError: It may be stored, or may be later.
             TimeoutError: The same.
         """
-        value = jobrecord.encode_cancellation(clock.unix_s())
+        value = jobrecord.encode_cancellation(
+            Cancellation(clock.unix_s(), route.name, jobrecord.path_of(route))
+        )
         record = Record(job + jobrecord.CANCEL_SUFFIX, value)
         await self._append(record, caller)
 
@@ -446,14 +455,14 @@
             if not record.value or not is_cancellation:
                 continue
             try:
-                unix_s = jobrecord.decode_cancellation(record.value)
+                cancellation = jobrecord.decode_cancellation(record.value)
             except jobrecord.RecordError as error:
                 logs.error(
                     "cancellation_malformed", key=record.key, error=error
                 )
                 continue
             job = record.key.removesuffix(jobrecord.CANCEL_SUFFIX)
-            self.server.apply_cancellation(partition, job, unix_s)
+            self.server.apply_cancellation(partition, job, cancellation)
 
     def _apply_handovers(
         self, partition: Partition, records: tuple[Record, ...]
--- a/egretthread/scheduling/jobrecord.py
+++ b/egretthread/scheduling/jobrecord.py
@@ -99,6 +99,39 @@
     has_begun: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Cancellation:
+    """A cancellation of the job with an id.
+
+    Attributes:
+        unix_s: When it was requested, or UNKNOWN_TIME.
+        route: Name of the route on which it was requested.
+        path: Host and path prefix of that route.
+    """
+
+    unix_s: float
+    route: str = ""
+    path: str = ""
+
+    def applies_to(self, submission: Submission) -> bool:
+        """Whether it cancels a submission, by its queue and its time.
+
+        A route may have been renamed or moved since the submission.
+        """
+        if self.unix_s == UNKNOWN_TIME:
+            return True
+        route = submission.route
+        is_late = submission.accepted_unix_s - self.unix_s >= CANCEL_MEMORY_S
+        return not is_late and (
+            route.name == self.route or path_of(route) == self.path
+        )
+
+
+def path_of(route: Route) -> str:
+    """Returns the host and the path prefix of a route."""
+    return route.host + route.path_prefix
+
+
 def partition_of(job: str, partition_count: int) -> int:
     """Returns the number of the partition that a job belongs to."""
     return zlib.crc32(job.encode()) % partition_count
@@ -128,37 +161,28 @@
         raise _malformed(error) from error
 
 
-def encode_cancellation(unix_s: float) -> bytes:
-    """Returns the value of a cancellation record.
-
-    Args:
-        unix_s: When the job was cancelled.
-    """
-    return orjson.dumps({"unix_s": unix_s})
-
+def encode_cancellation(cancellation: Cancellation) -> bytes:
+    """Returns the value of a cancellation record."""
+    return orjson.dumps(cancellation)
 
-def decode_cancellation(value: bytes) -> float:
-    """Returns when the job of a cancellation record was cancelled.
 
-    It is UNKNOWN_TIME in the record of an earlier release.
+def decode_cancellation(value: bytes) -> Cancellation:
+    """Returns the cancellation in a record.
 
     Raises:
         RecordError: The record is malformed.
     """
     try:
         table = orjson.loads(value)
-        return UNKNOWN_TIME if table == 1 else float(table["unix_s"])
+        if table == 1:
+            return Cancellation(UNKNOWN_TIME)
+        return Cancellation(
+            float(table["unix_s"]), str(table["route"]), str(table["path"])
+        )
     except (KeyError, TypeError, ValueError) as error:
         raise _malformed(error) from error
 
 
-def is_cancelled(submission: Submission, cancelled_unix_s: float) -> bool:
-    """Whether a cancellation of a job's id is one of this submission."""
-    if cancelled_unix_s == UNKNOWN_TIME:
-        return True
-    return submission.accepted_unix_s - cancelled_unix_s < CANCEL_MEMORY_S
-
-
 def encode_coordinator(epoch: int) -> bytes:
     """Returns the value of the record that names a coordinator.
 
--- a/egretthread/scheduling/keptboard.py
+++ b/egretthread/scheduling/keptboard.py
@@ -3,7 +3,12 @@
 import dataclasses
 import typing
 
-from egretthread.scheduling.jobrecord import JobState, Progress, Submission
+from egretthread.scheduling.jobrecord import (
+    Cancellation,
+    JobState,
+    Progress,
+    Submission,
+)
 from egretthread.scheduling.runmessage import PendingJobs, ServerNeed
 
 if typing.TYPE_CHECKING:
@@ -95,7 +100,7 @@
         jobs: Its jobs by id.
         dirty: Jobs whose progress has to be written, by id.
         dropped: Ids of jobs whose records have to be deleted.
-        cancelled: When jobs were cancelled that are not known, by id: their
+        cancelled: Cancellations of jobs that are not known, by id: their
             submissions may still be on their way. The oldest is the first.
     """
 
@@ -117,7 +122,7 @@
     jobs: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
     dirty: dict[str, KeptJob] = dataclasses.field(default_factory=dict)
     dropped: set[str] = dataclasses.field(default_factory=set)
-    cancelled: dict[str, float] = dataclasses.field(default_factory=dict)
+    cancelled: dict[str, Cancellation] = dataclasses.field(default_factory=dict)
 
     @property
     def has_read_former(self) -> bool:
--- a/egretthread/scheduling/keptjobs.py
+++ b/egretthread/scheduling/keptjobs.py
@@ -33,6 +33,7 @@
 )
 from egretthread.scheduling.jobrecord import (
     FINAL_STATES,
+    Cancellation,
     JobState,
     Progress,
     Submission,
@@ -241,9 +242,9 @@
     if partition is None or submission.spec.job in partition.jobs:
         return
     _add(board, partition, submission, None)
-    cancelled_unix_s = partition.cancelled.pop(submission.spec.job, None)
-    if cancelled_unix_s is not None:
-        _cancel(board, partition, submission.spec.job, cancelled_unix_s)
+    cancellation = partition.cancelled.pop(submission.spec.job, None)
+    if cancellation is not None:
+        _cancel(board, partition, submission.spec.job, cancellation)
 
 
 def on_read(board: EntryBoard, number: int, epoch: int, read_s: float) -> None:
@@ -265,7 +266,11 @@
 
 
 def on_cancelled(
-    board: EntryBoard, number: int, epoch: int, job: str, unix_s: float
+    board: EntryBoard,
+    number: int,
+    epoch: int,
+    job: str,
+    cancellation: Cancellation,
 ) -> None:
     """Cancels a job whose cancellation was read from the log.
 
@@ -277,27 +282,35 @@
         number: Number of the partition.
         epoch: Epoch of the partition when it was read.
         job: Id of the job.
-        unix_s: When the job was cancelled, or UNKNOWN_TIME.
+        cancellation: The cancellation.
     """
     partition = _find_partition(board, number, epoch)
     if partition is None:
         return
     if job in partition.jobs:
-        _cancel(board, partition, job, unix_s)
-    elif unix_s != jobrecord.UNKNOWN_TIME:
+        _cancel(board, partition, job, cancellation)
+    elif cancellation.unix_s != jobrecord.UNKNOWN_TIME:
         partition.cancelled.pop(job, None)
-        partition.cancelled[job] = unix_s
+        partition.cancelled[job] = cancellation
 
 
 def _cancel(
-    board: EntryBoard, partition: Partition, job: str, unix_s: float
+    board: EntryBoard,
+    partition: Partition,
+    job: str,
+    cancellation: Cancellation,
 ) -> None:
-    """Cancels a known job, unless it has ended or was submitted anew."""
+    """Cancels a known job, unless it has ended or is another one."""
     kept_job = partition.jobs[job]
     if kept_job.state in FINAL_STATES:
         return
-    if not jobrecord.is_cancelled(kept_job.submission, unix_s):
-        logs.info("cancellation_outdated", job=job, cancelled_unix_s=unix_s)
+    if not cancellation.applies_to(kept_job.submission):
+        logs.info(
+            "cancellation_ignored",
+            job=job,
+            cancelled_unix_s=cancellation.unix_s,
+            route=cancellation.route,
+        )
         return
     answer = Answer(job, Outcome.CANCELLED, "cancelled by its caller")
     jobs.close(board, kept_job.job, answer)
@@ -311,8 +324,8 @@
     excess = len(partition.cancelled) - MAX_CANCELLATIONS
     return tuple(
         job
-        for number, (job, unix_s) in enumerate(partition.cancelled.items())
-        if number < excess or unix_s < cutoff_unix_s
+        for number, (job, each) in enumerate(partition.cancelled.items())
+        if number < excess or each.unix_s < cutoff_unix_s
     )
 
 
--- a/tests/scheduling/fakelog.py
+++ b/tests/scheduling/fakelog.py
@@ -37,7 +37,7 @@
         lost_share: Share of the calls that are applied but not answered.
         deaf_s: Until when an entry gets no answers, by name.
         submissions: Encoded submissions by job.
-        cancelled: When jobs were cancelled, in Unix time, by id.
+        cancelled: Cancellations by job.
         progress: Encoded progress by job.
         epochs: Epoch of the last writer of each partition.
         handovers: Epoch of the last coordinator that has handed each partition
@@ -150,8 +150,8 @@
             if self.partition_of(job) == number
         }
         cancelled = [
-            (job, unix_s)
-            for job, unix_s in self.cancelled.items()
+            (job, cancellation)
+            for job, cancellation in self.cancelled.items()
             if self.partition_of(job) == number
         ]
         return submissions, progress, cancelled
--- a/tests/scheduling/region.py
+++ b/tests/scheduling/region.py
@@ -689,8 +689,8 @@
         ):
             return
         keptjobs.on_loaded(board, *key, submissions, progress)
-        for job_id, unix_s in cancelled:
-            keptjobs.on_cancelled(board, *key, job_id, unix_s)
+        for job_id, change in cancelled:
+            keptjobs.on_cancelled(board, *key, job_id, change)
         # Records that were written since the read are read next.
         for submission in self.log.read(partition.number)[0]:
             keptjobs.on_submitted(board, *key, submission)
@@ -749,11 +749,13 @@
         self.log.submissions.setdefault(spec.job, value)
         self._publish(spec.job, keptjobs.on_submitted, submission)
 
-    def cancel_kept(self, job_id):
+    def cancel_kept(self, job_id, route=ROUTE):
         """Cancels a kept job."""
-        unix_s = self.now_s + UNIX_START_S
-        self.log.cancelled[job_id] = unix_s
-        self._publish(job_id, keptjobs.on_cancelled, job_id, unix_s)
+        change = jobrecord.Cancellation(
+            self.now_s + UNIX_START_S, route.name, jobrecord.path_of(route)
+        )
+        self.log.cancelled[job_id] = change
+        self._publish(job_id, keptjobs.on_cancelled, job_id, change)
 
     def _publish(self, job_id, handler, *change):
         self._publish_to(self.log.partition_of(job_id), handler, *change)
--- a/tests/scheduling/test_jobrecord.py
+++ b/tests/scheduling/test_jobrecord.py
@@ -79,10 +79,11 @@
         self.assertEqual(expected, jobrecord.decode_progress(value))
 
     def test_cancellations_of_earlier_releases_can_be_read(self):
-        unix_s = jobrecord.decode_cancellation(b"1")
-        self.assertEqual(jobrecord.UNKNOWN_TIME, unix_s)
-        value = jobrecord.encode_cancellation(1.7e9)
-        self.assertEqual(1.7e9, jobrecord.decode_cancellation(value))
+        earlier = jobrecord.Cancellation(jobrecord.UNKNOWN_TIME)
+        self.assertEqual(earlier, jobrecord.decode_cancellation(b"1"))
+        cancellation = jobrecord.Cancellation(1.7e9, "r-1", "h/p/")
+        value = jobrecord.encode_cancellation(cancellation)
+        self.assertEqual(cancellation, jobrecord.decode_cancellation(value))
 
     def test_earlier_releases_can_read_the_record_of_a_coordinator(self):
         value = jobrecord.encode_coordinator(7)
--- a/tests/scheduling/test_keptjobs.py
+++ b/tests/scheduling/test_keptjobs.py
@@ -267,6 +267,29 @@
         self.assertEqual({"k": "cancelled"}, self.world.log.states())
         self.assertEqual({}, self.world.runs())
 
+    # Guards against LOST: a caller of another queue cancelled a job, before or
+    # after its submission.
+    def test_a_cancellation_in_another_queue_does_not_apply(self):
+        self.world.cancel_kept("k", region.LONG_ROUTE)
+        self.world.run(1.0)
+        self.world.submit_kept(kept_job("k"))
+        self.world.run(1.0)
+        self.world.cancel_kept("k", region.LONG_ROUTE)
+        self.move()
+        self.world.finish(12.0)
+        self.assertEqual({"k": "completed"}, self.world.log.states())
+
+    # The route has been renamed, or moved to another path.
+    def test_a_cancellation_applies_after_a_change_of_the_route(self):
+        renamed = dataclasses.replace(region.ROUTE, name="other")
+        moved = dataclasses.replace(region.ROUTE, path_prefix="/other/")
+        for job, route in (("k", renamed), ("m", moved)):
+            self.world.submit_kept(kept_job(job))
+            self.world.run(1.0)
+            self.world.cancel_kept(job, route)
+            self.world.run(1.0)
+            self.assertEqual("cancelled", self.world.log.states()[job])
+
     # Guards against LOST: a job that nobody has cancelled is cancelled.
     def test_a_job_with_an_id_that_was_cancelled_long_ago_runs(self):
         self.world.cancel_kept("k")
@@ -289,7 +312,7 @@
                 partition.number,
                 partition.epoch,
                 f"k{number}",
-                entry.board.unix_s,
+                jobrecord.Cancellation(entry.board.unix_s),
             )
         outdated = keptjobs.outdated_cancellations(entry.board, partition)
         self.assertEqual(("k0", "k1"), outdated)
@@ -299,9 +322,12 @@
         partition = entry.board.kept.partitions[
             self.world.log.partition_of("k")
         ]
-        unix_s = jobrecord.decode_cancellation(b"1")
         keptjobs.on_cancelled(
-            entry.board, partition.number, partition.epoch, "k", unix_s
+            entry.board,
+            partition.number,
+            partition.epoch,
+            "k",
+            jobrecord.decode_cancellation(b"1"),
         )
         self.assertEqual({}, partition.cancelled)
 
