Fit a break of the mutation tests to the renamed variable

Cause: changed the line that the break 'forget cancellations of jobs that are not stored yet' replaces, and test_every_break_fits_the_sources was not run with it. Change: the break names the new line.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -119,7 +119,7 @@
         (
             "forget cancellations of jobs that are not stored yet",
             "keptjobs.py",
-            "        partition.cancelled[job] = unix_s",
+            "        partition.cancelled[job] = cancellation",
             "        pass",
         ),
         (
